--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -12,9 +12,10 @@
 use crate::time::Span;
 use crate::time::Time;
 
-/// A replica with work that has said nothing for this long gets no more: longer than the longest
-/// step of a loaded engine, shorter than the objectives of long prompts.
-const ENGINE_SILENCE: Span = Span::millis(700);
+/// A replica with work that has said nothing for this long gets no more, and what it has moves
+/// elsewhere. A gateway may have a single request in a full engine's queue, so this is longer than
+/// such a queue lasts; a host that is gone shows sooner by its connections.
+const ENGINE_SILENCE: Span = Span::millis(2_500);
 /// The same for plain services, whose calls take tens of milliseconds.
 const PLAIN_SILENCE: Span = Span::millis(300);
 /// How long a replica is left alone after no connection could be made; doubles up to the longest.
--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -18,4 +18,5 @@
 pub use self::state::Gateway;
 pub use self::state::Grant;
 pub use self::state::Pick;
+pub use self::state::Rank;
 pub use self::state::Settings;
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -59,8 +59,8 @@
     pub route: Arc<Route>,
     /// Organisation by name.
     pub organisation: Option<String>,
-    /// Rank; 0 is the highest.
-    pub priority: u8,
+    /// How urgent it is.
+    pub rank: Rank,
     /// Service that the call goes to.
     pub service: String,
     /// When its head was read.
@@ -74,6 +74,16 @@
     version: u64,
 }
 
+/// How urgent a call is; the least comes first. Within a route's rank the organisation's counts:
+/// the other way round, engines stop catalogue drafts for the reports of a larger customer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// Rank of the route; 0 is the highest.
+    pub route: u8,
+    /// Rank of the organisation; 0 is the highest.
+    pub organisation: u8,
+}
+
 /// A replica for an attempt.
 #[derive(Clone, Debug)]
 pub struct Pick {
@@ -248,20 +258,20 @@
             return Err(Refusal::not_run(Reason::NoRoute, Span(0)));
         };
         let mut organisation = None;
-        let mut priority = route.priority;
+        let mut rank = Rank { organisation: 0, route: route.priority };
         if !route.public {
             if !self.freshness.is_current(now) {
                 return Err(Refusal::not_run(Reason::StaleConfiguration, ELSEWHERE));
             }
             let found = ask.key.as_ref().and_then(|key| config.organisation(key));
             let found = found.ok_or(Refusal::not_run(Reason::UnknownKey, Span(0)))?;
-            priority = found.priority.unwrap_or(priority);
+            rank.organisation = found.priority.unwrap_or(0);
             organisation = Some(found.name.clone());
         }
         let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
         Ok(Grant {
             organisation,
-            priority,
+            rank,
             service: target(route, &ask.id),
             arrived,
             deadline: arrived + patience,
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -263,7 +263,7 @@
             replica: &pick.id,
             organisation: self.grant.organisation.as_deref(),
             left_ms: self.grant.deadline.since(clock::now()).as_millis().max(1),
-            priority: self.grant.priority,
+            rank: self.grant.rank,
             last_event,
             engine: pick.engine,
         };
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -75,7 +75,7 @@
             .line(outcome, status)
             .with("route", &grant.route.name)
             .with("service", &grant.service)
-            .with("priority", grant.priority)
+            .with("rank", format_args!("{}.{}", grant.rank.route, grant.rank.organisation))
             .with("attempts", grant.attempts)
             .with("first_ms", self.first.get().map_or(-1, |f| f.as_millis() as i64))
             .with("version", self.shared.gateway.borrow().version())
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::http::request;
+use laburnumwheel_core::gateway::Rank;
 use laburnumwheel_core::gateway::ask::Ask;
 use laburnumwheel_core::gateway::fleet::Load;
 
@@ -15,8 +16,8 @@
     pub organisation: Option<&'a str>,
     /// Milliseconds that are left.
     pub left_ms: u64,
-    /// Rank; 0 is the highest.
-    pub priority: u8,
+    /// How urgent it is.
+    pub rank: Rank,
     /// Last event that the caller has, if the stream goes on.
     pub last_event: Option<&'a Bytes>,
     /// The replica is a model engine.
