Loads and demand by gossip, a lane for sensitive streams, refusal of what would be late

Cause: a gateway of 65 sees an answer of one engine every few seconds, so choices herded and queues grew to 48; one 9,000-token prompt makes a chat late that runs beside it. Change: sightings of loads and demand travel in heartbeats; streams with short pauses share as many engines as they need; a read prompt counts against those who run; second homes; early refusal.

--- a/core/src/arena.rs
+++ b/core/src/arena.rs
@@ -14,6 +14,13 @@
     kind: PhantomData<fn() -> T>,
 }
 
+impl<T> Default for Key<T> {
+    /// A key that finds nothing.
+    fn default() -> Self {
+        Key { index: u32::MAX, generation: u32::MAX, kind: PhantomData }
+    }
+}
+
 impl<T> Clone for Key<T> {
     fn clone(&self) -> Self {
         *self
--- a/core/src/gateway/config.rs
+++ b/core/src/gateway/config.rs
@@ -33,6 +33,8 @@
     pub timeout: Span,
     /// Time within which an answer, or a stream's first event, is on time.
     pub objective: Span,
+    /// Longest pause between events of a stream that is on time; zero if any is.
+    pub pause: Span,
     /// Rank; 0 is the highest.
     pub priority: u8,
     /// Where calls go.
@@ -109,6 +111,7 @@
     services: BTreeMap<String, Service>,
     organisations: Vec<Organisation>,
     keys: BTreeMap<Bytes, usize>,
+    lowest: BTreeMap<String, u8>,
 }
 
 impl Config {
@@ -119,6 +122,10 @@
 
     /// The configuration with one more route.
     pub fn with_route(mut self, route: Route) -> Config {
+        for target in &route.targets {
+            let lowest = self.lowest.entry(target.service.clone()).or_default();
+            *lowest = route.priority.max(*lowest);
+        }
         self.routes
             .entry(route.host.clone())
             .or_default()
@@ -156,6 +163,12 @@
         self.routes.contains_key(host)
     }
 
+    /// Whether no route to `service` ranks below `route`.
+    pub fn ranks_last(&self, route: &Route, service: &str) -> bool {
+        let lowest = self.lowest.get(service).copied().unwrap_or(0);
+        route.priority >= lowest
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.routes.values().map(BTreeMap::len).sum()
--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -9,6 +9,10 @@
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 
+use crate::gateway::gossip::Demand;
+use crate::gateway::gossip::Demands;
+use crate::gateway::gossip::Sighting;
+use crate::rendezvous;
 use crate::time::Span;
 use crate::time::Time;
 
@@ -44,8 +48,10 @@
 pub struct Heartbeat {
     /// The sender.
     pub entry: Entry,
-    /// It takes callers.
-    pub open: bool,
+    /// Demand of gateways, the sender's own among it.
+    pub demands: Vec<Demand>,
+    /// Loads of replicas.
+    pub loads: Vec<Sighting>,
     /// Version of its configuration.
     pub version: u64,
     /// Age of its proof that this version is the newest, in microseconds.
@@ -55,6 +61,7 @@
 #[derive(Debug)]
 struct Member {
     entry: Entry,
+    short: u32,
     listed: bool,
     open: bool,
     heard: Option<Time>,
@@ -65,6 +72,12 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     members: BTreeMap<String, Member>,
+    demands: Demands,
+}
+
+/// Short hash of a gateway's name, by which gateways speak of it.
+pub fn short(name: &str) -> u32 {
+    rendezvous::hash(&[name.as_bytes()]) as u32
 }
 
 impl Directory {
@@ -74,11 +87,9 @@
             member.listed = false;
         }
         for entry in entries {
-            let name = entry.name.clone();
             let member = self.member(now, entry);
             member.listed = true;
             member.seen = now;
-            let _ = name;
         }
         self.members.retain(|_, m| now.since(m.seen) < REMEMBERED);
     }
@@ -89,14 +100,34 @@
         if heartbeat.entry.incarnation < member.entry.incarnation {
             return;
         }
-        member.heard = Some(now);
         member.seen = now;
-        member.open = heartbeat.open;
+        self.demands.hear(now, &heartbeat.demands);
+        for member in self.members.values_mut() {
+            if let Some((at, open)) = self.demands.of(member.short)
+                && member.heard.is_none_or(|heard| heard < at)
+            {
+                member.heard = Some(at);
+                member.seen = member.seen.max(at);
+                member.open = open;
+            }
+        }
+    }
+
+    /// Demand to pass on.
+    pub fn tell(&self, now: Time) -> Vec<Demand> {
+        self.demands.tell(now)
+    }
+
+    /// Sensitive streams of the other gateways.
+    pub fn sensitive(&self, now: Time) -> u32 {
+        self.demands.sensitive(now)
     }
 
     fn member(&mut self, now: Time, entry: Entry) -> &mut Member {
-        let fresh =
-            |entry: Entry| Member { entry, listed: false, open: true, heard: None, seen: now };
+        let fresh = |entry: Entry| {
+            let short = short(&entry.name);
+            Member { entry, short, listed: false, open: true, heard: None, seen: now }
+        };
         let member = self.members.entry(entry.name.clone()).or_insert_with(|| fresh(entry.clone()));
         if entry.incarnation > member.entry.incarnation {
             *member = fresh(entry);
--- a/core/src/gateway/engine.rs
+++ b/core/src/gateway/engine.rs
@@ -57,3 +57,54 @@
         parts.iter().take_while(kept).map(|p| u64::from(p.tokens)).sum()
     }
 }
+
+/// Parts that so many calls share that every engine has read them lately.
+#[derive(Debug, Default)]
+pub struct Common {
+    parts: BTreeMap<u64, Uses>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Uses {
+    rate: f64,
+    last: Time,
+}
+
+/// Time over which the uses of a part are averaged.
+const USES_OVER: Span = Span::secs(4);
+/// Uses per engine and second, over all gateways, from which on a part counts as common: at one in
+/// two seconds it stays cached even where caches turn over fastest.
+const COMMON_RATE: f64 = 0.5;
+
+impl Common {
+    /// Notes a use of the parts.
+    pub fn note(&mut self, now: Time, parts: &[Part]) {
+        for part in parts {
+            let uses = self.parts.entry(part.id).or_insert(Uses { rate: 0.0, last: now });
+            uses.rate = uses.at(now) + 1.0 / USES_OVER.as_secs_f64();
+            uses.last = now;
+        }
+        if self.parts.len() > MOST_PARTS {
+            self.parts.retain(|_, uses| uses.at(now) > 0.1);
+        }
+        if self.parts.len() > MOST_PARTS {
+            self.parts.clear();
+        }
+    }
+
+    /// Tokens at the head of a prompt that every one of `engines` has cached, as one of `gateways`
+    /// sees it.
+    pub fn tokens(&self, now: Time, parts: &[Part], engines: usize, gateways: usize) -> u64 {
+        let least = COMMON_RATE * engines.max(1) as f64 / gateways.max(1) as f64;
+        let common = |p: &&Part| self.parts.get(&p.id).is_some_and(|u| u.at(now) >= least);
+        parts.iter().take_while(common).map(|p| u64::from(p.tokens)).sum()
+    }
+}
+
+impl Uses {
+    /// Uses in a second, as of `now`.
+    fn at(&self, now: Time) -> f64 {
+        let ago = now.since(self.last).as_secs_f64();
+        self.rate * (-ago / USES_OVER.as_secs_f64()).exp()
+    }
+}
--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -5,9 +5,10 @@
 use crate::arena::Arena;
 use crate::arena::Key;
 use crate::gateway::ask::Part;
-use crate::gateway::config::Service;
 use crate::gateway::engine;
 use crate::gateway::engine::Cache;
+use crate::gateway::gossip;
+use crate::gateway::gossip::Sighting;
 use crate::rendezvous;
 use crate::time::Span;
 use crate::time::Time;
@@ -27,8 +28,15 @@
 const OUTCOME_WEIGHT: f64 = 0.15;
 /// Milliseconds that a replica's failure rate beyond its peers' costs it, at a rate of one.
 const FAILURE_MS: f64 = 600.0;
-/// Milliseconds for each request that waits inside an engine.
-const WAITING_MS: f64 = 25.0;
+/// Milliseconds for each request that waits inside an engine: at full batches of long prompts an
+/// engine finishes one in about this time.
+const WAITING_MS: f64 = 60.0;
+/// Part of the waiting requests that a more urgent one finds ahead of itself.
+const AHEAD_OF_URGENT: f64 = 0.15;
+/// Reading a prompt delays each running request by as much; this part of that counts against it.
+const READING_OTHERS: f64 = 0.5;
+/// Part of a prompt's shared head that its second home is taken to have cached.
+const AT_SECOND: f64 = 0.3;
 /// Milliseconds that each running request adds to the first event of one that joins.
 const RUNNING_MS: f64 = 0.3;
 /// Milliseconds for each call in progress at a plain service, for one slot.
@@ -68,9 +76,10 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Report {
+    running: u32,
+    waiting: f64,
     /// Calls of other gateways, running and waiting.
     others: f64,
-    waiting: f64,
     at: Time,
 }
 
@@ -99,6 +108,7 @@
     /// It must get nothing new: it is leaving, or its entry is gone.
     pub closed: bool,
     hash: u64,
+    sensitive: u32,
     engine: bool,
     own: u32,
     reading_ms: f64,
@@ -117,6 +127,7 @@
             hash: rendezvous::hash(&[listing.id.as_bytes()]),
             closed: listing.leaving,
             listing,
+            sensitive: 0,
             engine: false,
             own: 0,
             reading_ms: 0.0,
@@ -148,6 +159,16 @@
         !self.closed && now >= self.resting_until && !self.is_silent(now)
     }
 
+    /// Short hash of its identity, by which gateways speak of it.
+    fn short(&self) -> u32 {
+        self.hash as u32
+    }
+
+    fn learn(&mut self, at: Time, running: u32, waiting: u32) {
+        let others = (f64::from(running + waiting) - f64::from(self.own)).max(0.0);
+        self.report = Some(Report { running, waiting: f64::from(waiting), others, at });
+    }
+
     /// Part of the last report that still counts.
     fn report_weight(&self, now: Time) -> f64 {
         let Some(report) = self.report else {
@@ -157,6 +178,11 @@
         (1.0 - age / REPORT_LIFE.as_secs_f64()).max(0.0)
     }
 
+    /// Calls of all gateways that it has, as far as known.
+    fn running(&self, now: Time) -> f64 {
+        f64::from(self.own) + self.others(now)
+    }
+
     fn others(&self, now: Time) -> f64 {
         self.report.map_or(0.0, |r| r.others) * self.report_weight(now)
     }
@@ -173,6 +199,23 @@
     pub service: &'a str,
     /// Parts of the prompt; empty for plain services.
     pub parts: &'a [Part],
+    /// How the call uses engines; `None` for plain services.
+    pub engine: Option<Use>,
+}
+
+/// How a call uses engines.
+#[derive(Clone, Copy, Debug)]
+pub struct Use {
+    /// Calls that an engine works on at a time.
+    pub slots: u32,
+    /// The call is a stream that long prompts would disturb.
+    pub sensitive: bool,
+    /// Engines set apart for such streams.
+    pub lane: usize,
+    /// No call of the service ranks below it, so it waits behind all others in an engine.
+    pub last: bool,
+    /// Tokens at the head of the prompt that every engine has cached.
+    pub common: u64,
 }
 
 /// An attempt's claim on a replica.
@@ -186,6 +229,7 @@
     pub expected_ms: f64,
     sent: Time,
     read: bool,
+    sensitive: bool,
 }
 
 /// All replicas.
@@ -283,55 +327,68 @@
         self.replicas.iter().map(|(_, r)| r)
     }
 
+    /// Number of a service's replicas that may get work at `now`.
+    pub fn usable(&self, now: Time, service: &str) -> usize {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        keys.filter(|k| self.replicas.get(**k).is_some_and(|r| r.is_usable(now))).count()
+    }
+
     /// Chooses a replica of a service other than `tried`, in the caller's `domain` if that is
     /// about as good.
     pub fn choose(
         &self,
         now: Time,
         need: &Need<'_>,
-        service: Option<&Service>,
         domain: &str,
         tried: &[Key<Replica>],
     ) -> Option<Claim> {
         let keys = self.by_service.get(need.service)?;
         let open: Vec<(Key<Replica>, &Replica)> = keys
             .iter()
-            .filter(|k| !tried.contains(k))
             .filter_map(|k| self.replicas.get(*k).map(|r| (*k, r)))
             .filter(|(_, r)| !r.closed)
             .collect();
-        let usable: Vec<(Key<Replica>, &Replica)> =
+        let mut usable: Vec<(Key<Replica>, &Replica)> =
             open.iter().filter(|(_, r)| r.is_usable(now)).copied().collect();
+        if let Some(u) = need.engine {
+            usable = of_lane(usable, &u);
+        }
+        usable.retain(|(key, _)| !tried.contains(key));
         // With nothing usable, the one that rested longest may be back.
         let candidates = if usable.is_empty() {
-            open.into_iter().min_by_key(|(_, r)| r.resting_until).into_iter().collect()
+            let untried = open.into_iter().filter(|(key, _)| !tried.contains(key));
+            untried.min_by_key(|(_, r)| r.resting_until).into_iter().collect()
         } else {
             usable
         };
-        let slots = service.and_then(|s| s.engine).map(|e| e.slots);
-        self.best(now, need, slots, domain, &candidates)
+        self.best(now, need, domain, &candidates)
     }
 
     fn best(
         &self,
         now: Time,
         need: &Need<'_>,
-        slots: Option<u32>,
         domain: &str,
         candidates: &[(Key<Replica>, &Replica)],
     ) -> Option<Claim> {
         let least_failing =
             candidates.iter().map(|(_, r)| r.failures).fold(f64::INFINITY, f64::min);
-        let home = home(need.parts, candidates);
+        let homes = homes(need.parts, candidates);
         let scored = candidates.iter().map(|(key, replica)| {
-            let (reading_ms, expected_ms) = match slots {
-                Some(slots) => engine_ms(now, need, slots, replica, home == Some(*key)),
+            let (reading_ms, expected_ms) = match need.engine {
+                Some(u) => engine_ms(now, need, &u, replica, Home::of(&homes, *key)),
                 None => (0.0, plain_ms(now, replica)),
             };
+            let reading_others = match need.engine {
+                Some(_) => READING_OTHERS * reading_ms * replica.running(now),
+                None => 0.0,
+            };
             let foreign = if replica.listing.domain == domain { 0.0 } else { FOREIGN_MS };
             let failing = FAILURE_MS * (replica.failures - least_failing);
-            let claim = Claim { replica: *key, reading_ms, expected_ms, sent: now, read: false };
-            (expected_ms + foreign + failing, claim)
+            let sensitive = need.engine.is_some_and(|u| u.sensitive);
+            let claim =
+                Claim { replica: *key, reading_ms, expected_ms, sent: now, read: false, sensitive };
+            (expected_ms + reading_others + foreign + failing, claim)
         });
         scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, claim)| claim)
     }
@@ -345,6 +402,7 @@
             }
             replica.engine = engine;
             replica.own += 1;
+            replica.sensitive += u32::from(claim.sensitive);
             replica.reading_ms += claim.reading_ms;
             replica.cache.read(now, parts);
         }
@@ -358,12 +416,57 @@
         replica.quiet_since = now;
         replica.rest = FIRST_REST;
         if let Some(load) = load {
-            let total = f64::from(load.running + load.waiting);
-            let others = (total - f64::from(replica.own)).max(0.0);
-            replica.report = Some(Report { others, waiting: f64::from(load.waiting), at: now });
+            replica.learn(now, load.running, load.waiting);
         }
     }
 
+    /// Takes in loads that other gateways saw.
+    pub fn learn(&mut self, now: Time, sightings: &[Sighting]) {
+        if sightings.is_empty() {
+            return;
+        }
+        let seen: BTreeMap<u32, &Sighting> = sightings.iter().map(|s| (s.replica, s)).collect();
+        let keys: Vec<Key<Replica>> = self.replicas.iter().map(|(k, _)| k).collect();
+        for key in keys {
+            let Some(replica) = self.replicas.get_mut(key) else {
+                continue;
+            };
+            let Some(s) = seen.get(&replica.short()) else {
+                continue;
+            };
+            let at = gossip::at(now, s.age_ms);
+            if replica.report.is_none_or(|r| r.at < at) {
+                replica.learn(at, u32::from(s.running), u32::from(s.waiting));
+            }
+        }
+    }
+
+    /// Loads to pass on, the youngest first.
+    pub fn tell(&self, now: Time) -> Vec<Sighting> {
+        let mut young: Vec<Sighting> = self
+            .replicas
+            .iter()
+            .filter_map(|(_, replica)| {
+                let report = replica.report?;
+                let age_ms = gossip::age_ms(now, report.at)?;
+                Some(Sighting {
+                    replica: replica.short(),
+                    running: report.running.min(u32::from(u16::MAX)) as u16,
+                    waiting: report.waiting as u16,
+                    age_ms,
+                })
+            })
+            .collect();
+        young.sort_by_key(|s| s.age_ms);
+        young.truncate(gossip::MOST);
+        young
+    }
+
+    /// This gateway's streams that long prompts would disturb.
+    pub fn sensitive(&self) -> u32 {
+        self.replicas.iter().map(|(_, r)| r.sensitive).sum()
+    }
+
     /// Time until a replica that has work counts as silent; zero if it is now, or unknown.
     pub fn silent_in(&self, now: Time, key: Key<Replica>) -> Span {
         self.replicas.get(key).map_or(Span(0), |r| r.silent_in(now))
@@ -394,6 +497,7 @@
         }
         if let Some(replica) = self.replicas.get_mut(key) {
             replica.own = replica.own.saturating_sub(1);
+            replica.sensitive -= u32::from(claim.sensitive).min(replica.sensitive);
         }
         self.outcome(now, key, outcome);
     }
@@ -421,41 +525,81 @@
     }
 }
 
-/// The replica that keeps the shared head of a prompt, alike for all gateways.
+/// Replicas in the lane of sensitive streams, or those outside of it for other calls.
+fn of_lane<'a>(
+    mut usable: Vec<(Key<Replica>, &'a Replica)>,
+    u: &Use,
+) -> Vec<(Key<Replica>, &'a Replica)> {
+    if u.lane == 0 || u.lane >= usable.len() {
+        return usable;
+    }
+    usable.sort_by_key(|(_, r)| r.hash);
+    let rest = usable.split_off(u.lane);
+    if u.sensitive { usable } else { rest }
+}
+
+/// How near a replica is to a prompt's shared head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Home {
+    First,
+    Second,
+    None,
+}
+
+impl Home {
+    fn of(homes: &[Key<Replica>; 2], key: Key<Replica>) -> Home {
+        match homes {
+            [first, _] if *first == key => Home::First,
+            [_, second] if *second == key => Home::Second,
+            _ => Home::None,
+        }
+    }
+}
+
+/// The replicas that keep the shared head of a prompt, alike for all gateways.
 ///
 /// The last part belongs to the call or its session; the one before it is the longest that calls
-/// share. Gateways agree by rendezvous without a message, so each part is read once.
-fn home(parts: &[Part], candidates: &[(Key<Replica>, &Replica)]) -> Option<Key<Replica>> {
+/// share. Gateways agree by rendezvous without a message, so each part is read once, and what the
+/// first home has no room for finds the part at the second.
+fn homes(parts: &[Part], candidates: &[(Key<Replica>, &Replica)]) -> [Key<Replica>; 2] {
     let shared = &parts[..parts.len().saturating_sub(1)];
-    let part = shared.last().or(parts.first())?;
-    let best = candidates.iter().max_by_key(|(_, r)| rendezvous::score(part.id, r.hash));
-    best.map(|(key, _)| *key)
+    let id = shared.last().or(parts.first()).map_or(0, |p| p.id);
+    let mut best = [(0, Key::default()); 2];
+    for (key, replica) in candidates {
+        let scored = (rendezvous::score(id, replica.hash), *key);
+        if scored.0 > best[0].0 {
+            best = [scored, best[0]];
+        } else if scored.0 > best[1].0 {
+            best[1] = scored;
+        }
+    }
+    best.map(|(_, key)| key)
 }
 
 /// Time to read the prompt and expected time to the first event, in milliseconds.
-fn engine_ms(
-    now: Time,
-    need: &Need<'_>,
-    slots: u32,
-    replica: &Replica,
-    is_home: bool,
-) -> (f64, f64) {
+fn engine_ms(now: Time, need: &Need<'_>, u: &Use, replica: &Replica, home: Home) -> (f64, f64) {
     let total: u64 = need.parts.iter().map(|p| u64::from(p.tokens)).sum();
-    let last = need.parts.last().map_or(0, |p| u64::from(p.tokens));
-    let mut cached = replica.cache.cached(now, need.parts);
-    if is_home {
-        cached = cached.max(total - last);
-    }
+    let shared = total - need.parts.last().map_or(0, |p| u64::from(p.tokens));
+    let known = replica.cache.cached(now, need.parts).max(u.common);
+    let cached = match home {
+        Home::First => known.max(shared),
+        Home::Second => {
+            known.max(u.common + ((shared - u.common.min(shared)) as f64 * AT_SECOND) as u64)
+        }
+        Home::None => known,
+    };
     let reading = engine::reading_ms(cached, total.saturating_sub(cached));
-    let running = f64::from(replica.own) + replica.others(now);
-    let over = (running - f64::from(slots)).max(0.0);
-    let queue = replica.reading_ms + WAITING_MS * replica.waiting(now).max(over);
+    let running = replica.running(now);
+    let over = (running - f64::from(u.slots)).max(0.0);
+    let waiting = replica.waiting(now).max(over);
+    let ahead = if u.last { waiting } else { waiting * AHEAD_OF_URGENT };
+    let queue = replica.reading_ms + WAITING_MS * ahead;
     let slowness = replica.slowness.max(1.0);
     (reading, (reading + queue + RUNNING_MS * running) * slowness)
 }
 
 fn plain_ms(now: Time, replica: &Replica) -> f64 {
-    let busy = f64::from(replica.own) + replica.others(now);
+    let busy = replica.running(now);
     let slots = f64::from(replica.listing.slots.max(1));
     PLAIN_MS * (1.0 + busy / slots) * replica.slowness.max(1.0)
 }
--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -12,6 +12,8 @@
 pub mod events;
 pub mod fleet;
 pub mod freshness;
+pub mod gossip;
+pub mod lane;
 pub mod refusal;
 mod state;
 
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -10,10 +11,13 @@
 use super::budget;
 use super::budget::Budget;
 use super::config::Config;
+use super::config::Engine;
 use super::config::Route;
+use super::directory;
 use super::directory::Directory;
 use super::directory::Entry;
 use super::directory::Heartbeat;
+use super::engine::Common;
 use super::fleet::Claim;
 use super::fleet::Fleet;
 use super::fleet::Listing;
@@ -21,7 +25,11 @@
 use super::fleet::Need;
 use super::fleet::Outcome;
 use super::fleet::Replica;
+use super::fleet::Use;
 use super::freshness::Freshness;
+use super::gossip::Demand;
+use super::lane;
+use super::lane::Lane;
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use crate::arena::Key;
@@ -36,6 +44,12 @@
 const OUTAGE: Span = Span::millis(2_500);
 /// Time to come back for a caller that another gateway can serve at once.
 const ELSEWHERE: Span = Span::millis(50);
+/// Callers who are refused for load come back after some time in this range.
+const RETURN_FROM: Span = Span::millis(400);
+const RETURN_TO: Span = Span::millis(1_500);
+/// Objectives, or part of the timeout, that a call may be expected to wait for its first event.
+const OBJECTIVES: f64 = 1.0;
+const TIMEOUT_PART: f64 = 0.15;
 /// Time to come back when the replicas are busy.
 const BUSY: Span = Span::millis(300);
 
@@ -108,6 +122,8 @@
     fleet: Fleet,
     directory: Directory,
     budgets: BTreeMap<String, Budget>,
+    lanes: BTreeMap<String, Lane>,
+    common: Common,
     listed: Option<Time>,
     returned: Option<Time>,
     stopping: bool,
@@ -124,6 +140,8 @@
             fleet: Fleet::default(),
             directory: Directory::default(),
             budgets: BTreeMap::new(),
+            lanes: BTreeMap::new(),
+            common: Common::default(),
             listed: None,
             returned: None,
             stopping: false,
@@ -172,14 +190,25 @@
     pub fn hear(&mut self, now: Time, heartbeat: &Heartbeat) {
         if heartbeat.entry.name != self.settings.entry.name {
             self.directory.hear(now, heartbeat);
+            self.fleet.learn(now, &heartbeat.loads);
         }
     }
 
     /// The heartbeat to send at `now`.
     pub fn heartbeat(&self, now: Time) -> Heartbeat {
+        let own = Demand {
+            gateway: directory::short(&self.settings.entry.name),
+            open: self.is_open(now),
+            sensitive: self.fleet.sensitive().min(u32::from(u16::MAX)) as u16,
+            age_ms: 0,
+        };
+        let mut demands = self.directory.tell(now);
+        demands.retain(|d| d.gateway != own.gateway);
+        demands.insert(0, own);
         Heartbeat {
             entry: self.settings.entry.clone(),
-            open: self.is_open(now),
+            demands,
+            loads: self.fleet.tell(now),
             version: self.version(),
             proof_age: self.freshness.age(now).map(|s| s.0),
         }
@@ -291,22 +320,47 @@
     /// The refusal to answer with; it does not know of earlier attempts.
     pub fn pick(&mut self, now: Time, ask: &Ask, grant: &mut Grant) -> Result<Pick, Refusal> {
         self.confirm(now, ask, grant)?;
-        let config = self.config.as_ref();
-        let service = config.and_then(|c| c.service(&grant.service));
-        let need = Need { service: &grant.service, parts: &ask.parts };
+        let config = self.config.clone();
+        let service = config.as_ref().and_then(|c| c.service(&grant.service));
+        let engine = service.and_then(|s| s.engine);
+        let engine = engine.map(|e| self.engine_use(now, ask, grant, &e));
+        let need = Need { service: &grant.service, parts: &ask.parts, engine };
         let domain = &self.settings.entry.domain;
-        let claim = self.fleet.choose(now, &need, service, domain, &grant.tried);
+        let claim = self.fleet.choose(now, &need, domain, &grant.tried);
         let claim = claim.ok_or(Refusal::not_run(Reason::NoReplica, BUSY))?;
+        if need.engine.is_some() && claim.expected_ms > longest_wait_ms(&grant.route) {
+            return Err(Refusal::not_run(Reason::Overloaded, self.spread()));
+        }
         let replica = self.fleet.get(claim.replica);
         let replica = replica.ok_or(Refusal::not_run(Reason::NoReplica, BUSY))?;
         Ok(Pick {
             claim,
             id: replica.listing.id.clone(),
             address: replica.listing.address.clone(),
-            engine: service.is_some_and(|s| s.engine.is_some()),
+            engine: need.engine.is_some(),
         })
     }
 
+    fn engine_use(&mut self, now: Time, ask: &Ask, grant: &Grant, engine: &Engine) -> Use {
+        let streams = self.directory.sensitive(now) + self.fleet.sensitive();
+        let engines = self.fleet.usable(now, &grant.service);
+        let last = self.config.as_ref().is_some_and(|c| c.ranks_last(&grant.route, &grant.service));
+        let gateways = self.directory.sharers();
+        let lane = self.lanes.entry(grant.service.clone()).or_default();
+        Use {
+            slots: engine.slots,
+            sensitive: lane::is_sensitive(&grant.route, engine),
+            lane: lane.size(now, streams, engine, engines),
+            last,
+            common: self.common.tokens(now, &ask.parts, engines, gateways),
+        }
+    }
+
+    /// A time to come back that spreads the returns of callers who were refused together.
+    fn spread(&mut self) -> Span {
+        Span(self.rng.random_range(RETURN_FROM.0..RETURN_TO.0))
+    }
+
     /// Looks once more whether a call is allowed, right before it leaves for a replica.
     ///
     /// # Errors
@@ -336,6 +390,7 @@
         grant.attempts += 1;
         grant.tried.push(pick.claim.replica);
         self.fleet.sent(now, &mut pick.claim, pick.engine, &ask.parts);
+        self.common.note(now, &ask.parts);
     }
 
     /// Takes one further attempt out of the service's budget; `false` if there is none left.
@@ -371,6 +426,13 @@
     }
 }
 
+/// Longest expected wait for a first event with which a call is sent on, in milliseconds: beyond
+/// it the call would be late for sure, and make those behind it late.
+fn longest_wait_ms(route: &Route) -> f64 {
+    let objective = route.objective.as_secs_f64() * OBJECTIVES;
+    objective.max(route.timeout.as_secs_f64() * TIMEOUT_PART) * 1e3
+}
+
 /// The service that a call goes to, by weight; the same for each look at the same call.
 fn target(route: &Route, id: &[u8]) -> String {
     let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -12,11 +12,11 @@
 use crate::shared::Shared;
 
 /// Time from one heartbeat to the next.
-const PERIOD: Duration = Duration::from_millis(500);
+const PERIOD: Duration = Duration::from_millis(250);
 /// Peers that get a heartbeat at a time; in a larger fleet they are drawn anew each time.
-const FANOUT: usize = 16;
+const FANOUT: usize = 4;
 /// Largest datagram.
-const LARGEST: usize = 1_400;
+const LARGEST: usize = 8_192;
 
 /// Sends heartbeats for ever.
 pub async fn beat(shared: Shared, socket: std::rc::Rc<UdpSocket>) {
