Long shared heads of prompts go to their two homes only

Change: from 1,000 tokens on a head is read at its two homes only; beyond their queues the call is refused.

--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -22,19 +22,24 @@
 /// How long a replica is left alone after no connection could be made; doubles up to the longest.
 const FIRST_REST: Span = Span::millis(400);
 const LONGEST_REST: Span = Span::secs(3);
-/// A load report counts less and less, and nothing after this.
-const REPORT_LIFE: Span = Span::millis(1_500);
+/// A load report counts in full while it is young, then less and less, and in the end nothing.
+const REPORT_YOUNG: Span = Span::millis(1_000);
+const REPORT_LIFE: Span = Span::millis(3_000);
 /// Weight of the newest outcome in the failure rate.
 const OUTCOME_WEIGHT: f64 = 0.15;
 /// Milliseconds that a replica's failure rate beyond its peers' costs it, at a rate of one.
 const FAILURE_MS: f64 = 600.0;
 /// Milliseconds for each request that waits inside an engine: at full batches of long prompts an
 /// engine finishes one in about this time.
-const WAITING_MS: f64 = 60.0;
+const WAITING_MS: f64 = 100.0;
 /// Part of the waiting requests that a more urgent one finds ahead of itself.
 const AHEAD_OF_URGENT: f64 = 0.15;
 /// Reading a prompt delays each running request by as much; this part of that counts against it.
-const READING_OTHERS: f64 = 0.5;
+const READING_OTHERS: f64 = 1.0;
+/// From so many tokens on, a shared head is only read at its homes. Elsewhere it would take
+/// several steps of an engine that others wait for, and push other heads out of its cache; under
+/// load that feeds on itself until engines do little but read the same heads again.
+const LONG_SHARED: u64 = 1_000;
 /// Part of a prompt's shared head that its second home is taken to have cached.
 const AT_SECOND: f64 = 0.3;
 /// Milliseconds that each running request adds to the first event of one that joins.
@@ -174,8 +179,8 @@
         let Some(report) = self.report else {
             return 0.0;
         };
-        let age = now.since(report.at).as_secs_f64();
-        (1.0 - age / REPORT_LIFE.as_secs_f64()).max(0.0)
+        let age = now.since(report.at).0.saturating_sub(REPORT_YOUNG.0);
+        (1.0 - age as f64 / (REPORT_LIFE.0 - REPORT_YOUNG.0) as f64).max(0.0)
     }
 
     /// Calls of all gateways that it has, as far as known.
@@ -227,6 +232,14 @@
     pub reading_ms: f64,
     /// Expected time to the first event or answer, in milliseconds.
     pub expected_ms: f64,
+    /// Calls that the replica was taken to have, running and waiting.
+    pub load: f64,
+    /// Calls that were taken to wait inside it.
+    pub waiting: f64,
+    /// Age of the load report, if there is one.
+    pub report_age: Option<Span>,
+    /// The replica keeps the shared head of the prompt.
+    pub home: bool,
     sent: Time,
     read: bool,
     sensitive: bool,
@@ -374,7 +387,9 @@
         let least_failing =
             candidates.iter().map(|(_, r)| r.failures).fold(f64::INFINITY, f64::min);
         let homes = homes(need.parts, candidates);
-        let scored = candidates.iter().map(|(key, replica)| {
+        let at_home = need.engine.is_some_and(|u| own_shared(need.parts, &u) >= LONG_SHARED);
+        let eligible = candidates.iter().filter(|(key, _)| !at_home || homes.contains(key));
+        let scored = eligible.map(|(key, replica)| {
             let (reading_ms, expected_ms) = match need.engine {
                 Some(u) => engine_ms(now, need, &u, replica, Home::of(&homes, *key)),
                 None => (0.0, plain_ms(now, replica)),
@@ -386,8 +401,18 @@
             let foreign = if replica.listing.domain == domain { 0.0 } else { FOREIGN_MS };
             let failing = FAILURE_MS * (replica.failures - least_failing);
             let sensitive = need.engine.is_some_and(|u| u.sensitive);
-            let claim =
-                Claim { replica: *key, reading_ms, expected_ms, sent: now, read: false, sensitive };
+            let claim = Claim {
+                replica: *key,
+                reading_ms,
+                expected_ms,
+                load: replica.running(now),
+                waiting: replica.waiting(now),
+                report_age: replica.report.map(|r| now.since(r.at)),
+                home: homes[0] == *key,
+                sent: now,
+                read: false,
+                sensitive,
+            };
             (expected_ms + reading_others + foreign + failing, claim)
         });
         scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, claim)| claim)
@@ -538,6 +563,13 @@
     if u.sensitive { usable } else { rest }
 }
 
+/// Tokens of a prompt's shared head that not every engine has cached.
+fn own_shared(parts: &[Part], u: &Use) -> u64 {
+    let head = &parts[..parts.len().saturating_sub(1)];
+    let shared: u64 = head.iter().map(|p| u64::from(p.tokens)).sum();
+    shared.saturating_sub(u.common)
+}
+
 /// How near a replica is to a prompt's shared head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Home {
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
+use laburnumwheel_core::gateway::Pick;
 use laburnumwheel_core::gateway::config::Limits;
 use laburnumwheel_core::gateway::fleet::Outcome;
 use laburnumwheel_core::gateway::refusal::Reason;
@@ -80,7 +81,10 @@
             .with("first_ms", self.first.get().map_or(-1, |f| f.as_millis() as i64))
             .with("version", self.shared.gateway.borrow().version())
             .with("proof_age_ms", proof.map_or(-1, |p| p.as_millis() as i64));
-        self.shared.log(line);
+        self.shared.log(match &call.chosen {
+            Some(pick) => with_choice(line, pick),
+            None => line,
+        });
     }
 
     /// Notes the end of a call that was not admitted.
@@ -109,6 +113,18 @@
     }
 }
 
+/// The line with what decided the last choice of a replica.
+fn with_choice(line: Line, pick: &Pick) -> Line {
+    let claim = &pick.claim;
+    line.with("replica", &pick.id)
+        .with("expected_ms", claim.expected_ms.round())
+        .with("reading_ms", claim.reading_ms.round())
+        .with("load", claim.load.round())
+        .with("waiting", claim.waiting.round())
+        .with("report_age_ms", claim.report_age.map_or(-1, |a| a.as_millis() as i64))
+        .with("home", claim.home)
+}
+
 impl Drop for Ending {
     fn drop(&mut self) {
         self.shared.calls.set(self.shared.calls.get() - 1);
@@ -162,8 +178,17 @@
     let (method, uri) = (head.method, head.uri);
     let uri = uri.path_and_query().map_or(uri.clone(), |p| p.clone().into());
     let shared = shared.clone();
-    let call =
-        Call { shared, ask, method, uri, headers: head.headers, body, grant, touched: false };
+    let call = Call {
+        shared,
+        ask,
+        method,
+        uri,
+        headers: head.headers,
+        body,
+        grant,
+        touched: false,
+        chosen: None,
+    };
     run(call, ending).await
 }
 
