--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -44,6 +44,8 @@
 const AT_SECOND: f64 = 0.3;
 /// Milliseconds that each running request adds to the first event of one that joins.
 const RUNNING_MS: f64 = 0.3;
+/// The same for a call that ranks last: most that run have prompts to be read before its own.
+const RUNNING_LAST_MS: f64 = 20.0;
 /// Milliseconds for each call in progress at a plain service, for one slot.
 const PLAIN_MS: f64 = 15.0;
 /// Milliseconds that leaving the failure domain costs.
@@ -626,8 +628,8 @@
     let waiting = replica.waiting(now).max(over);
     let ahead = if u.last { waiting } else { waiting * AHEAD_OF_URGENT };
     let queue = replica.reading_ms + WAITING_MS * ahead;
-    let slowness = replica.slowness.max(1.0);
-    (reading, (reading + queue + RUNNING_MS * running) * slowness)
+    let beside = if u.last { RUNNING_LAST_MS } else { RUNNING_MS };
+    (reading, reading + queue + beside * running)
 }
 
 fn plain_ms(now: Time, replica: &Replica) -> f64 {
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -47,9 +47,13 @@
 /// Callers who are refused for load come back after some time in this range.
 const RETURN_FROM: Span = Span::millis(400);
 const RETURN_TO: Span = Span::millis(1_500);
+/// Expected waits are spread by a random factor in this range, so that gateways which see the same
+/// old report do not all refuse, and then all send, at once.
+const DITHER_FROM: f64 = 0.3;
+const DITHER_TO: f64 = 1.7;
 /// Objectives, or part of the timeout, that a call may be expected to wait for its first event.
-const OBJECTIVES: f64 = 1.0;
-const TIMEOUT_PART: f64 = 0.15;
+const OBJECTIVES: f64 = 0.7;
+const TIMEOUT_PART: f64 = 0.06;
 /// Time to come back when the replicas are busy.
 const BUSY: Span = Span::millis(300);
 
@@ -328,7 +332,8 @@
         let domain = &self.settings.entry.domain;
         let claim = self.fleet.choose(now, &need, domain, &grant.tried);
         let claim = claim.ok_or(Refusal::not_run(Reason::NoReplica, BUSY))?;
-        if need.engine.is_some() && claim.expected_ms > longest_wait_ms(&grant.route) {
+        let dither = self.rng.random_range(DITHER_FROM..DITHER_TO);
+        if need.engine.is_some() && claim.expected_ms * dither > longest_wait_ms(&grant.route) {
             return Err(Refusal::not_run(Reason::Overloaded, self.spread()));
         }
         let replica = self.fleet.get(claim.replica);
