A few gateways read the store, the others ask them whether anything has changed

Cause: every read of the store has its price, and 65 gateways read 1.5 times a second each. Change: 3 to 5 gateways read; the others ask one, and fetch everything from it if its digest differs; the proof ages from the reader's read. A gateway that gets no answer reads the store itself, and one that the store turns away keeps up through its peers.

--- a/core/src/gateway/config.rs
+++ b/core/src/gateway/config.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::time::Span;
 
 /// Share of a route's calls that go to one service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     /// Service by name.
     pub service: String,
@@ -17,7 +19,7 @@
 }
 
 /// Rules for the calls below one host and path prefix.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Name, unique in the configuration.
     pub name: String,
@@ -46,7 +48,7 @@
 }
 
 /// What is known of the model engines of a service.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Engine {
     /// Requests in one batch.
     pub slots: u32,
@@ -57,7 +59,7 @@
 }
 
 /// A service that calls are routed to.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Name, unique in the configuration.
     pub name: String,
@@ -68,7 +70,7 @@
 }
 
 /// An organisation.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Organisation {
     /// Name, unique in the configuration.
     pub name: String,
@@ -77,7 +79,7 @@
 }
 
 /// Bounds on what callers send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// Largest head, in bytes.
     pub head: usize,
@@ -101,7 +103,7 @@
 }
 
 /// One version of the configuration, indexed.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Config {
     /// Its version; later ones are higher.
     pub version: u64,
--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -23,6 +23,9 @@
 const REMEMBERED: Span = Span::secs(20);
 /// Gateways of the caller's own failure domain that are enough for an answer.
 const ENOUGH: usize = 2;
+/// Gateways that read the store for all, and one more for so many gateways.
+const READERS: usize = 3;
+const GATEWAYS_PER_READER: usize = 32;
 /// Most addresses in an answer.
 const ADDRESSES: usize = 16;
 
@@ -68,6 +71,12 @@
     seen: Time,
 }
 
+impl Member {
+    fn is_live(&self, now: Time) -> bool {
+        self.heard.is_some_and(|at| now.since(at) < SILENT)
+    }
+}
+
 /// All gateways that were seen, without this one.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -140,6 +149,21 @@
         self.members.values().map(|m| m.entry.peer_address.as_str())
     }
 
+    /// Addresses of the gateways that read the store for all, and whether this one, `own`, is one.
+    ///
+    /// The first by hash of those that live: all gateways agree but for a moment, and a gateway
+    /// that disagrees only reads once more, or asks one that asks itself.
+    pub fn readers(&self, now: Time, own: &str) -> (Vec<String>, bool) {
+        let live = self.members.values().filter(|m| m.is_live(now));
+        let mut all: Vec<(u32, Option<&str>)> =
+            live.map(|m| (m.short, Some(m.entry.peer_address.as_str()))).collect();
+        all.push((short(own), None));
+        all.sort();
+        all.truncate(READERS + all.len() / GATEWAYS_PER_READER);
+        let is_reader = all.iter().any(|(_, address)| address.is_none());
+        (all.into_iter().filter_map(|(_, a)| a.map(str::to_owned)).collect(), is_reader)
+    }
+
     /// Gateways that may be spending a share of a budget, this one included.
     pub fn sharers(&self) -> usize {
         self.members.len() + 1
@@ -153,9 +177,9 @@
         domain: &str,
         rng: &mut SmallRng,
     ) -> Vec<String> {
-        let hears = self.members.values().any(|m| m.heard.is_some_and(|at| now.since(at) < SILENT));
+        let hears = self.members.values().any(|m| m.is_live(now));
         let alive = |m: &&Member| match m.heard {
-            Some(at) => m.open && (!hears || now.since(at) < SILENT),
+            Some(_) => m.open && (!hears || m.is_live(now)),
             None => m.open && m.listed,
         };
         let others = self.members.values().filter(alive).map(|m| &m.entry);
--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -54,7 +54,7 @@
 const SLOWNESS_WEIGHT: f64 = 0.15;
 
 /// An entry of the list of replicas.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Listing {
     /// Identity of this run of the replica.
     pub id: String,
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -190,6 +190,17 @@
         self.fleet.update(now, replicas, settling)
     }
 
+    /// Notes that a peer's proof covers what this gateway knows: nothing had changed at `sent`.
+    pub fn confirm_view(&mut self, now: Time, sent: Time) {
+        self.freshness.prove(sent);
+        self.listed = Some(now);
+    }
+
+    /// Gateways that read the store for all, and whether this one does.
+    pub fn readers(&self, now: Time) -> (Vec<String>, bool) {
+        self.directory.readers(now, &self.settings.entry.name)
+    }
+
     /// Takes a peer's heartbeat in, received at `now`.
     pub fn hear(&mut self, now: Time, heartbeat: &Heartbeat) {
         if heartbeat.entry.name != self.settings.entry.name {
@@ -254,6 +265,11 @@
         self.config.as_ref()
     }
 
+    /// When the read was sent that proved last what the store held.
+    pub fn proved(&self) -> Option<Time> {
+        self.freshness.proved()
+    }
+
     /// Age of the proof that the configuration is the newest.
     pub fn proof_age(&self, now: Time) -> Option<Span> {
         self.freshness.age(now)
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -32,6 +32,7 @@
 use crate::shared::State;
 use crate::store;
 use crate::store::Store;
+use crate::view;
 
 /// While stopping, how often it is looked whether everything is finished.
 const LOOK: Duration = Duration::from_millis(100);
@@ -112,6 +113,7 @@
         };
         let callers = server::listen(self.callers).map_err(at(self.callers))?;
         let socket = UdpSocket::bind(self.heartbeats).await.map_err(at(self.heartbeats))?;
+        let views = server::listen(self.heartbeats).map_err(at(self.heartbeats))?;
         let mut others = Vec::new();
         for listener in self.listeners {
             let opened = server::listen(listener.address).map_err(at(listener.address))?;
@@ -123,6 +125,8 @@
             dialect: self.dialect,
             pool: Pool::default(),
             metrics: Metrics::default(),
+            view: RefCell::new(None),
+            questions: RefCell::default(),
             lease: Cell::new(None),
             connections: Cell::new(0),
             calls: Cell::new(0),
@@ -135,7 +139,8 @@
         let socket = Rc::new(socket);
         let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
         spawn(Box::pin(write_lines(shared.clone())));
-        spawn(Box::pin(store::follow(shared.clone(), self.store.read)));
+        spawn(Box::pin(store::follow(shared.clone(), Rc::clone(&socket), self.store.read)));
+        spawn(Box::pin(serve_plain(shared.clone(), views, view::answer)));
         let enlist = store::enlist(shared.clone(), entry, self.store.announce, self.store.renew);
         spawn(Box::pin(enlist));
         spawn(Box::pin(peers::beat(shared.clone(), Rc::clone(&socket))));
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod server;
 pub mod shared;
 pub mod store;
+pub mod view;
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -2,22 +2,36 @@
 
 use std::future::Future;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use laburnumwheel_core::gateway::config::Config;
 use laburnumwheel_core::gateway::directory::Entry;
 use laburnumwheel_core::gateway::fleet::Listing;
+use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 use rand::Rng;
+use rand::seq::SliceRandom;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::UdpSocket;
 
 use crate::clock;
 use crate::log::Line;
+use crate::peers;
 use crate::shared::Shared;
+use crate::view;
+use crate::view::Known;
 
-/// Time from one read to the next. Two reads and one lost answer fit into two seconds, the
-/// shortest bound on taking up a change.
-const PERIOD: Duration = Duration::from_millis(650);
+/// Time from one read to the next, and from one question to the next: both, and a lost answer, fit
+/// into two seconds, the shortest bound on taking up a change.
+const PERIOD: Duration = Duration::from_millis(550);
+const ASKING: Duration = Duration::from_millis(550);
+/// Readers that are asked before the store is read after all.
+const READERS_ASKED: usize = 2;
+/// An older proof of a reader is none: it has lost the store itself.
+const OLDEST: Span = Span::millis(1_000);
 /// Time to the next try after a failed one; calls that are refused cost as much as others.
 const AGAIN: Duration = Duration::from_millis(300);
 /// Longest wait for one call: many times the usual few milliseconds.
@@ -28,7 +42,7 @@
 const RENEWAL: Duration = Duration::from_millis(1_300);
 
 /// Everything the store holds for a gateway, read at one moment.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct View {
     /// Newest configuration; `None` if none was ever written.
     pub config: Option<Arc<Config>>,
@@ -77,10 +91,19 @@
     tokio::time::timeout(PATIENCE, call).await.unwrap_or(Err(Error::Silent))
 }
 
-/// Reads the store for ever.
-pub async fn follow(shared: Shared, mut read: Box<dyn FnMut() -> Reply<View>>) {
+/// Keeps up with the store for ever: a reader by reading, any other gateway by asking a reader.
+pub async fn follow(
+    shared: Shared,
+    socket: Rc<UdpSocket>,
+    mut read: Box<dyn FnMut() -> Reply<View>>,
+) {
     let mut sound = true;
     loop {
+        let (readers, is_reader) = shared.gateway.borrow().readers(clock::now());
+        if !is_reader && asked(&shared, &socket, &readers).await {
+            tokio::time::sleep(jittered(&shared, ASKING)).await;
+            continue;
+        }
         let sent = clock::now();
         let result = bounded(read()).await;
         shared.metrics.store_call("read", result.is_ok());
@@ -106,14 +129,54 @@
     }
 }
 
+/// Asks readers, in random order, whether anything has changed, and takes over what has.
+///
+/// `false` if none of them could say: then the store must be read after all.
+async fn asked(shared: &Shared, socket: &UdpSocket, readers: &[String]) -> bool {
+    let mut readers = readers.to_vec();
+    readers.shuffle(&mut *shared.rng.borrow_mut());
+    for reader in readers.iter().take(READERS_ASKED) {
+        let Ok(address) = reader.parse() else {
+            continue;
+        };
+        let at = clock::now();
+        let Some(proof) = peers::ask(shared, socket, address).await else {
+            continue;
+        };
+        if proof.age > OLDEST.0 {
+            continue;
+        }
+        let digest = shared.view.borrow().as_ref().map(|known| known.digest);
+        if digest == Some(proof.digest) {
+            shared.gateway.borrow_mut().confirm_view(clock::now(), at - Span(proof.age));
+            return true;
+        }
+        if let Ok(Ok((sent, view))) = tokio::time::timeout(PATIENCE, view::fetch(reader)).await {
+            take(shared, sent, view);
+            return true;
+        }
+    }
+    false
+}
+
 fn take(shared: &Shared, sent: Time, view: View) {
+    // A reader that lags must not bring a replica back that is known to have left.
+    if shared.gateway.borrow().proved().is_some_and(|proved| sent < proved) {
+        return;
+    }
+    let known = Known::new(view);
     let now = clock::now();
+    let same = shared.view.borrow().as_ref().is_some_and(|k| k.digest == known.digest);
     let mut gateway = shared.gateway.borrow_mut();
     let before = gateway.version();
-    let newer = gateway.learn(sent, view.config);
-    let (came, closed) = gateway.list(now, view.replicas, view.gateways);
+    let newer = gateway.learn(sent, known.view.config.clone());
+    let (came, closed) =
+        gateway.list(now, known.view.replicas.clone(), known.view.gateways.clone());
     let version = gateway.version();
     drop(gateway);
+    if !same {
+        *shared.view.borrow_mut() = Some(known);
+    }
     if newer {
         let line = Line::new("configuration").with("version", version).with("before", before);
         shared.log(line.with("read_ms", now.since(sent).as_millis()));
