--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -53,6 +53,7 @@
 const DITHER_TO: f64 = 1.7;
 /// Objectives, or part of the timeout, that a call may be expected to wait for its first event.
 const OBJECTIVES: f64 = 0.7;
+const OBJECTIVES_URGENT: f64 = 2.0;
 const TIMEOUT_PART: f64 = 0.06;
 /// Time to come back when the replicas are busy.
 const BUSY: Span = Span::millis(300);
@@ -349,7 +350,8 @@
         let claim = self.fleet.choose(now, &need, domain, &grant.tried);
         let claim = claim.ok_or(Refusal::not_run(Reason::NoReplica, BUSY))?;
         let dither = self.rng.random_range(DITHER_FROM..DITHER_TO);
-        if need.engine.is_some() && claim.expected_ms * dither > longest_wait_ms(&grant.route) {
+        let longest = need.engine.map(|u| longest_wait_ms(&grant.route, u.last));
+        if longest.is_some_and(|longest| claim.expected_ms * dither > longest) {
             return Err(Refusal::not_run(Reason::Overloaded, self.spread()));
         }
         let replica = self.fleet.get(claim.replica);
@@ -448,9 +450,11 @@
 }
 
 /// Longest expected wait for a first event with which a call is sent on, in milliseconds: beyond
-/// it the call would be late for sure, and make those behind it late.
-fn longest_wait_ms(route: &Route) -> f64 {
-    let objective = route.objective.as_secs_f64() * OBJECTIVES;
+/// it the call would be late for sure, and make those behind it late. Calls that do not rank last
+/// are given twice as long, so that they are never refused before those that do.
+fn longest_wait_ms(route: &Route, last: bool) -> f64 {
+    let objectives = if last { OBJECTIVES } else { OBJECTIVES_URGENT };
+    let objective = route.objective.as_secs_f64() * objectives;
     objective.max(route.timeout.as_secs_f64() * TIMEOUT_PART) * 1e3
 }
 
--- /dev/null
+++ b/core/tests/gateway/budget.rs
@@ -0,0 +1,87 @@
+//! The retry budget that all gateways spend together.
+
+use laburnumwheel_core::gateway::budget::Budget;
+use laburnumwheel_core::gateway::budget::Rules;
+use laburnumwheel_core::time::Span;
+use laburnumwheel_core::time::Time;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::prop_oneof;
+use proptest::prop_assert;
+use proptest::proptest;
+
+const RULES: Rules = Rules { ratio: 0.2, extra: 58.0, window: Span(10_000_000) };
+const GATEWAYS: usize = 9;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Call(usize),
+    Retry(usize),
+    Restart(usize),
+    Wait(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        6 => (0..GATEWAYS).prop_map(Step::Call),
+        8 => (0..GATEWAYS).prop_map(Step::Retry),
+        1 => (0..GATEWAYS).prop_map(Step::Restart),
+        4 => (1u64..400).prop_map(Step::Wait),
+        1 => Just(Step::Wait(3_000)),
+    ];
+    proptest::collection::vec(step, 50..600)
+}
+
+proptest! {
+    /// Replicas fail most calls, gateways restart and forget what they spent, and every one of
+    /// them repeats as often as it may. In no window may all of them together spend more than the
+    /// budget, or a service that is down gets more and more work.
+    #[test]
+    fn no_window_exceeds_the_budget(steps in steps()) {
+        let mut now = Time(100_000_000);
+        let old = Time(0);
+        let mut budgets: Vec<Budget> = (0..GATEWAYS).map(|_| Budget::new(RULES, old)).collect();
+        let mut calls: Vec<Time> = Vec::new();
+        let mut retries: Vec<Time> = Vec::new();
+        for step in steps {
+            match step {
+                Step::Call(at) => {
+                    budgets[at].call(now);
+                    calls.push(now);
+                }
+                Step::Retry(at) => {
+                    if budgets[at].spend(now, GATEWAYS) {
+                        retries.push(now);
+                    }
+                }
+                Step::Restart(at) => budgets[at] = Budget::new(RULES, now),
+                Step::Wait(ms) => now = now + Span::millis(ms),
+            }
+        }
+        for end in &retries {
+            let begin = *end - RULES.window;
+            let within = |times: &[Time], from: Time| {
+                times.iter().filter(|t| **t > from && **t <= *end).count() as f64
+            };
+            let spent = within(&retries, begin);
+            // Calls of the half window before count as well.
+            let counted = within(&calls, begin - Span(RULES.window.0 / 2));
+            prop_assert!(spent <= RULES.ratio * counted + RULES.extra, "{spent} of {counted}");
+        }
+    }
+}
+
+/// A gateway crashes in the middle of an outage, having spent its share, and is started again. It
+/// remembers nothing; with a share at once it would spend it twice in one window.
+#[test]
+fn a_gateway_that_has_just_started_has_no_share() {
+    let began = Time(100_000_000);
+    let mut budget = Budget::new(RULES, began);
+    budget.call(began);
+
+    let at_once = budget.spend(began + Span::secs(1), GATEWAYS);
+    let later = budget.spend(began + Span::secs(11), GATEWAYS);
+
+    assert!(!at_once);
+    assert!(later);
+}
--- /dev/null
+++ b/core/tests/gateway/directory.rs
@@ -0,0 +1,117 @@
+//! Which gateways callers are sent to.
+
+use laburnumwheel_core::gateway::directory::Directory;
+use laburnumwheel_core::gateway::directory::Entry;
+use laburnumwheel_core::gateway::directory::Heartbeat;
+use laburnumwheel_core::gateway::directory::short;
+use laburnumwheel_core::gateway::gossip::Demand;
+use laburnumwheel_core::time::Span;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::support::START;
+use crate::support::entry;
+
+fn in_domain(name: &str, domain: &str) -> Entry {
+    Entry { domain: domain.to_owned(), ..entry(name) }
+}
+
+fn heartbeat(entry: &Entry, open: bool) -> Heartbeat {
+    let demand = Demand { gateway: short(&entry.name), open, sensitive: 0, age_ms: 0 };
+    Heartbeat {
+        entry: entry.clone(),
+        demands: vec![demand],
+        loads: Vec::new(),
+        version: 1,
+        proof_age: None,
+    }
+}
+
+fn answer(directory: &Directory, at: Span, own: Option<&Entry>, domain: &str) -> Vec<String> {
+    let mut answer = directory.answer(START + at, own, domain, &mut SmallRng::seed_from_u64(1));
+    answer.sort();
+    answer
+}
+
+#[test]
+fn callers_are_sent_to_their_own_domain_if_two_gateways_are_there() {
+    let mut directory = Directory::default();
+    let entries = [("a", "mixco"), ("b", "mixco"), ("c", "villa")].map(|(n, d)| in_domain(n, d));
+    directory.list(START, entries.to_vec());
+
+    let mixco = answer(&directory, Span(0), None, "mixco");
+    let villa = answer(&directory, Span(0), None, "villa");
+
+    assert_eq!(mixco, ["a:1", "b:1"]);
+    assert_eq!(villa, ["a:1", "b:1", "c:1"]);
+}
+
+/// A host loses its power. Its entry stays in the store until its lease ends; each caller that is
+/// sent there in the meantime loses a second. Heartbeats that stop show it sooner.
+#[test]
+fn a_gateway_that_falls_silent_gets_no_callers_although_it_is_listed() {
+    let mut directory = Directory::default();
+    let entries = ["a", "b", "c"].map(entry);
+    directory.list(START, entries.to_vec());
+    for e in &entries {
+        directory.hear(START, &heartbeat(e, true));
+    }
+    let later = START + Span::secs(2);
+    for e in &entries[1..] {
+        directory.hear(later, &heartbeat(e, true));
+    }
+
+    let sent_to = answer(&directory, Span::secs(2), None, "mixco");
+
+    assert_eq!(sent_to, ["b:1", "c:1"]);
+}
+
+#[test]
+fn a_gateway_that_leaves_gets_no_callers_from_its_next_heartbeat_on() {
+    let mut directory = Directory::default();
+    let entries = ["a", "b", "c"].map(entry);
+    directory.list(START, entries.to_vec());
+    for e in &entries {
+        directory.hear(START, &heartbeat(e, true));
+    }
+
+    directory.hear(START + Span::millis(10), &heartbeat(&entries[0], false));
+
+    assert_eq!(answer(&directory, Span::millis(20), None, "mixco"), ["b:1", "c:1"]);
+}
+
+/// With sixty-five gateways each hears from any other only every few seconds; what others pass on
+/// of it counts as if it had been heard.
+#[test]
+fn a_gateway_lives_if_others_have_heard_of_it() {
+    let mut directory = Directory::default();
+    let (a, b) = (entry("a"), entry("b"));
+    directory.list(START, vec![a.clone(), b.clone()]);
+    directory.hear(START, &heartbeat(&a, true));
+    let mut relayed = heartbeat(&b, true);
+    relayed.demands.push(Demand { gateway: short("a"), open: true, sensitive: 3, age_ms: 300 });
+
+    directory.hear(START + Span::secs(3), &relayed);
+
+    assert_eq!(answer(&directory, Span::secs(3), None, "mixco"), ["a:1", "b:1"]);
+    assert_eq!(directory.sensitive(START + Span::secs(3)), 3);
+}
+
+#[test]
+fn a_few_gateways_read_the_store_for_all() {
+    let names: Vec<String> = (0..65).map(|i| format!("gateway-{i}")).collect();
+    let readers = |own: &str| {
+        let mut directory = Directory::default();
+        let others: Vec<Entry> = names.iter().filter(|n| *n != own).map(|n| entry(n)).collect();
+        directory.list(START, others.clone());
+        for e in &others {
+            directory.hear(START, &heartbeat(e, true));
+        }
+        directory.readers(START, own)
+    };
+
+    let reading = names.iter().filter(|name| readers(name).1).count();
+
+    assert_eq!(reading, 5);
+    assert_eq!(readers("gateway-0").0.len(), 5 - usize::from(readers("gateway-0").1));
+}
--- /dev/null
+++ b/core/tests/gateway/fleet.rs
@@ -0,0 +1,111 @@
+//! Which replicas may get work.
+
+use laburnumwheel_core::gateway::Gateway;
+use laburnumwheel_core::gateway::fleet::Outcome;
+use laburnumwheel_core::gateway::refusal::Reason;
+use laburnumwheel_core::time::Span;
+use laburnumwheel_core::time::Time;
+
+use crate::support::START;
+use crate::support::ask;
+use crate::support::entry;
+use crate::support::gateway;
+use crate::support::listing;
+use crate::support::listings;
+
+fn chosen(gateway: &mut Gateway, now: Time) -> Option<String> {
+    let call = ask("report", &[]);
+    let mut grant = gateway.admit(now, &call).ok()?;
+    gateway.pick(now, &call, &mut grant).ok().map(|pick| pick.id)
+}
+
+#[test]
+fn a_replica_that_says_it_leaves_gets_nothing_new() {
+    let mut gateway = gateway(2);
+    let mut leaving = listings(2);
+    leaving[0].leaving = true;
+
+    let (_, closed) = gateway.list(START, leaving, vec![]);
+
+    assert_eq!(closed, ["engine-0"]);
+    assert_eq!(chosen(&mut gateway, START).as_deref(), Some("engine-1"));
+}
+
+/// Some replicas never say that they leave: their entry goes, and they serve on for a while.
+#[test]
+fn a_replica_whose_entry_is_gone_gets_nothing_new() {
+    let mut gateway = gateway(2);
+
+    gateway.list(START + Span::millis(600), vec![listing("engine-1")], vec![]);
+
+    assert_eq!(chosen(&mut gateway, START).as_deref(), Some("engine-1"));
+}
+
+/// The store is out for seconds, and leases lapse meanwhile. When it is back, most entries are
+/// missing for a moment although their replicas live; going by the list the fleet would be empty.
+#[test]
+fn entries_that_lapsed_in_an_outage_are_kept_until_they_can_be_back() {
+    let mut gateway = gateway(3);
+    let back = START + Span::secs(4);
+    gateway.learn(back, None);
+
+    gateway.list(back, vec![], vec![]);
+    let at_once = chosen(&mut gateway, back);
+    gateway.list(back + Span::millis(2_300), vec![listing("engine-2")], vec![]);
+    let later = chosen(&mut gateway, back + Span::millis(2_300));
+
+    assert!(at_once.is_some());
+    assert_eq!(later.as_deref(), Some("engine-2"));
+}
+
+/// An address is given to a replica of another service. The first call finds out; no further one
+/// goes there until the list names the address anew.
+#[test]
+fn a_replica_that_was_replaced_at_its_address_gets_nothing_more() {
+    let mut gateway = gateway(2);
+    let call = ask("report", &[]);
+    let mut grant = gateway.admit(START, &call).unwrap();
+    let mut pick = gateway.pick(START, &call, &mut grant).unwrap();
+    gateway.sent(START, &call, &mut grant, &mut pick);
+
+    gateway.done(START, pick.claim, Outcome::Replaced);
+
+    let next: Vec<Option<String>> = (0..5).map(|_| chosen(&mut gateway, START)).collect();
+    assert!(next.iter().all(|id| id.as_ref().is_some_and(|id| *id != pick.id)));
+}
+
+/// A host goes dark. Connections to it hang; each call that tries it loses its objective. After a
+/// failed connection it rests, and longer each time, until a connection works again.
+#[test]
+fn a_replica_that_can_not_be_reached_rests() {
+    let mut gateway = gateway(2);
+    let call = ask("report", &[]);
+    let mut grant = gateway.admit(START, &call).unwrap();
+    let first = gateway.pick(START, &call, &mut grant).unwrap();
+    gateway.unsent(START, &mut grant, first.claim.replica, Outcome::Unreachable);
+
+    let at_once = chosen(&mut gateway, START + Span::millis(100));
+
+    assert!(at_once.is_some_and(|id| id != first.id));
+}
+
+#[test]
+fn with_no_replica_the_caller_is_told_to_come_back() {
+    let mut gateway = gateway(0);
+    let call = ask("report", &[]);
+    let mut grant = gateway.admit(START, &call).unwrap();
+
+    let refusal = gateway.pick(START, &call, &mut grant).unwrap_err();
+
+    assert_eq!(refusal.reason, Reason::NoReplica);
+    assert!(refusal.not_run && refusal.retry_after > Span(0));
+}
+
+#[test]
+fn gateways_list_one_another_without_themselves() {
+    let mut gateway = gateway(1);
+
+    gateway.list(START, listings(1), vec![entry("one"), entry("two")]);
+
+    assert_eq!(gateway.peers(), ["two:2"]);
+}
--- /dev/null
+++ b/core/tests/gateway/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the gateway's decisions, in virtual time and without a network.
+
+mod budget;
+mod directory;
+mod events;
+mod fleet;
+mod freshness;
+mod loads;
+mod routes;
+mod support;
--- /dev/null
+++ b/core/tests/gateway/routes.rs
@@ -0,0 +1,87 @@
+//! Routes, keys, ranks and versions.
+
+use std::sync::Arc;
+
+use laburnumwheel_core::gateway::Gateway;
+use laburnumwheel_core::gateway::refusal::Reason;
+use laburnumwheel_core::time::Span;
+
+use crate::support::START;
+use crate::support::ask;
+use crate::support::config;
+use crate::support::gateway;
+use crate::support::route;
+use crate::support::settings;
+
+#[test]
+fn the_longest_prefix_wins() {
+    let mut long = route("report");
+    long.name = "inner".to_owned();
+    long.prefix = "/report/inner/".to_owned();
+    let config = config(1).with_route(long);
+
+    let names = ["/report/x", "/report/inner/x", "/report/inner", "/report/innerx/y"]
+        .map(|path| config.route("auction.example", path).map(|r| r.name.clone()));
+
+    let expected = ["report", "inner", "report", "report"].map(|n| Some(n.to_owned()));
+    assert_eq!(names, expected);
+    assert!(config.route("auction.example", "/other/").is_none());
+    assert!(config.route("other.example", "/report/x").is_none());
+}
+
+/// A gateway that has just started knows no configuration. A caller that hears "no such route"
+/// then gives up for good; one that hears "not now" comes back.
+#[test]
+fn without_a_configuration_a_call_is_sent_away_for_a_moment() {
+    let mut gateway = Gateway::new(settings("one"), START);
+
+    let refusal = gateway.admit(START, &ask("report", &[])).unwrap_err();
+
+    assert_eq!(refusal.reason, Reason::NoConfiguration);
+    assert!(refusal.not_run);
+    assert!(refusal.retry_after > Span(0));
+}
+
+#[test]
+fn an_unknown_key_is_refused_and_a_known_one_names_its_organisation() {
+    let mut gateway = gateway(3);
+    let mut unknown = ask("report", &[]);
+    unknown.key = Some(bytes::Bytes::from_static(b"other"));
+
+    let refused = gateway.admit(START, &unknown).unwrap_err();
+    let grant = gateway.admit(START, &ask("report", &[])).unwrap();
+
+    assert_eq!(refused.reason, Reason::UnknownKey);
+    assert_eq!(grant.organisation.as_deref(), Some("museum"));
+    assert_eq!((grant.rank.route, grant.rank.organisation), (2, 1));
+}
+
+/// A read of the store that was slow arrives after a newer one. Taking it would bring back a
+/// revoked key; the version shows that it is old.
+#[test]
+fn an_older_version_is_never_taken() {
+    let mut gateway = gateway(3);
+    gateway.learn(START + Span::secs(1), Some(Arc::new(config(5))));
+
+    let newer = gateway.learn(START + Span::secs(2), Some(Arc::new(config(4))));
+
+    assert!(!newer);
+    assert_eq!(gateway.version(), 5);
+    assert_eq!(gateway.proved(), Some(START + Span::secs(1)));
+}
+
+/// A call is admitted, waits for a connection, and meanwhile its route is moved to another
+/// service. Sent on as admitted, it would run where the configuration no longer allows it.
+#[test]
+fn a_call_that_waited_follows_the_configuration_in_force() {
+    let mut gateway = gateway(3);
+    let call = ask("report", &[]);
+    let mut grant = gateway.admit(START, &call).unwrap();
+    let mut moved = route("report");
+    moved.targets[0].service = "others".to_owned();
+    gateway.learn(START, Some(Arc::new(config(2).with_route(moved))));
+
+    gateway.confirm(START, &call, &mut grant).unwrap();
+
+    assert_eq!(grant.service, "others");
+}
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -1,5 +1,7 @@
 //! How calls and answers are written: header names and formats of one platform.
 
+pub mod own;
+
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::http::request;
--- /dev/null
+++ b/gateway/src/dialect/own.rs
@@ -0,0 +1,122 @@
+//! The product's own headers, for gateways on no particular platform.
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::header;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use hyper::http::request;
+use laburnumwheel_core::gateway::ask::Ask;
+use laburnumwheel_core::gateway::ask::Part;
+use laburnumwheel_core::gateway::fleet::Load;
+use laburnumwheel_core::time::Span;
+
+use super::Attempt;
+use super::Dialect;
+use super::Head;
+use super::Malformed;
+
+/// Id of the caller's try, echoed in the answer.
+pub const ID: &str = "x-request-id";
+/// How long the caller waits, in milliseconds.
+pub const PATIENCE: &str = "x-laburnum-patience-ms";
+/// Parts of the prompt as `id:tokens`, joined by commas, ids in hexadecimal.
+pub const PROMPT: &str = "x-laburnum-prompt";
+/// Run of a replica that must answer, and no other.
+pub const REPLICA: &str = "x-laburnum-replica";
+/// Organisation by name.
+pub const ORGANISATION: &str = "x-laburnum-organisation";
+/// Rank; 0 is the highest.
+pub const RANK: &str = "x-laburnum-rank";
+/// Last event that the caller has.
+pub const LAST_EVENT: &str = "last-event-id";
+/// Proof that a replica made the answer.
+pub const PROOF: &str = "x-laburnum-proof";
+/// The replica did not run the call.
+pub const NOT_RUN: &str = "x-laburnum-not-run";
+/// Running and waiting calls and slots of the replica, joined by commas.
+pub const LOAD: &str = "x-laburnum-load";
+
+/// The product's own dialect.
+pub fn dialect() -> Dialect {
+    Dialect { ask, attempt, head, own }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|v| v.to_str().ok())
+}
+
+fn number(headers: &HeaderMap, name: &'static str) -> Result<Option<u64>, Malformed> {
+    let Some(value) = text(headers, name) else {
+        return Ok(None);
+    };
+    let value = value.trim();
+    value.parse().map(Some).map_err(|_| Malformed::Value {
+        name,
+        value: value.to_owned(),
+        expected: "a whole number",
+    })
+}
+
+fn ask(parts: &request::Parts) -> Result<Ask, Malformed> {
+    let headers = &parts.headers;
+    let id = headers.get(ID).ok_or(Malformed::Missing(ID))?;
+    let host = text(headers, "host").ok_or(Malformed::Missing("host"))?;
+    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let key = text(headers, "authorization").and_then(|v| v.strip_prefix("Bearer "));
+    let prompt = text(headers, PROMPT).unwrap_or_default();
+    Ok(Ask {
+        id: Bytes::copy_from_slice(id.as_bytes()),
+        host: host.to_ascii_lowercase(),
+        path: parts.uri.path().to_owned(),
+        key: key.map(|k| Bytes::copy_from_slice(k.as_bytes())),
+        patience: number(headers, PATIENCE)?.map(Span::millis),
+        parts: prompt.split(',').filter_map(part).collect(),
+        output: 0,
+    })
+}
+
+fn part(entry: &str) -> Option<Part> {
+    let (id, tokens) = entry.trim().split_once(':')?;
+    Some(Part { id: u64::from_str_radix(id, 16).ok()?, tokens: tokens.parse().ok()? })
+}
+
+fn attempt(headers: &mut HeaderMap, attempt: &Attempt<'_>) {
+    headers.remove(header::AUTHORIZATION);
+    headers.remove(ORGANISATION);
+    let mut set = |name: &'static str, value: &[u8]| {
+        if let Ok(value) = HeaderValue::from_bytes(value) {
+            headers.insert(HeaderName::from_static(name), value);
+        }
+    };
+    set(REPLICA, attempt.replica.as_bytes());
+    set(PATIENCE, attempt.left_ms.to_string().as_bytes());
+    set(RANK, attempt.rank.route.to_string().as_bytes());
+    if let Some(organisation) = attempt.organisation {
+        set(ORGANISATION, organisation.as_bytes());
+    }
+    if let Some(last) = attempt.last_event {
+        set(LAST_EVENT, last);
+    }
+}
+
+fn head(headers: &HeaderMap) -> Head {
+    let load = |value: &str| {
+        let mut numbers = value.split(',').map(|n| n.trim().parse().ok());
+        let (running, waiting) = (numbers.next()??, numbers.next()??);
+        Some(Load { running, waiting, slots: numbers.next()?? })
+    };
+    Head {
+        id: headers.get(ID).map(|v| Bytes::copy_from_slice(v.as_bytes())),
+        sealed: headers.contains_key(PROOF),
+        not_run: headers.contains_key(NOT_RUN),
+        load: text(headers, LOAD).and_then(load),
+        keep_alive: None,
+    }
+}
+
+fn own(headers: &mut HeaderMap, id: &Bytes) {
+    if let Ok(value) = HeaderValue::from_bytes(id) {
+        headers.insert(HeaderName::from_static(ID), value);
+    }
+}
