A call that was sent is not refused for load; refusals log what decided them

Test first: fails without the check of attempts. Refusal lines now carry expected wait, load, waiting and the report's age.

--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -90,6 +90,8 @@
     pub tried: Vec<Key<Replica>>,
     /// Attempts that may have run.
     pub attempts: u32,
+    /// The replica that was chosen last, and what decided it; also if that led to a refusal.
+    pub weighed: Option<Pick>,
     version: u64,
 }
 
@@ -327,6 +329,7 @@
             deadline: arrived + patience,
             tried: Vec::new(),
             attempts: 0,
+            weighed: None,
             version: config.version,
             route: Arc::clone(route),
         })
@@ -349,19 +352,24 @@
         let domain = &self.settings.entry.domain;
         let claim = self.fleet.choose(now, &need, domain, &grant.tried);
         let claim = claim.ok_or(Refusal::not_run(Reason::NoReplica, BUSY))?;
-        let dither = self.rng.random_range(DITHER_FROM..DITHER_TO);
-        let longest = need.engine.map(|u| longest_wait_ms(&grant.route, u.last));
-        if longest.is_some_and(|longest| claim.expected_ms * dither > longest) {
-            return Err(Refusal::not_run(Reason::Overloaded, self.spread()));
-        }
         let replica = self.fleet.get(claim.replica);
         let replica = replica.ok_or(Refusal::not_run(Reason::NoReplica, BUSY))?;
-        Ok(Pick {
+        let pick = Pick {
             claim,
             id: replica.listing.id.clone(),
             address: replica.listing.address.clone(),
             engine: need.engine.is_some(),
-        })
+        };
+        grant.weighed = Some(pick.clone());
+        let dither = self.rng.random_range(DITHER_FROM..DITHER_TO);
+        let longest = need.engine.map(|u| longest_wait_ms(&grant.route, u.last));
+        // A call that a replica had already is not refused for load: its caller would lose what
+        // it has, and could not be told that nothing ran.
+        let first = grant.attempts == 0;
+        if first && longest.is_some_and(|longest| claim.expected_ms * dither > longest) {
+            return Err(Refusal::not_run(Reason::Overloaded, self.spread()));
+        }
+        Ok(pick)
     }
 
     fn engine_use(&mut self, now: Time, ask: &Ask, grant: &Grant, engine: &Engine) -> Use {
--- a/core/tests/gateway/loads.rs
+++ b/core/tests/gateway/loads.rs
@@ -180,6 +180,22 @@
     assert!(drafts >= 45, "{drafts}");
 }
 
+/// A stream breaks off while engines are full, and is to go on elsewhere. Refused for load, its
+/// caller would lose the events that it has; "not run" would not even be true.
+#[test]
+fn a_call_that_was_sent_is_not_refused_for_load() {
+    let mut gateway = gateway(ENGINES);
+    let call = ask("report", &report(1, 1));
+    let mut grant = gateway.admit(START, &call).unwrap();
+    let mut pick = gateway.pick(START, &call, &mut grant).unwrap();
+    gateway.sent(START, &call, &mut grant, &mut pick);
+    busy(&mut gateway, START + Span::millis(10), 16, 40);
+
+    let again = gateway.pick(START + Span::millis(20), &call, &mut grant);
+
+    assert!(again.is_ok_and(|next| next.id != pick.id));
+}
+
 /// Reports of load grow old: one that is four seconds old says nothing of now, and a gateway that
 /// went by it would refuse for ever, since refusing brings no new report.
 #[test]
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -62,8 +62,6 @@
     pub grant: Grant,
     /// A replica may have run it, or may still.
     pub touched: bool,
-    /// The replica that was chosen last, and why.
-    pub chosen: Option<Pick>,
 }
 
 /// Why an attempt brought no answer.
@@ -205,7 +203,6 @@
     pub async fn attempt(&mut self, last_event: Option<&Bytes>) -> Result<Begun, Failure> {
         let pick = self.shared.gateway.borrow_mut().pick(clock::now(), &self.ask, &mut self.grant);
         let mut pick = pick.map_err(Failure::Denied)?;
-        self.chosen = Some(pick.clone());
         let channel = self.connect(&pick).await?;
         self.confirm(&pick)?;
         let request = self.request(&pick, last_event);
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -81,7 +81,7 @@
             .with("first_ms", self.first.get().map_or(-1, |f| f.as_millis() as i64))
             .with("version", self.shared.gateway.borrow().version())
             .with("proof_age_ms", proof.map_or(-1, |p| p.as_millis() as i64));
-        self.shared.log(match &call.chosen {
+        self.shared.log(match &grant.weighed {
             Some(pick) => with_choice(line, pick),
             None => line,
         });
@@ -178,17 +178,8 @@
     let (method, uri) = (head.method, head.uri);
     let uri = uri.path_and_query().map_or(uri.clone(), |p| p.clone().into());
     let shared = shared.clone();
-    let call = Call {
-        shared,
-        ask,
-        method,
-        uri,
-        headers: head.headers,
-        body,
-        grant,
-        touched: false,
-        chosen: None,
-    };
+    let call =
+        Call { shared, ask, method, uri, headers: head.headers, body, grant, touched: false };
     run(call, ending).await
 }
 
