--- a/core/tests/gateway/budget.rs
+++ b/core/tests/gateway/budget.rs
@@ -85,3 +85,22 @@
     assert!(!at_once);
     assert!(later);
 }
+
+/// A service is down, and nine gateways repeat as much as they may in one moment.
+#[test]
+fn all_gateways_together_stay_within_the_budget() {
+    let now = Time(100_000_000);
+    let spent = |calls: u32| {
+        let spend = |_| {
+            let mut budget = Budget::new(RULES, Time(0));
+            (0..calls).for_each(|_| budget.call(now));
+            (0..1_000).filter(|_| budget.spend(now, GATEWAYS)).count()
+        };
+        (0..GATEWAYS).map(spend).sum::<usize>()
+    };
+
+    let (without, with) = (spent(0), spent(100));
+
+    assert!((36..=58).contains(&without), "{without}");
+    assert!((140..=58 + 180).contains(&with), "{with}");
+}
--- /dev/null
+++ b/ctl/src/cmd/explain.rs
@@ -0,0 +1,115 @@
+//! `laburnumctl explain`
+
+use std::collections::BTreeMap;
+use std::fs;
+
+use crate::error::Error;
+use crate::util::Args;
+
+const USAGE: &str = "\
+Tell what happened to one request, from the logs of gateways.
+
+Usage:
+    laburnumctl explain REQUEST-ID FILE...
+
+Lines of the request are printed in order, each with its file and line, and its cause at the end.
+Clocks of hosts differ: the order holds within one host's lines.
+";
+
+/// A log line with its place.
+struct Entry<'a> {
+    place: String,
+    time: u64,
+    fields: BTreeMap<&'a str, &'a str>,
+    text: &'a str,
+}
+
+pub fn run(args: Args) -> Result<(), Error> {
+    let Some(args) = args.read(USAGE, &[], &[])? else {
+        return Ok(());
+    };
+    let [id, files @ ..] = args.operands() else {
+        return Err(Error::Usage(USAGE.to_owned()));
+    };
+    if files.is_empty() {
+        return Err(Error::Usage(USAGE.to_owned()));
+    }
+    let mut texts = Vec::new();
+    for file in files {
+        let text = fs::read_to_string(file).map_err(|e| Error::File(file.clone(), e))?;
+        texts.push((file, text));
+    }
+    let mut entries = Vec::new();
+    for (file, text) in &texts {
+        entries.extend(find(id, file, text)?);
+    }
+    entries.sort_by_key(|e| e.time);
+    for entry in &entries {
+        println!("{}: {}", entry.place, entry.text);
+    }
+    let last = entries.iter().rev().find(|e| e.fields.get("event") == Some(&"call"));
+    match (last, entries.is_empty()) {
+        (Some(end), _) => println!("cause: {}", cause(end, &entries)),
+        (None, false) => println!("cause: no end is logged; its gateway has ended, or left it out"),
+        (None, true) => return Err(Error::Failed(format!("no line names request {id}"))),
+    }
+    Ok(())
+}
+
+/// Lines of a text that belong to a request.
+fn find<'a>(id: &str, file: &str, text: &'a str) -> Result<Vec<Entry<'a>>, Error> {
+    let mut found = Vec::new();
+    for (at, line) in text.lines().enumerate() {
+        if !line.contains(id) {
+            continue;
+        }
+        // Whatever gathered the lines may have put its own words in front.
+        let Some(begin) = line.find("time_us=") else {
+            return Err(Error::Failed(format!("{file}:{}: no time_us", at + 1)));
+        };
+        let line = &line[begin..];
+        let fields: BTreeMap<&str, &str> =
+            line.split_whitespace().filter_map(|f| f.split_once('=')).collect();
+        if fields.get("request") != Some(&id) {
+            continue;
+        }
+        let time = fields.get("time_us").and_then(|t| t.parse().ok());
+        let time =
+            time.ok_or_else(|| Error::Failed(format!("{file}:{}: time_us is no number", at + 1)))?;
+        found.push(Entry { place: format!("{file}:{}", at + 1), time, fields, text: line });
+    }
+    Ok(found)
+}
+
+/// The cause in one sentence.
+fn cause(end: &Entry<'_>, entries: &[Entry<'_>]) -> String {
+    let get = |name: &str| end.fields.get(name).copied().unwrap_or("?");
+    let fault = entries.iter().rev().find_map(|e| e.fields.get("fault").copied());
+    match (get("outcome"), end.fields.get("reason").copied()) {
+        ("refused", Some("stale_configuration")) => format!(
+            "refused and not run: the configuration was last proved current {} ms before",
+            get("proof_age_ms")
+        ),
+        ("refused", Some(reason)) => {
+            format!("refused and not run: {reason}, by version {}", get("version"))
+        }
+        ("overloaded", _) => format!(
+            "refused for load: {} ms were expected at replica {} with {} calls, {} waiting, as \
+             seen {} ms before",
+            get("expected_ms"),
+            get("replica"),
+            get("load"),
+            get("waiting"),
+            get("report_age_ms")
+        ),
+        ("answered", _) => {
+            format!("answered by replica {} after {} ms", get("replica"), get("took_ms"))
+        }
+        (outcome, _) => format!(
+            "{outcome} with status {} after {} attempts; the last fault was {}",
+            get("status"),
+            get("attempts"),
+            fault.unwrap_or("none")
+        ),
+    }
+}
--- a/ctl/src/cmd/mod.rs
+++ b/ctl/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod drain;
 pub mod entry;
+pub mod explain;
 pub mod history;
 pub mod members;
 pub mod record;
--- a/ctl/src/main.rs
+++ b/ctl/src/main.rs
@@ -24,6 +24,7 @@
     members    routers as one router sees them
     drain      begin a planned stop of a router
     entry      ask a router which routers to use
+    explain    tell what happened to one request, from logs of gateways
     replay     play a recorded trace in virtual time and compare with stated outcomes
     record     make a trace from a seed
     relay      measure what a router adds to a stream
@@ -57,6 +58,7 @@
         "members" => cmd::members::run(args),
         "drain" => cmd::drain::run(args),
         "entry" => cmd::entry::run(args),
+        "explain" => cmd::explain::run(args),
         "replay" => cmd::replay::run(args),
         "record" => cmd::record::run(args),
         "relay" => cmd::relay::run(args),
--- a/ctl/src/util.rs
+++ b/ctl/src/util.rs
@@ -94,6 +94,11 @@
         kv::Client::new(address).map_err(|_| wrong())
     }
 
+    /// Everything that is no flag.
+    pub fn operands(&self) -> &[String] {
+        &self.operands
+    }
+
     /// The one operand.
     pub fn operand(&self, what: &str) -> Result<&str, Error> {
         match self.operands.as_slice() {
--- a/ctl/tests/commands.rs
+++ b/ctl/tests/commands.rs
@@ -111,3 +111,35 @@
     assert_eq!(output.status.code(), Some(1));
     assert!(text(&output.stderr).starts_with("missed: none: wasted 0."));
 }
+
+/// Three failed requests as an on-call engineer finds them, in the logs of two gateways: the cause
+/// is told from the logs alone, and an id that nobody logged gets a clear answer.
+#[test]
+fn explain_tells_the_cause_of_a_failed_request() {
+    // Arrange
+    let folder = folder("explain");
+    let (one, two) = (folder.join("one.log"), folder.join("two.log"));
+    let first = "time_us=5 node=one event=attempt_failed request=aa replica=i-1 fault=broken attempt=1\n\
+                 time_us=6 node=one event=call request=aa outcome=replica_failed status=502 attempts=1\n";
+    let second = "  7.19 two time_us=9 node=two event=call request=bb outcome=refused status=503 \
+                  reason=stale_configuration version=10 proof_age_ms=4752\n\
+                  time_us=10 node=two event=call request=cc outcome=overloaded status=503 attempts=0 \
+                  replica=i-2 expected_ms=900 load=18 waiting=7 report_age_ms=300\n";
+    fs::write(&one, first).expect("a file");
+    fs::write(&two, second).expect("a file");
+    let explain = |id: &str| {
+        let files = [one.to_str().expect("a name"), two.to_str().expect("a name")];
+        run(&["explain", id, files[0], files[1]])
+    };
+
+    // Act
+    let told = ["aa", "bb", "cc"].map(|id| text(&explain(id).stdout));
+    let unknown = explain("dd");
+
+    // Assert
+    assert!(told[0].contains("one.log:1: ") && told[0].contains("the last fault was broken"));
+    assert!(told[1].contains("last proved current 4752 ms before"), "{}", told[1]);
+    assert!(told[2].contains("900 ms were expected at replica i-2"), "{}", told[2]);
+    assert_eq!(unknown.status.code(), Some(1));
+    assert!(text(&unknown.stderr).contains("no line names request dd"));
+}
