--- a/core/tests/gateway/fleet.rs
+++ b/core/tests/gateway/fleet.rs
@@ -84,8 +84,10 @@
     let first = gateway.pick(START, &call, &mut grant).unwrap();
     gateway.unsent(START, &mut grant, first.claim.replica, Outcome::Unreachable);
 
-    let at_once = chosen(&mut gateway, START + Span::millis(100));
+    let usable = |ms: u64| gateway.fleet().usable(START + Span::millis(ms), "engines");
 
+    assert_eq!((usable(100), usable(500)), (1, 2));
+    let at_once = chosen(&mut gateway, START + Span::millis(100));
     assert!(at_once.is_some_and(|id| id != first.id));
 }
 
