A stale gateway answers 503 for a route it does not know

Cause: the route may be newer than what a gateway that is cut off knows; after a 404 no caller asks again. Test first: it failed without the change.

--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -307,7 +307,14 @@
             return Err(Refusal::not_run(Reason::NoConfiguration, ELSEWHERE));
         };
         let Some(route) = config.route(&ask.host, &ask.path) else {
-            return Err(Refusal::not_run(Reason::NoRoute, Span(0)));
+            // The route may be newer than what a gateway that is cut off knows; told that there is
+            // none, the caller would never ask again.
+            let refusal = if self.freshness.is_current(now) {
+                Refusal::not_run(Reason::NoRoute, Span(0))
+            } else {
+                Refusal::not_run(Reason::StaleConfiguration, ELSEWHERE)
+            };
+            return Err(refusal);
         };
         let mut organisation = None;
         let mut rank = Rank { organisation: 0, route: route.priority };
--- a/core/tests/gateway/freshness.rs
+++ b/core/tests/gateway/freshness.rs
@@ -50,3 +50,18 @@
     assert!(gateway.admit(START + Span::millis(6_400), &ask("report", &[])).is_ok());
     assert!(gateway.admit(START + Span::millis(6_600), &ask("report", &[])).is_err());
 }
+
+/// A route is added while a gateway is cut off. It knows no such route, but neither does it know
+/// that there is none; a caller who hears "not found" never comes back.
+#[test]
+fn a_gateway_that_is_cut_off_does_not_deny_a_route() {
+    let mut gateway = gateway(3);
+    let call = ask("added-since", &[]);
+
+    let young = gateway.admit(START + Span::secs(1), &call).unwrap_err();
+    let old = gateway.admit(START + Span::secs(6), &call).unwrap_err();
+
+    assert_eq!(young.reason, Reason::NoRoute);
+    assert_eq!(old.reason, Reason::StaleConfiguration);
+    assert!(old.retry_after > Span(0));
+}
