--- a/core/src/gateway/refusal.rs
+++ b/core/src/gateway/refusal.rs
@@ -12,6 +12,8 @@
     NoConfiguration,
     /// The configuration was last proved current too long ago to honour a key.
     StaleConfiguration,
+    /// The gateway is leaving and may end before the call does.
+    Stopping,
     /// No route matches host and path.
     NoRoute,
     /// The key belongs to no organisation, or is missing.
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -133,7 +133,16 @@
     common: Common,
     listed: Option<Time>,
     returned: Option<Time>,
-    stopping: bool,
+    stop: Option<Stop>,
+}
+
+/// A planned stop in progress.
+#[derive(Clone, Copy, Debug)]
+struct Stop {
+    /// From when on all callers know of it.
+    learned: Time,
+    /// When the process ends, whatever is still in progress.
+    end: Time,
 }
 
 impl Gateway {
@@ -151,7 +160,7 @@
             common: Common::default(),
             listed: None,
             returned: None,
-            stopping: false,
+            stop: None,
             settings,
         }
     }
@@ -237,19 +246,20 @@
         self.directory.peers().map(str::to_owned).collect()
     }
 
-    /// Begins to leave: no new callers are sent here.
-    pub fn stop(&mut self) {
-        self.stopping = true;
+    /// Begins to leave: no new callers are sent here. All callers know of it after `learned`, and
+    /// the process ends after `grace`.
+    pub fn stop(&mut self, now: Time, learned: Span, grace: Span) {
+        self.stop = Some(Stop { learned: now + learned, end: now + grace });
     }
 
     /// Whether the gateway is leaving.
     pub fn is_stopping(&self) -> bool {
-        self.stopping
+        self.stop.is_some()
     }
 
     /// Whether callers may be sent here.
     pub fn is_open(&self, now: Time) -> bool {
-        !self.stopping && self.config.is_some() && self.freshness.is_current(now)
+        self.stop.is_none() && self.config.is_some() && self.freshness.is_current(now)
     }
 
     /// Gateways for a caller in `domain`.
@@ -295,6 +305,11 @@
     /// The refusal to answer with.
     pub fn admit(&mut self, now: Time, ask: &Ask) -> Result<Grant, Refusal> {
         let grant = self.resolve(now, now, ask)?;
+        // Whoever comes this late could have known of the stop; a call that may outlast the
+        // process would be cut in the middle of its answer, so it is better off elsewhere.
+        if self.stop.is_some_and(|stop| now > stop.learned && grant.deadline > stop.end) {
+            return Err(Refusal::not_run(Reason::Stopping, ELSEWHERE));
+        }
         let rules = self.settings.budget;
         let began = self.began;
         let budget = self.budgets.entry(grant.service.clone());
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -7,4 +7,5 @@
 mod freshness;
 mod loads;
 mod routes;
+mod stop;
 mod support;
--- a/gateway/src/clock.rs
+++ b/gateway/src/clock.rs
@@ -25,3 +25,8 @@
 pub fn until(at: Time) -> Duration {
     duration(at.since(now()))
 }
+
+/// The duration as a span.
+pub fn span(duration: Duration) -> Span {
+    Span(duration.as_micros() as u64)
+}
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -206,8 +206,10 @@
     /// and every call that was taken is finished if the grace time allows.
     pub async fn stop(self) {
         let shared = self.shared;
-        shared.gateway.borrow_mut().stop();
         let began = clock::now();
+        let end = self.grace.saturating_sub(RESERVE);
+        let (learned, end) = (clock::span(self.learn_time), clock::span(end));
+        shared.gateway.borrow_mut().stop(began, learned, end);
         shared.log(Line::new("stopping").with("calls", shared.calls.get()));
         peers::send(&shared, &self.socket).await;
         store::withdraw(&shared, self.withdraw).await;
--- a/gateway/tests/calls.rs
+++ b/gateway/tests/calls.rs
@@ -8,6 +8,8 @@
 
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use laburnumwheel_core::time::Span;
+use laburnumwheel_gateway::clock;
 
 use crate::support::Act;
 use crate::support::Replica;
@@ -278,7 +280,7 @@
         let running = before(&[&replica]).await;
         let shared = running.shared.clone();
         let mut channel = connect(&running).await;
-        shared.gateway.borrow_mut().stop();
+        shared.gateway.borrow_mut().stop(clock::now(), Span::secs(2), Span::secs(8));
 
         let response = channel.sender.send_request(request("/once/x", "call-1")).await.unwrap();
 
