Gateways keep ledgers of engines and are asked before a long prompt leaves

Cause: in a burst of reports every gateway chose by load reports that were 340 to 500 ms old (call lines: report_age_ms); engines stood at 20 calls with 7 waiting everywhere, first events of what was served spread from 149 to 1,302 ms (deciles), and 64 of 100 calls were refused by a dithered guess.

Change: each engine has a keeper, the first living gateway by rendezvous. Senders tell it when a call is sent, read and ended, in datagrams that are gathered a turn; before a call that long prompts delay, the keepers of its two best engines are asked, for at most 12 ms. Choice and refusal go by what they say, without dither; without an answer, by the reports as before. A keeper that has just begun says nothing.

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -164,6 +164,22 @@
         (all.into_iter().filter_map(|(_, a)| a.map(str::to_owned)).collect(), is_reader)
     }
 
+    /// The keeper of an engine, with its address for datagrams; `None` if that is this gateway,
+    /// `own`.
+    pub fn keeper(&self, now: Time, own: &str, engine: u32) -> Option<(u32, &str)> {
+        let score = |gateway: u32| rendezvous::score(u64::from(engine), u64::from(gateway));
+        let own = score(short(own));
+        let live = self.members.values().filter(|m| m.is_live(now));
+        let first = live.max_by_key(|m| score(m.short))?;
+        let address = first.entry.peer_address.as_str();
+        (score(first.short) > own).then_some((first.short, address))
+    }
+
+    /// Whether a gateway was heard of lately.
+    pub fn lives(&self, now: Time, gateway: u32) -> bool {
+        self.members.values().any(|m| m.short == gateway && m.is_live(now))
+    }
+
     /// Gateways that may be spending a share of a budget, this one included.
     pub fn sharers(&self) -> usize {
         self.members.len() + 1
--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -10,6 +10,8 @@
 use crate::gateway::ask::Part;
 use crate::gateway::gossip;
 use crate::gateway::gossip::Sighting;
+use crate::gateway::ledger::Change;
+use crate::gateway::ledger::Notice;
 use crate::time::Span;
 use crate::time::Time;
 
@@ -34,6 +36,9 @@
     replicas: Arena<Replica>,
     by_id: BTreeMap<String, Key<Replica>>,
     by_service: BTreeMap<String, Vec<Key<Replica>>>,
+    /// Calls sent to engines so far; numbers them in the keepers' ledgers.
+    calls: u32,
+    notices: Vec<Notice>,
 }
 
 impl Fleet {
@@ -132,6 +137,11 @@
     /// Notes that an attempt is sent.
     pub fn sent(&mut self, now: Time, claim: &mut Claim, engine: bool, parts: &[Part]) {
         claim.sent = now;
+        self.calls = self.calls.wrapping_add(1);
+        claim.call = u64::from(self.calls);
+        if engine {
+            self.tell_keeper(claim, Change::Sent(claim.reading_ms as f32));
+        }
         if let Some(replica) = self.replicas.get_mut(claim.replica) {
             if replica.own == 0 {
                 replica.quiet_since = now;
@@ -144,6 +154,22 @@
         }
     }
 
+    fn is_engine(&self, key: Key<Replica>) -> bool {
+        self.replicas.get(key).is_some_and(|r| r.engine)
+    }
+
+    fn tell_keeper(&mut self, claim: &Claim, change: Change) {
+        if let Some(replica) = self.replicas.get(claim.replica) {
+            let engine = replica.short();
+            self.notices.push(Notice { engine, call: claim.call, change });
+        }
+    }
+
+    /// What the keepers of engines have to be told; calls are numbered by this gateway.
+    pub fn take_notices(&mut self) -> Vec<Notice> {
+        std::mem::take(&mut self.notices)
+    }
+
     /// Notes that something came from a replica.
     pub fn heard(&mut self, now: Time, key: Key<Replica>, load: Option<Load>) {
         let Some(replica) = self.replicas.get_mut(key) else {
@@ -214,6 +240,9 @@
             return;
         }
         claim.read = true;
+        if self.is_engine(claim.replica) {
+            self.tell_keeper(claim, Change::Read);
+        }
         if let Some(replica) = self.replicas.get_mut(claim.replica) {
             replica.reading_ms = (replica.reading_ms - claim.reading_ms).max(0.0);
             let took = now.since(claim.sent).as_secs_f64() * 1e3;
@@ -225,6 +254,9 @@
     /// Notes the end of an attempt that was sent.
     pub fn done(&mut self, now: Time, mut claim: Claim, outcome: Outcome) {
         let key = claim.replica;
+        if self.is_engine(key) {
+            self.tell_keeper(&claim, Change::Ended);
+        }
         if !claim.read {
             claim.read = true;
             if let Some(replica) = self.replicas.get_mut(key) {
--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -3,6 +3,7 @@
 use crate::arena::Key;
 use crate::gateway::ask::Part;
 use crate::gateway::engine;
+use crate::gateway::ledger::Standing;
 use crate::rendezvous;
 use crate::time::Span;
 use crate::time::Time;
@@ -23,8 +24,15 @@
 /// several steps of an engine that others wait for, and push other heads out of its cache; under
 /// load that feeds on itself until engines do little but read the same heads again.
 const LONG_SHARED: u64 = 1_000;
+/// Engines that keep a long shared head.
+const HOMES: usize = 2;
 /// Part of a prompt's shared head that its second home is taken to have cached.
 const AT_SECOND: f64 = 0.3;
+/// Engines whose keepers are asked for a call that may go to any engine.
+const ASKED: usize = 2;
+/// An engine reads prompts between the steps of its running requests, which takes this many times
+/// as long as reading alone: a chunk of 2,048 tokens takes 19 ms, the step with it 26.
+const READING_STRETCH: f64 = 1.4;
 /// Milliseconds that each running request adds to the first event of one that joins.
 const RUNNING_MS: f64 = 0.3;
 /// The same for a call that ranks last: most that run have prompts to be read before its own.
@@ -43,6 +51,8 @@
     pub parts: &'a [Part],
     /// How the call uses engines; `None` for plain services.
     pub engine: Option<Use>,
+    /// What keepers said of engines; if there is any, the call goes to one of these.
+    pub standings: &'a [Standing],
 }
 
 /// How a call uses engines.
@@ -77,6 +87,10 @@
     pub report_age: Option<Span>,
     /// The replica keeps the shared head of the prompt.
     pub home: bool,
+    /// The load is what the replica's keeper said.
+    pub kept: bool,
+    /// Number of the call in the keeper's ledger.
+    pub(super) call: u64,
     pub(super) sent: Time,
     pub(super) read: bool,
     pub(super) sensitive: bool,
@@ -92,9 +106,36 @@
         domain: &str,
         tried: &[Key<Replica>],
     ) -> Option<Claim> {
-        let keys = self.by_service.get(need.service)?;
+        let candidates = self.candidates(now, need, tried);
+        let scored = self.score(now, need, domain, &candidates);
+        scored.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, claim)| claim)
+    }
+
+    /// Short hashes of the engines whose keepers are worth asking about a call: those that keep
+    /// its long shared head, else the best as far as this gateway knows.
+    pub fn worth_asking(
+        &self,
+        now: Time,
+        need: &Need<'_>,
+        domain: &str,
+        tried: &[Key<Replica>],
+    ) -> Vec<u32> {
+        let candidates = self.candidates(now, need, tried);
+        let mut scored = self.score(now, need, domain, &candidates);
+        scored.sort_by(|a, b| a.0.total_cmp(&b.0));
+        scored.truncate(ASKED.max(HOMES));
+        let claims = scored.iter().filter_map(|(_, claim)| self.get(claim.replica));
+        claims.map(Replica::short).collect()
+    }
+
+    fn candidates(
+        &self,
+        now: Time,
+        need: &Need<'_>,
+        tried: &[Key<Replica>],
+    ) -> Vec<(Key<Replica>, &Replica)> {
+        let keys = self.by_service.get(need.service).into_iter().flatten();
         let open: Vec<(Key<Replica>, &Replica)> = keys
-            .iter()
             .filter_map(|k| self.replicas.get(*k).map(|r| (*k, r)))
             .filter(|(_, r)| !r.closed)
             .collect();
@@ -105,34 +146,39 @@
         }
         usable.retain(|(key, _)| !tried.contains(key));
         // With nothing usable, the one that rested longest may be back.
-        let candidates = if usable.is_empty() {
+        if usable.is_empty() {
             let untried = open.into_iter().filter(|(key, _)| !tried.contains(key));
             untried.min_by_key(|(_, r)| r.resting_until).into_iter().collect()
         } else {
             usable
-        };
-        self.best(now, need, domain, &candidates)
+        }
     }
 
-    fn best(
+    /// Candidates that the call may go to, with their costs in milliseconds.
+    fn score(
         &self,
         now: Time,
         need: &Need<'_>,
         domain: &str,
         candidates: &[(Key<Replica>, &Replica)],
-    ) -> Option<Claim> {
+    ) -> Vec<(f64, Claim)> {
         let least_failing =
             candidates.iter().map(|(_, r)| r.failures).fold(f64::INFINITY, f64::min);
         let homes = homes(need.parts, candidates);
         let at_home = need.engine.is_some_and(|u| own_shared(need.parts, &u) >= LONG_SHARED);
         let eligible = candidates.iter().filter(|(key, _)| !at_home || homes.contains(key));
+        let standing = |r: &Replica| need.standings.iter().find(|s| s.engine == r.short());
+        let any = eligible.clone().any(|(_, r)| standing(r).is_some());
+        let eligible = eligible.filter(|(_, r)| !any || standing(r).is_some());
         let scored = eligible.map(|(key, replica)| {
+            let standing = standing(replica);
             let (reading_ms, expected_ms) = match need.engine {
-                Some(u) => engine_ms(now, need, &u, replica, Home::of(&homes, *key)),
+                Some(u) => engine_ms(now, need, &u, replica, Home::of(&homes, *key), standing),
                 None => (0.0, plain_ms(now, replica)),
             };
+            let load = standing.map_or(replica.running(now), |s| f64::from(s.calls));
             let reading_others = match need.engine {
-                Some(_) => READING_OTHERS * reading_ms * replica.running(now),
+                Some(u) => READING_OTHERS * reading_ms * load.min(f64::from(u.slots)),
                 None => 0.0,
             };
             let foreign = if replica.listing.domain == domain { 0.0 } else { FOREIGN_MS };
@@ -142,17 +188,19 @@
                 replica: *key,
                 reading_ms,
                 expected_ms,
-                load: replica.running(now),
+                load,
                 waiting: replica.waiting(now),
                 report_age: replica.report.map(|r| now.since(r.at)),
                 home: homes[0] == *key,
+                kept: standing.is_some(),
+                call: 0,
                 sent: now,
                 read: false,
                 sensitive,
             };
             (expected_ms + reading_others + foreign + failing, claim)
         });
-        scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, claim)| claim)
+        scored.collect()
     }
 }
 
@@ -185,11 +233,11 @@
 }
 
 impl Home {
-    fn of(homes: &[Key<Replica>; 2], key: Key<Replica>) -> Home {
-        match homes {
-            [first, _] if *first == key => Home::First,
-            [_, second] if *second == key => Home::Second,
-            _ => Home::None,
+    fn of(homes: &[Key<Replica>; HOMES], key: Key<Replica>) -> Home {
+        match homes.iter().position(|home| *home == key) {
+            Some(0) => Home::First,
+            Some(_) => Home::Second,
+            None => Home::None,
         }
     }
 }
@@ -199,23 +247,29 @@
 /// The last part belongs to the call or its session; the one before it is the longest that calls
 /// share. Gateways agree by rendezvous without a message, so each part is read once, and what the
 /// first home has no room for finds the part at the second.
-fn homes(parts: &[Part], candidates: &[(Key<Replica>, &Replica)]) -> [Key<Replica>; 2] {
+fn homes(parts: &[Part], candidates: &[(Key<Replica>, &Replica)]) -> [Key<Replica>; HOMES] {
     let shared = &parts[..parts.len().saturating_sub(1)];
     let id = shared.last().or(parts.first()).map_or(0, |p| p.id);
-    let mut best = [(0, Key::default()); 2];
+    let mut best = [(0, Key::default()); HOMES];
     for (key, replica) in candidates {
-        let scored = (rendezvous::score(id, replica.hash), *key);
-        if scored.0 > best[0].0 {
-            best = [scored, best[0]];
-        } else if scored.0 > best[1].0 {
-            best[1] = scored;
+        let score = rendezvous::score(id, replica.hash);
+        if let Some(at) = best.iter().position(|(other, _)| score > *other) {
+            best[at..].rotate_right(1);
+            best[at] = (score, *key);
         }
     }
     best.map(|(_, key)| key)
 }
 
 /// Time to read the prompt and expected time to the first event, in milliseconds.
-fn engine_ms(now: Time, need: &Need<'_>, u: &Use, replica: &Replica, home: Home) -> (f64, f64) {
+fn engine_ms(
+    now: Time,
+    need: &Need<'_>,
+    u: &Use,
+    replica: &Replica,
+    home: Home,
+    standing: Option<&Standing>,
+) -> (f64, f64) {
     let total: u64 = need.parts.iter().map(|p| u64::from(p.tokens)).sum();
     let shared = total - need.parts.last().map_or(0, |p| u64::from(p.tokens));
     let known = replica.cache.cached(now, need.parts).max(u.common);
@@ -227,6 +281,9 @@
         Home::None => known,
     };
     let reading = engine::reading_ms(cached, total.saturating_sub(cached));
+    if let Some(standing) = standing {
+        return (reading, kept_ms(u, reading, standing));
+    }
     let running = replica.running(now);
     let over = (running - f64::from(u.slots)).max(0.0);
     let waiting = replica.waiting(now).max(over);
@@ -236,6 +293,16 @@
     (reading, reading + queue + beside * running)
 }
 
+/// Expected time to the first event at an engine whose keeper was asked, in milliseconds: all
+/// prompts there are read before it, or so many calls end that a place is free, whichever is later.
+fn kept_ms(u: &Use, reading_ms: f64, standing: &Standing) -> f64 {
+    let ahead = if u.last { 1.0 } else { AHEAD_OF_URGENT };
+    let over = (f64::from(standing.calls) + 1.0 - f64::from(u.slots)).max(0.0);
+    let place = over * f64::from(standing.interval_ms);
+    let unread = READING_STRETCH * f64::from(standing.unread_ms);
+    ahead * place.max(unread) + READING_STRETCH * reading_ms
+}
+
 fn plain_ms(now: Time, replica: &Replica) -> f64 {
     let busy = replica.running(now);
     let slots = f64::from(replica.listing.slots.max(1));
--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod freshness;
 pub mod gossip;
 pub mod lane;
+pub mod ledger;
 pub mod refusal;
 mod state;
 
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -30,6 +30,9 @@
 use super::gossip::Demand;
 use super::lane;
 use super::lane::Lane;
+use super::ledger::Ledger;
+use super::ledger::Notice;
+use super::ledger::Standing;
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use crate::arena::Key;
@@ -55,6 +58,8 @@
 const OBJECTIVES: f64 = 0.7;
 const OBJECTIVES_URGENT: f64 = 2.0;
 const TIMEOUT_PART: f64 = 0.06;
+/// Time from one look for engines that have another keeper now to the next.
+const TIDY: Span = Span::millis(500);
 /// Time to come back when the replicas are busy.
 const BUSY: Span = Span::millis(300);
 
@@ -131,6 +136,8 @@
     budgets: BTreeMap<String, Budget>,
     lanes: BTreeMap<String, Lane>,
     common: Common,
+    ledger: Ledger,
+    tidied: Time,
     listed: Option<Time>,
     returned: Option<Time>,
     stop: Option<Stop>,
@@ -158,6 +165,8 @@
             budgets: BTreeMap::new(),
             lanes: BTreeMap::new(),
             common: Common::default(),
+            ledger: Ledger::default(),
+            tidied: now,
             listed: None,
             returned: None,
             stop: None,
@@ -357,20 +366,99 @@
         })
     }
 
-    /// Chooses a replica for the next attempt of a call.
+    /// Engines whose keepers are worth asking before a call is sent, by keeper; `None` stands for
+    /// this gateway.
+    pub fn inquiries(
+        &mut self,
+        now: Time,
+        ask: &Ask,
+        grant: &Grant,
+    ) -> BTreeMap<Option<String>, Vec<u32>> {
+        let mut inquiries: BTreeMap<Option<String>, Vec<u32>> = BTreeMap::new();
+        let Some(engine) = self.engine(grant) else {
+            return inquiries;
+        };
+        let u = self.engine_use(now, ask, grant, &engine);
+        // A stream in the lane meets no long prompts, so it is as well off by the reports.
+        if u.sensitive || ask.parts.is_empty() {
+            return inquiries;
+        }
+        let need = need(ask, grant, Some(u), &[]);
+        let domain = &self.settings.entry.domain;
+        for engine in self.fleet.worth_asking(now, &need, domain, &grant.tried) {
+            let keeper = self.directory.keeper(now, &self.settings.entry.name, engine);
+            let address = keeper.map(|(_, address)| address.to_owned());
+            inquiries.entry(address).or_default().push(engine);
+        }
+        inquiries
+    }
+
+    /// What this gateway knows as the keeper of these engines.
+    pub fn standings(&mut self, now: Time, engines: &[u32]) -> Vec<Standing> {
+        engines.iter().filter_map(|engine| self.ledger.standing(now, *engine)).collect()
+    }
+
+    /// Takes in what another gateway tells the keeper of an engine.
+    pub fn note(&mut self, now: Time, notices: &[Notice]) {
+        self.tidy(now);
+        for notice in notices {
+            self.ledger.note(now, notice);
+        }
+    }
+
+    /// Forgets engines that have another keeper now, and calls of gateways that are gone.
+    fn tidy(&mut self, now: Time) {
+        if now.since(self.tidied) < TIDY {
+            return;
+        }
+        self.tidied = now;
+        let (directory, name) = (&self.directory, self.settings.entry.name.as_str());
+        let own = directory::short(name);
+        self.ledger.release(|engine| directory.keeper(now, name, engine).is_none());
+        self.ledger.retain(|gateway| gateway == own || directory.lives(now, gateway));
+    }
+
+    /// What other gateways have to be told as keepers, by address. What concerns this one's own
+    /// ledger is taken in.
+    pub fn take_notices(&mut self, now: Time) -> BTreeMap<String, Vec<Notice>> {
+        self.tidy(now);
+        let own = u64::from(directory::short(&self.settings.entry.name)) << 32;
+        let mut told: BTreeMap<String, Vec<Notice>> = BTreeMap::new();
+        for notice in self.fleet.take_notices() {
+            let notice = Notice { call: own | notice.call, ..notice };
+            let keeper = self.directory.keeper(now, &self.settings.entry.name, notice.engine);
+            match keeper.map(|(_, address)| address.to_owned()) {
+                Some(address) => told.entry(address).or_default().push(notice),
+                None => self.ledger.note(now, &notice),
+            }
+        }
+        told
+    }
+
+    fn engine(&self, grant: &Grant) -> Option<Engine> {
+        let config = self.config.as_ref()?;
+        config.service(&grant.service)?.engine
+    }
+
+    /// Chooses a replica for the next attempt of a call, by what keepers said of engines, if any
+    /// did, and by what this gateway knows.
     ///
     /// The key, the route and the proof of both are looked at once more: the call may have waited.
     ///
     /// # Errors
     ///
     /// The refusal to answer with; it does not know of earlier attempts.
-    pub fn pick(&mut self, now: Time, ask: &Ask, grant: &mut Grant) -> Result<Pick, Refusal> {
+    pub fn pick(
+        &mut self,
+        now: Time,
+        ask: &Ask,
+        grant: &mut Grant,
+        standings: &[Standing],
+    ) -> Result<Pick, Refusal> {
         self.confirm(now, ask, grant)?;
-        let config = self.config.clone();
-        let service = config.as_ref().and_then(|c| c.service(&grant.service));
-        let engine = service.and_then(|s| s.engine);
+        let engine = self.engine(grant);
         let engine = engine.map(|e| self.engine_use(now, ask, grant, &e));
-        let need = Need { service: &grant.service, parts: &ask.parts, engine };
+        let need = need(ask, grant, engine, standings);
         let domain = &self.settings.entry.domain;
         let claim = self.fleet.choose(now, &need, domain, &grant.tried);
         let claim = claim.ok_or(Refusal::not_run(Reason::NoReplica, BUSY))?;
@@ -380,11 +468,15 @@
             claim,
             id: replica.listing.id.clone(),
             address: replica.listing.address.clone(),
-            engine: need.engine.is_some(),
+            engine: engine.is_some(),
         };
         grant.weighed = Some(pick.clone());
-        let dither = self.rng.random_range(DITHER_FROM..DITHER_TO);
-        let longest = need.engine.map(|u| longest_wait_ms(&grant.route, u.last));
+        // Who asked the keeper knows what the others have sent by now.
+        let dither = match claim.kept {
+            true => 1.0,
+            false => self.rng.random_range(DITHER_FROM..DITHER_TO),
+        };
+        let longest = engine.map(|u| longest_wait_ms(&grant.route, u.last));
         // A call that a replica had already is not refused for load: its caller would lose what
         // it has, and could not be told that nothing ran.
         let first = grant.attempts == 0;
@@ -479,6 +571,15 @@
     }
 }
 
+fn need<'a>(
+    ask: &'a Ask,
+    grant: &'a Grant,
+    engine: Option<Use>,
+    standings: &'a [Standing],
+) -> Need<'a> {
+    Need { service: &grant.service, parts: &ask.parts, engine, standings }
+}
+
 /// Longest expected wait for a first event with which a call is sent on, in milliseconds: beyond
 /// it the call would be late for sure, and make those behind it late. Calls that do not rank last
 /// are given twice as long, so that they are never refused before those that do.
--- a/core/tests/gateway/fleet.rs
+++ b/core/tests/gateway/fleet.rs
@@ -16,7 +16,7 @@
 fn chosen(gateway: &mut Gateway, now: Time) -> Option<String> {
     let call = ask("report", &[]);
     let mut grant = gateway.admit(now, &call).ok()?;
-    gateway.pick(now, &call, &mut grant).ok().map(|pick| pick.id)
+    gateway.pick(now, &call, &mut grant, &[]).ok().map(|pick| pick.id)
 }
 
 #[test]
@@ -65,7 +65,7 @@
     let mut gateway = gateway(2);
     let call = ask("report", &[]);
     let mut grant = gateway.admit(START, &call).unwrap();
-    let mut pick = gateway.pick(START, &call, &mut grant).unwrap();
+    let mut pick = gateway.pick(START, &call, &mut grant, &[]).unwrap();
     gateway.sent(START, &call, &mut grant, &mut pick);
 
     gateway.done(START, pick.claim, Outcome::Replaced);
@@ -81,7 +81,7 @@
     let mut gateway = gateway(2);
     let call = ask("report", &[]);
     let mut grant = gateway.admit(START, &call).unwrap();
-    let first = gateway.pick(START, &call, &mut grant).unwrap();
+    let first = gateway.pick(START, &call, &mut grant, &[]).unwrap();
     gateway.unsent(START, &mut grant, first.claim.replica, Outcome::Unreachable);
 
     let usable = |ms: u64| gateway.fleet().usable(START + Span::millis(ms), "engines");
@@ -97,7 +97,7 @@
     let call = ask("report", &[]);
     let mut grant = gateway.admit(START, &call).unwrap();
 
-    let refusal = gateway.pick(START, &call, &mut grant).unwrap_err();
+    let refusal = gateway.pick(START, &call, &mut grant, &[]).unwrap_err();
 
     assert_eq!(refusal.reason, Reason::NoReplica);
     assert!(refusal.not_run && refusal.retry_after > Span(0));
--- /dev/null
+++ b/core/tests/gateway/ledger.rs
@@ -0,0 +1,217 @@
+//! Ledgers of engines: a burst of long prompts over many gateways.
+//!
+//! Figures are those of the engines in use: sixteen places, a report of 2,890 own tokens that
+//! takes 26 ms to read, and its objective of 800 ms for the first event.
+
+use std::collections::BTreeSet;
+
+use laburnumwheel_core::gateway::Gateway;
+use laburnumwheel_core::gateway::Pick;
+use laburnumwheel_core::gateway::directory::Heartbeat;
+use laburnumwheel_core::gateway::directory::short;
+use laburnumwheel_core::gateway::gossip::Demand;
+use laburnumwheel_core::gateway::gossip::Sighting;
+use laburnumwheel_core::gateway::ledger::Change;
+use laburnumwheel_core::gateway::ledger::Ledger;
+use laburnumwheel_core::gateway::ledger::Notice;
+use laburnumwheel_core::gateway::ledger::Standing;
+use laburnumwheel_core::gateway::refusal::Reason;
+use laburnumwheel_core::gateway::refusal::Refusal;
+use laburnumwheel_core::rendezvous;
+use laburnumwheel_core::time::Span;
+
+use crate::support::START;
+use crate::support::ask;
+use crate::support::entry;
+use crate::support::gateway;
+
+const ENGINE: u32 = 7;
+const SETTLED: Span = Span::secs(2);
+
+fn notice(call: u64, change: Change) -> Notice {
+    Notice { engine: ENGINE, call, change }
+}
+
+fn report(thing: u64) -> [(u64, u32); 3] {
+    [(1, 2_520), (1_000 + thing, 3_780), (1_000_000 + thing, 2_890)]
+}
+
+/// What the keepers of all of a report's engines say.
+fn standings(gateway: &mut Gateway, calls: u16, unread_ms: f32) -> Vec<Standing> {
+    let call = ask("report", &report(1));
+    let grant = gateway.admit(START, &call).unwrap();
+    let asked = gateway.inquiries(START, &call, &grant);
+    let engines = asked.into_values().flatten();
+    engines.map(|engine| Standing { engine, calls, unread_ms, interval_ms: 60.0 }).collect()
+}
+
+fn pick(gateway: &mut Gateway, standings: &[Standing]) -> Result<Pick, Refusal> {
+    let call = ask("report", &report(1));
+    let mut grant = gateway.admit(START, &call).unwrap();
+    gateway.pick(START, &call, &mut grant, standings)
+}
+
+/// Reports of all engines, as heard from a peer just now.
+fn all_busy(gateway: &mut Gateway, engines: usize, running: u16, waiting: u16) {
+    let replica = |i: usize| rendezvous::hash(&[format!("engine-{i}").as_bytes()]) as u32;
+    let sighting = |i: usize| Sighting { replica: replica(i), running, waiting, age_ms: 0 };
+    let loads = (0..engines).map(sighting).collect();
+    let heartbeat =
+        Heartbeat { entry: entry("two"), demands: Vec::new(), loads, version: 1, proof_age: None };
+    gateway.hear(START, &heartbeat);
+}
+
+fn live(gateway: &mut Gateway, names: &[&str]) {
+    for name in names {
+        let demand = Demand { gateway: short(name), open: true, sensitive: 0, age_ms: 0 };
+        let heartbeat = Heartbeat {
+            entry: entry(name),
+            demands: vec![demand],
+            loads: Vec::new(),
+            version: 1,
+            proof_age: None,
+        };
+        gateway.hear(START, &heartbeat);
+    }
+}
+
+#[test]
+fn a_keeper_counts_calls_until_they_end_and_prompts_until_they_are_read() {
+    let mut ledger = Ledger::default();
+    ledger.note(START, &notice(1, Change::Sent(26.0)));
+    ledger.note(START, &notice(2, Change::Sent(40.0)));
+    ledger.note(START, &notice(1, Change::Read));
+
+    let both = ledger.standing(START + SETTLED, ENGINE).unwrap();
+    ledger.note(START + SETTLED, &notice(1, Change::Ended));
+    let one = ledger.standing(START + SETTLED, ENGINE).unwrap();
+
+    assert_eq!((both.calls, both.unread_ms), (2, 40.0));
+    assert_eq!((one.calls, one.unread_ms), (1, 40.0));
+}
+
+/// A keeper dies in a burst. The next one has seen none of the calls at the engine, and would call
+/// a full engine empty; all gateways would send there at once.
+#[test]
+fn a_keeper_that_has_just_begun_says_nothing() {
+    let mut ledger = Ledger::default();
+    ledger.note(START, &notice(1, Change::Sent(26.0)));
+
+    assert_eq!(ledger.standing(START + Span::millis(200), ENGINE), None);
+}
+
+/// A gateway loses power with calls at an engine. Nobody tells the keeper that they have ended, and
+/// the engine would look full for ever.
+#[test]
+fn calls_of_a_gateway_that_is_gone_count_no_longer() {
+    let mut ledger = Ledger::default();
+    let of = |gateway: &str| u64::from(short(gateway)) << 32;
+    ledger.note(START, &notice(of("gone") | 1, Change::Sent(26.0)));
+    ledger.note(START, &notice(of("alive") | 1, Change::Sent(26.0)));
+
+    ledger.retain(|gateway| gateway == short("alive"));
+
+    assert_eq!(ledger.standing(START + SETTLED, ENGINE).unwrap().calls, 1);
+}
+
+#[test]
+fn a_call_whose_end_was_lost_on_the_way_counts_only_for_a_while() {
+    let mut ledger = Ledger::default();
+    ledger.note(START, &notice(1, Change::Sent(26.0)));
+
+    assert_eq!(ledger.standing(START + Span::secs(16), ENGINE).unwrap().calls, 0);
+}
+
+/// In a burst of reports all gateways see the same old loads, refuse together, and then send
+/// together: engines are overrun and idle by turns. What the keeper says goes before the reports.
+#[test]
+fn a_free_engine_gets_a_report_although_all_reports_say_that_it_is_full() {
+    let mut gateway = gateway(10);
+    all_busy(&mut gateway, 10, 16, 20);
+    let free = standings(&mut gateway, 3, 30.0);
+
+    let pick = pick(&mut gateway, &free).unwrap();
+
+    assert!(pick.claim.kept);
+    assert!(pick.claim.expected_ms < 200.0);
+}
+
+#[test]
+fn a_report_is_refused_where_all_its_engines_are_full_although_reports_say_they_are_free() {
+    let mut gateway = gateway(10);
+    all_busy(&mut gateway, 10, 2, 0);
+    let full = standings(&mut gateway, 32, 900.0);
+
+    let refusal = pick(&mut gateway, &full).unwrap_err();
+
+    assert_eq!(refusal.reason, Reason::Overloaded);
+    assert!(refusal.not_run);
+}
+
+#[test]
+fn a_report_goes_to_the_home_with_the_shorter_queue() {
+    let mut gateway = gateway(10);
+    let mut asked = standings(&mut gateway, 16, 300.0);
+    asked[1].calls = 4;
+    asked[1].unread_ms = 20.0;
+
+    let pick = pick(&mut gateway, &asked).unwrap();
+
+    let hash = rendezvous::hash(&[pick.id.as_bytes()]) as u32;
+    assert_eq!(hash, asked[1].engine);
+}
+
+/// A chat has its own engines and a short objective: it is not kept waiting for an answer.
+#[test]
+fn no_keeper_is_asked_for_a_chat() {
+    let mut gateway = gateway(10);
+    let call = ask("chat", &[(2, 103), (500, 69), (2_000_000, 543)]);
+    let grant = gateway.admit(START, &call).unwrap();
+
+    assert!(gateway.inquiries(START, &call, &grant).is_empty());
+}
+
+#[test]
+fn engines_are_spread_over_the_gateways_that_live() {
+    let mut gateway = gateway(60);
+    live(&mut gateway, &["two", "three", "four"]);
+
+    let keepers: BTreeSet<Option<String>> = (0..40)
+        .flat_map(|thing| {
+            let call = ask("report", &report(thing));
+            let grant = gateway.admit(START, &call).unwrap();
+            gateway.inquiries(START, &call, &grant).into_keys()
+        })
+        .collect();
+    let later = START + Span::secs(5);
+    let call = ask("report", &report(1));
+    let grant = gateway.admit(START, &call).unwrap();
+    let alone = gateway.inquiries(later, &call, &grant);
+
+    assert_eq!(keepers.len(), 4);
+    assert!(alone.keys().all(Option::is_none));
+}
+
+/// Each end is told once, whatever way a call ends, so that no ledger grows for ever.
+#[test]
+fn what_a_call_does_is_told_in_order() {
+    let mut gateway = gateway(10);
+    live(&mut gateway, &["two", "three", "four"]);
+    let call = ask("report", &report(1));
+    let mut grant = gateway.admit(START, &call).unwrap();
+    let mut pick = gateway.pick(START, &call, &mut grant, &[]).unwrap();
+
+    gateway.sent(START, &call, &mut grant, &mut pick);
+    gateway.first(START, &mut pick.claim);
+    gateway.first(START, &mut pick.claim);
+    let outcome = laburnumwheel_core::gateway::fleet::Outcome::Cancelled;
+    gateway.done(START, pick.claim, outcome);
+    let mut told = gateway.take_notices(START).into_values().flatten().map(|n| n.change);
+
+    // A gateway that keeps the engine itself has nothing to tell.
+    if let Some(first) = told.next() {
+        assert!(matches!(first, Change::Sent(ms) if ms > 20.0));
+        assert_eq!(told.collect::<Vec<_>>(), [Change::Read, Change::Ended]);
+    }
+    assert!(gateway.take_notices(START).is_empty());
+}
--- a/core/tests/gateway/loads.rs
+++ b/core/tests/gateway/loads.rs
@@ -35,7 +35,7 @@
 ) -> Result<Pick, Refusal> {
     let call = ask(route, parts);
     let mut grant = gateway.admit(now, &call)?;
-    let mut pick = gateway.pick(now, &call, &mut grant)?;
+    let mut pick = gateway.pick(now, &call, &mut grant, &[])?;
     gateway.sent(now, &call, &mut grant, &mut pick);
     Ok(pick)
 }
@@ -187,11 +187,11 @@
     let mut gateway = gateway(ENGINES);
     let call = ask("report", &report(1, 1));
     let mut grant = gateway.admit(START, &call).unwrap();
-    let mut pick = gateway.pick(START, &call, &mut grant).unwrap();
+    let mut pick = gateway.pick(START, &call, &mut grant, &[]).unwrap();
     gateway.sent(START, &call, &mut grant, &mut pick);
     busy(&mut gateway, START + Span::millis(10), 16, 40);
 
-    let again = gateway.pick(START + Span::millis(20), &call, &mut grant);
+    let again = gateway.pick(START + Span::millis(20), &call, &mut grant, &[]);
 
     assert!(again.is_ok_and(|next| next.id != pick.id));
 }
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod events;
 mod fleet;
 mod freshness;
+mod ledger;
 mod loads;
 mod routes;
 mod stop;
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 use laburnumwheel_core::gateway::ask::Ask;
 use laburnumwheel_core::gateway::fleet::Claim;
 use laburnumwheel_core::gateway::fleet::Outcome;
+use laburnumwheel_core::gateway::ledger::Standing;
 use laburnumwheel_core::gateway::refusal::Refusal;
 
 use crate::channel;
@@ -29,6 +30,7 @@
 use crate::clock;
 use crate::dialect;
 use crate::log::Line;
+use crate::peers;
 use crate::shared::Shared;
 
 /// Headers that concern one connection only.
@@ -133,6 +135,7 @@
     pub fn end(&self, outcome: Outcome) {
         if !self.ended.replace(true) {
             self.shared.gateway.borrow_mut().done(clock::now(), self.claim, outcome);
+            self.shared.notices_waiting.notify_one();
         }
     }
 
@@ -145,6 +148,7 @@
     /// Notes the first event, or the whole answer.
     pub fn first(&mut self) {
         self.shared.gateway.borrow_mut().first(clock::now(), &mut self.claim);
+        self.shared.notices_waiting.notify_one();
     }
 }
 
@@ -201,14 +205,21 @@
     ///
     /// Why there is no answer to read on.
     pub async fn attempt(&mut self, last_event: Option<&Bytes>) -> Result<Begun, Failure> {
-        let pick = self.shared.gateway.borrow_mut().pick(clock::now(), &self.ask, &mut self.grant);
-        let mut pick = pick.map_err(Failure::Denied)?;
+        let now = clock::now();
+        let inquiries = self.shared.gateway.borrow_mut().inquiries(now, &self.ask, &self.grant);
+        let standings = peers::standings(&self.shared, inquiries).await;
+        let mut pick = self.pick(&standings).map_err(Failure::Denied)?;
         let channel = self.connect(&pick).await?;
         self.confirm(&pick)?;
         let request = self.request(&pick, last_event);
         self.send(&mut pick, channel, request).await
     }
 
+    fn pick(&mut self, standings: &[Standing]) -> Result<Pick, Refusal> {
+        let mut gateway = self.shared.gateway.borrow_mut();
+        gateway.pick(clock::now(), &self.ask, &mut self.grant, standings)
+    }
+
     async fn connect(&mut self, pick: &Pick) -> Result<Channel, Failure> {
         if self.grant.route.idempotent
             && let Some(channel) = self.shared.pool.take(&pick.address)
@@ -279,6 +290,7 @@
     ) -> Result<Begun, Failure> {
         let now = clock::now();
         self.shared.gateway.borrow_mut().sent(now, &self.ask, &mut self.grant, pick);
+        self.shared.notices_waiting.notify_one();
         let shared = self.shared.clone();
         let mut in_flight = InFlight { shared, claim: pick.claim, ended: Cell::new(false) };
         let answer = channel.sender.send_request(request);
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -132,26 +132,27 @@
             calls: Cell::new(0),
             rng: RefCell::new(SmallRng::seed_from_u64(self.settings.seed)),
             lines_waiting: Notify::new(),
+            notices_waiting: Notify::new(),
+            socket,
             gateway: RefCell::new(Gateway::new(self.settings, clock::now())),
         });
         let local = callers.local_addr()?;
         shared.log(Line::new("started").with("callers", local).with("domain", &entry.domain));
-        let socket = Rc::new(socket);
         let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
         spawn(Box::pin(write_lines(shared.clone())));
-        spawn(Box::pin(store::follow(shared.clone(), Rc::clone(&socket), self.store.read)));
+        spawn(Box::pin(store::follow(shared.clone(), self.store.read)));
         spawn(Box::pin(serve_plain(shared.clone(), views, view::answer)));
         let enlist = store::enlist(shared.clone(), entry, self.store.announce, self.store.renew);
         spawn(Box::pin(enlist));
-        spawn(Box::pin(peers::beat(shared.clone(), Rc::clone(&socket))));
-        spawn(Box::pin(peers::hear(shared.clone(), Rc::clone(&socket))));
+        spawn(Box::pin(peers::beat(shared.clone())));
+        spawn(Box::pin(peers::hear(shared.clone())));
+        spawn(Box::pin(peers::tell_keepers(shared.clone())));
         spawn(Box::pin(server::serve(shared.clone(), callers, call::serve)));
         for (listener, handler) in others {
             spawn(Box::pin(serve_plain(shared.clone(), listener, handler)));
         }
         Ok(Running {
             shared,
-            socket,
             withdraw: self.store.withdraw,
             grace: self.grace,
             learn_time: self.learn_time,
@@ -195,7 +196,6 @@
     pub shared: Shared,
     /// Where callers are served.
     pub callers: SocketAddr,
-    socket: Rc<UdpSocket>,
     withdraw: Box<dyn FnMut(u64) -> store::Reply<()>>,
     grace: Duration,
     learn_time: Duration,
@@ -211,9 +211,9 @@
         let (learned, end) = (clock::span(self.learn_time), clock::span(end));
         shared.gateway.borrow_mut().stop(began, learned, end);
         shared.log(Line::new("stopping").with("calls", shared.calls.get()));
-        peers::send(&shared, &self.socket).await;
+        peers::send(&shared).await;
         store::withdraw(&shared, self.withdraw).await;
-        peers::send(&shared, &self.socket).await;
+        peers::send(&shared).await;
         loop {
             tokio::time::sleep(LOOK).await;
             let past = clock::duration(clock::now().since(began));
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -1,9 +1,12 @@
-//! Heartbeats between gateways, as datagrams.
+//! Heartbeats, questions and notices between gateways, as datagrams.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use laburnumwheel_core::gateway::directory::Heartbeat;
+use laburnumwheel_core::gateway::ledger::Notice;
+use laburnumwheel_core::gateway::ledger::Standing;
 use rand::Rng;
 use rand::seq::SliceRandom;
 use serde::Deserialize;
@@ -21,6 +24,9 @@
 const FANOUT: usize = 4;
 /// Longest wait for an answer: several round trips between failure domains.
 const ANSWER: Duration = Duration::from_millis(60);
+/// Longest wait for a keeper's answer: a few round trips between failure domains, and little
+/// beside the objective of a long prompt.
+const STANDING: Duration = Duration::from_millis(12);
 /// Largest datagram.
 const LARGEST: usize = 8_192;
 
@@ -33,6 +39,19 @@
     Question(u64),
     /// What the sender knows.
     Proof(Proof),
+    /// How are these engines, which you keep?
+    Inquiry(u64, Vec<u32>),
+    /// How they are.
+    Standings(u64, Vec<Standing>),
+    /// What happened at engines that you keep.
+    Notices(Vec<Notice>),
+}
+
+/// Answers that are waited for, by question.
+#[derive(Debug, Default)]
+pub struct Questions {
+    proofs: BTreeMap<u64, oneshot::Sender<Proof>>,
+    standings: BTreeMap<u64, oneshot::Sender<Vec<Standing>>>,
 }
 
 /// A reader's answer to a question.
@@ -47,19 +66,66 @@
 }
 
 /// Asks the gateway at `address`, for as long as an answer takes that is worth waiting for.
-pub async fn ask(shared: &Shared, socket: &UdpSocket, address: SocketAddr) -> Option<Proof> {
+pub async fn ask(shared: &Shared, address: SocketAddr) -> Option<Proof> {
+    let socket = &shared.socket;
     let question = shared.rng.borrow_mut().random();
     let (sender, answer) = oneshot::channel();
-    shared.questions.borrow_mut().insert(question, sender);
+    shared.questions.borrow_mut().proofs.insert(question, sender);
     let sent = post(socket, address, &Message::Question(question)).await;
     let answer = match sent {
         true => tokio::time::timeout(ANSWER, answer).await.ok().and_then(Result::ok),
         false => None,
     };
-    shared.questions.borrow_mut().remove(&question);
+    shared.questions.borrow_mut().proofs.remove(&question);
     answer
 }
 
+/// Asks the keepers of engines, `inquiries` by address, how these are.
+///
+/// An answer that takes longer than it is worth is done without.
+pub async fn standings(
+    shared: &Shared,
+    inquiries: BTreeMap<Option<String>, Vec<u32>>,
+) -> Vec<Standing> {
+    let asked = inquiries.iter().map(|(keeper, engines)| inquire(shared, keeper, engines));
+    let answers = futures_util::future::join_all(asked).await;
+    answers.into_iter().flatten().collect()
+}
+
+async fn inquire(shared: &Shared, keeper: &Option<String>, engines: &[u32]) -> Vec<Standing> {
+    let Some(keeper) = keeper else {
+        return shared.gateway.borrow_mut().standings(clock::now(), engines);
+    };
+    let Ok(address) = keeper.parse() else {
+        return Vec::new();
+    };
+    let question = shared.rng.borrow_mut().random();
+    let (sender, answer) = oneshot::channel();
+    shared.questions.borrow_mut().standings.insert(question, sender);
+    let message = Message::Inquiry(question, engines.to_vec());
+    let answer = match post(&shared.socket, address, &message).await {
+        true => tokio::time::timeout(STANDING, answer).await.ok().and_then(Result::ok),
+        false => None,
+    };
+    shared.questions.borrow_mut().standings.remove(&question);
+    let heard = if answer.is_some() { "answered" } else { "missed" };
+    shared.metrics.count("inquiries_total", format!("outcome=\"{heard}\""));
+    answer.unwrap_or_default()
+}
+
+/// Tells the keepers of engines what happens there, for ever.
+pub async fn tell_keepers(shared: Shared) {
+    loop {
+        shared.notices_waiting.notified().await;
+        let told = shared.gateway.borrow_mut().take_notices(clock::now());
+        for (keeper, notices) in told {
+            if let Ok(address) = keeper.parse::<SocketAddr>() {
+                post(&shared.socket, address, &Message::Notices(notices)).await;
+            }
+        }
+    }
+}
+
 async fn post(socket: &UdpSocket, address: SocketAddr, message: &Message) -> bool {
     match postcard::to_stdvec(message) {
         // Datagrams may be lost; whoever sends them sends more, or falls back.
@@ -68,24 +134,25 @@
     }
 }
 
-async fn reply(shared: &Shared, socket: &UdpSocket, from: SocketAddr, question: u64) {
+async fn reply(shared: &Shared, from: SocketAddr, question: u64) {
     let age = shared.gateway.borrow().proof_age(clock::now());
     let digest = shared.view.borrow().as_ref().map(|known| known.digest);
     if let (Some(age), Some(digest)) = (age, digest) {
-        post(socket, from, &Message::Proof(Proof { question, digest, age: age.0 })).await;
+        let proof = Proof { question, digest, age: age.0 };
+        post(&shared.socket, from, &Message::Proof(proof)).await;
     }
 }
 
 /// Sends heartbeats for ever.
-pub async fn beat(shared: Shared, socket: std::rc::Rc<UdpSocket>) {
+pub async fn beat(shared: Shared) {
     loop {
-        send(&shared, &socket).await;
+        send(&shared).await;
         tokio::time::sleep(PERIOD).await;
     }
 }
 
 /// Sends one heartbeat to some peers.
-pub async fn send(shared: &Shared, socket: &UdpSocket) {
+pub async fn send(shared: &Shared) {
     let (heartbeat, mut peers) = {
         let gateway = shared.gateway.borrow();
         (gateway.heartbeat(clock::now()), gateway.peers())
@@ -94,16 +161,16 @@
     peers.shuffle(&mut *shared.rng.borrow_mut());
     for peer in peers.iter().take(FANOUT) {
         if let Ok(address) = peer.parse::<SocketAddr>() {
-            post(socket, address, &message).await;
+            post(&shared.socket, address, &message).await;
         }
     }
 }
 
-/// Takes heartbeats in for ever.
-pub async fn hear(shared: Shared, socket: std::rc::Rc<UdpSocket>) {
+/// Takes datagrams in for ever.
+pub async fn hear(shared: Shared) {
     let mut bytes = [0; LARGEST];
     loop {
-        let (n, from) = match socket.recv_from(&mut bytes).await {
+        let (n, from) = match shared.socket.recv_from(&mut bytes).await {
             Ok(received) => received,
             Err(e) => {
                 shared.log(Line::new("heartbeat_failed").with("error", e));
@@ -115,14 +182,29 @@
             Ok(Message::Heartbeat(heartbeat)) => {
                 shared.gateway.borrow_mut().hear(clock::now(), &heartbeat);
             }
-            Ok(Message::Question(question)) => reply(&shared, &socket, from, question).await,
+            Ok(Message::Question(question)) => reply(&shared, from, question).await,
             Ok(Message::Proof(proof)) => {
-                let waiting = shared.questions.borrow_mut().remove(&proof.question);
+                let waiting = shared.questions.borrow_mut().proofs.remove(&proof.question);
                 if let Some(sender) = waiting {
                     // Whoever asked may have given up.
                     let _ = sender.send(proof);
                 }
             }
+            Ok(Message::Inquiry(question, engines)) => {
+                let now = clock::now();
+                let standings = shared.gateway.borrow_mut().standings(now, &engines);
+                post(&shared.socket, from, &Message::Standings(question, standings)).await;
+            }
+            Ok(Message::Standings(question, standings)) => {
+                let waiting = shared.questions.borrow_mut().standings.remove(&question);
+                if let Some(sender) = waiting {
+                    // Whoever asked may have given up.
+                    let _ = sender.send(standings);
+                }
+            }
+            Ok(Message::Notices(notices)) => {
+                shared.gateway.borrow_mut().note(clock::now(), &notices);
+            }
             Err(e) => {
                 let line = Line::new("heartbeat_malformed").with("from", from);
                 shared.log(line.with("error", e));
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -2,21 +2,20 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::ops::Deref;
 use std::rc::Rc;
 
 use laburnumwheel_core::gateway::Gateway;
 use rand::rngs::SmallRng;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
-use tokio::sync::oneshot;
 
 use crate::channel::Pool;
 use crate::dialect::Dialect;
 use crate::log::Line;
 use crate::log::Log;
 use crate::metrics::Metrics;
-use crate::peers::Proof;
+use crate::peers::Questions;
 use crate::view::Known;
 
 /// State of the process.
@@ -31,8 +30,12 @@
     pub metrics: Metrics,
     /// What the store was last known to hold.
     pub view: RefCell<Option<Known>>,
-    /// Questions to readers that wait for an answer.
-    pub questions: RefCell<BTreeMap<u64, oneshot::Sender<Proof>>>,
+    /// Questions to other gateways that wait for an answer.
+    pub questions: RefCell<Questions>,
+    /// Datagrams between gateways.
+    pub socket: UdpSocket,
+    /// Wakes the task that tells the keepers of engines.
+    pub notices_waiting: Notify,
     /// Lease of the gateway's entry in the store.
     pub lease: Cell<Option<u64>>,
     /// Open connections of callers.
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -2,7 +2,6 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +14,6 @@
 use rand::seq::SliceRandom;
 use serde::Deserialize;
 use serde::Serialize;
-use tokio::net::UdpSocket;
 
 use crate::clock;
 use crate::log::Line;
@@ -92,15 +90,11 @@
 }
 
 /// Keeps up with the store for ever: a reader by reading, any other gateway by asking a reader.
-pub async fn follow(
-    shared: Shared,
-    socket: Rc<UdpSocket>,
-    mut read: Box<dyn FnMut() -> Reply<View>>,
-) {
+pub async fn follow(shared: Shared, mut read: Box<dyn FnMut() -> Reply<View>>) {
     let mut sound = true;
     loop {
         let (readers, is_reader) = shared.gateway.borrow().readers(clock::now());
-        if !is_reader && asked(&shared, &socket, &readers).await {
+        if !is_reader && asked(&shared, &readers).await {
             tokio::time::sleep(jittered(&shared, ASKING)).await;
             continue;
         }
@@ -132,7 +126,7 @@
 /// Asks readers, in random order, whether anything has changed, and takes over what has.
 ///
 /// `false` if none of them could say: then the store must be read after all.
-async fn asked(shared: &Shared, socket: &UdpSocket, readers: &[String]) -> bool {
+async fn asked(shared: &Shared, readers: &[String]) -> bool {
     let mut readers = readers.to_vec();
     readers.shuffle(&mut *shared.rng.borrow_mut());
     for reader in readers.iter().take(READERS_ASKED) {
@@ -140,7 +134,7 @@
             continue;
         };
         let at = clock::now();
-        let Some(proof) = peers::ask(shared, socket, address).await else {
+        let Some(proof) = peers::ask(shared, address).await else {
             continue;
         };
         if proof.age > OLDEST.0 {
