The lane of chats moves in steps and is fuller; keepers are asked for chats too

Cause: gateways counted slightly different streams and disagreed on the engines at the lane's edge; the lane kept for 2 s what a peak of a clumped demand had asked for.

--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -87,6 +87,8 @@
     pub report_age: Option<Span>,
     /// The replica keeps the shared head of the prompt.
     pub home: bool,
+    /// Engines set apart for streams that long prompts would disturb.
+    pub lane: usize,
     /// The load is what the replica's keeper said.
     pub kept: bool,
     /// Number of the call in the keeper's ledger.
@@ -192,6 +194,7 @@
                 waiting: replica.waiting(now),
                 report_age: replica.report.map(|r| now.since(r.at)),
                 home: homes[0] == *key,
+                lane: need.engine.map_or(0, |u| u.lane),
                 kept: standing.is_some(),
                 call: 0,
                 sent: now,
--- a/core/src/gateway/lane.rs
+++ b/core/src/gateway/lane.rs
@@ -15,11 +15,14 @@
 /// tokens at 110 a millisecond, the step itself, and attention to a context of 20,000 tokens.
 const STEP_MS: u64 = 42;
 /// Part of an engine's slots that sensitive streams fill before they take one more engine.
-const FILL: f64 = 0.7;
+const FILL: f64 = 0.9;
 /// Part of all engines that they may take.
 const MOST: f64 = 0.6;
+/// Steps in which the lane grows and shrinks, over all engines. Where gateways disagree on an
+/// engine, its cached heads are read again elsewhere, and reports are sent among chats.
+const STEPS: usize = 16;
 /// How long an engine stays in the lane after it was last needed: as long as a stream lasts.
-const STAY: Span = Span::millis(2_000);
+const STAY: Span = Span::millis(700);
 
 /// Whether a route's streams come late on an engine that reads long prompts.
 pub fn is_sensitive(route: &Route, engine: &Engine) -> bool {
@@ -43,6 +46,8 @@
         }
         let full = f64::from(engine.slots.max(1)) * FILL;
         let wanted = (f64::from(streams) / full).ceil() as usize + usize::from(streams > 0);
+        // Gateways count slightly different streams; in steps they agree all the same.
+        let wanted = wanted.next_multiple_of(engines / STEPS + 1);
         if wanted >= self.size || now.since(self.needed) > STAY {
             self.size = wanted;
             self.needed = now;
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -379,8 +379,7 @@
             return inquiries;
         };
         let u = self.engine_use(now, ask, grant, &engine);
-        // A stream in the lane meets no long prompts, so it is as well off by the reports.
-        if u.sensitive || ask.parts.is_empty() {
+        if ask.parts.is_empty() {
             return inquiries;
         }
         let need = need(ask, grant, Some(u), &[]);
