Drafts may use the chats' lane, so that they stop fewer reports

Change: a call that does not rank last may go to any engine, by what keepers say of two of them.

Test: a draft takes a free place in the lane; fails without the change.

--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -212,7 +212,10 @@
     mut usable: Vec<(Key<Replica>, &'a Replica)>,
     u: &Use,
 ) -> Vec<(Key<Replica>, &'a Replica)> {
-    if u.lane == 0 || u.lane >= usable.len() {
+    // A call that ranks above others would stop one of them on a full engine, and its prompt would
+    // be read again; the lane often has places.
+    let anywhere = !u.sensitive && !u.last;
+    if u.lane == 0 || u.lane >= usable.len() || anywhere {
         return usable;
     }
     usable.sort_by_key(|(_, r)| r.hash);
--- a/core/tests/gateway/loads.rs
+++ b/core/tests/gateway/loads.rs
@@ -13,6 +13,7 @@
 use laburnumwheel_core::gateway::fleet::Load;
 use laburnumwheel_core::gateway::gossip::Demand;
 use laburnumwheel_core::gateway::gossip::Sighting;
+use laburnumwheel_core::gateway::ledger::Standing;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::gateway::refusal::Refusal;
 use laburnumwheel_core::rendezvous;
@@ -53,6 +54,25 @@
     Heartbeat { entry: entry("two"), demands, loads, version: 1, proof_age: None }
 }
 
+fn demand_of_chats(streams: u16) -> Demand {
+    Demand { gateway: short("two"), open: true, sensitive: streams, age_ms: 0 }
+}
+
+/// An engine of the chats' lane, and one outside of it.
+fn lane_and_rest(gateway: &mut Gateway) -> (String, String) {
+    let mut pick = |route: &str| {
+        let call = ask(route, &[(1, 500)]);
+        let mut grant = gateway.admit(START, &call).unwrap();
+        gateway.pick(START, &call, &mut grant, &[]).unwrap().id
+    };
+    (pick("chat"), pick("report"))
+}
+
+fn standing(engine: &str, calls: u16, unread_ms: f32) -> Standing {
+    let engine = rendezvous::hash(&[engine.as_bytes()]) as u32;
+    Standing { engine, calls, unread_ms, interval_ms: 60.0 }
+}
+
 fn busy(gateway: &mut Gateway, now: Time, running: u16, waiting: u16) {
     let seen = |i: usize| Sighting {
         replica: rendezvous::hash(&[format!("engine-{i}").as_bytes()]) as u32,
@@ -224,3 +244,21 @@
     assert_eq!(told, [(9, 2, 300)]);
     assert!(old.is_empty());
 }
+
+/// A burst of reports fills all engines outside the chats' lane. A draft ranks above reports: an
+/// engine full of them stops one for it, and reads that report's prompt again. The lane has places.
+#[test]
+fn a_draft_takes_a_free_place_in_the_lane_before_it_stops_a_report() {
+    let mut gateway = gateway(ENGINES);
+    let demand = demand_of_chats(60);
+    gateway.hear(START, &heartbeat(vec![demand], Vec::new()));
+    let (in_lane, outside) = lane_and_rest(&mut gateway);
+    let call = ask("draft", &[(9_000, 1_800)]);
+    let mut grant = gateway.admit(START, &call).unwrap();
+    let full = standing(&outside, 20, 200.0);
+    let free = standing(&in_lane, 6, 0.0);
+
+    let pick = gateway.pick(START, &call, &mut grant, &[full, free]).unwrap();
+
+    assert_eq!(pick.id, in_lane);
+}
