--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -1,5 +1,7 @@
 //! One gateway: from a call's head to a replica, and everything it believes.
 
+mod keeper;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -31,7 +33,6 @@
 use super::lane;
 use super::lane::Lane;
 use super::ledger::Ledger;
-use super::ledger::Notice;
 use super::ledger::Standing;
 use super::refusal::Reason;
 use super::refusal::Refusal;
@@ -58,8 +59,6 @@
 const OBJECTIVES: f64 = 0.6;
 const OBJECTIVES_URGENT: f64 = 2.0;
 const TIMEOUT_PART: f64 = 0.06;
-/// Time from one look for engines that have another keeper now to the next.
-const TIDY: Span = Span::millis(500);
 /// Time to come back when the replicas are busy.
 const BUSY: Span = Span::millis(300);
 
@@ -366,74 +365,6 @@
         })
     }
 
-    /// Engines whose keepers are worth asking before a call is sent, by keeper; `None` stands for
-    /// this gateway.
-    pub fn inquiries(
-        &mut self,
-        now: Time,
-        ask: &Ask,
-        grant: &Grant,
-    ) -> BTreeMap<Option<String>, Vec<u32>> {
-        let mut inquiries: BTreeMap<Option<String>, Vec<u32>> = BTreeMap::new();
-        let Some(engine) = self.engine(grant) else {
-            return inquiries;
-        };
-        let u = self.engine_use(now, ask, grant, &engine);
-        if ask.parts.is_empty() {
-            return inquiries;
-        }
-        let need = need(ask, grant, Some(u), &[]);
-        let domain = &self.settings.entry.domain;
-        for engine in self.fleet.worth_asking(now, &need, domain, &grant.tried) {
-            let keeper = self.directory.keeper(now, &self.settings.entry.name, engine);
-            let address = keeper.map(|(_, address)| address.to_owned());
-            inquiries.entry(address).or_default().push(engine);
-        }
-        inquiries
-    }
-
-    /// What this gateway knows as the keeper of these engines.
-    pub fn standings(&mut self, now: Time, engines: &[u32]) -> Vec<Standing> {
-        engines.iter().filter_map(|engine| self.ledger.standing(now, *engine)).collect()
-    }
-
-    /// Takes in what another gateway tells the keeper of an engine.
-    pub fn note(&mut self, now: Time, notices: &[Notice]) {
-        self.tidy(now);
-        for notice in notices {
-            self.ledger.note(now, notice);
-        }
-    }
-
-    /// Forgets engines that have another keeper now, and calls of gateways that are gone.
-    fn tidy(&mut self, now: Time) {
-        if now.since(self.tidied) < TIDY {
-            return;
-        }
-        self.tidied = now;
-        let (directory, name) = (&self.directory, self.settings.entry.name.as_str());
-        let own = directory::short(name);
-        self.ledger.release(|engine| directory.keeper(now, name, engine).is_none());
-        self.ledger.retain(|gateway| gateway == own || directory.lives(now, gateway));
-    }
-
-    /// What other gateways have to be told as keepers, by address. What concerns this one's own
-    /// ledger is taken in.
-    pub fn take_notices(&mut self, now: Time) -> BTreeMap<String, Vec<Notice>> {
-        self.tidy(now);
-        let own = u64::from(directory::short(&self.settings.entry.name)) << 32;
-        let mut told: BTreeMap<String, Vec<Notice>> = BTreeMap::new();
-        for notice in self.fleet.take_notices() {
-            let notice = Notice { call: own | notice.call, ..notice };
-            let keeper = self.directory.keeper(now, &self.settings.entry.name, notice.engine);
-            match keeper.map(|(_, address)| address.to_owned()) {
-                Some(address) => told.entry(address).or_default().push(notice),
-                None => self.ledger.note(now, &notice),
-            }
-        }
-        told
-    }
-
     fn engine(&self, grant: &Grant) -> Option<Engine> {
         let config = self.config.as_ref()?;
         config.service(&grant.service)?.engine
