--- a/core/src/gateway/lane.rs
+++ b/core/src/gateway/lane.rs
@@ -14,14 +14,17 @@
 /// Milliseconds of a step in which an engine also reads a chunk of a long prompt: a chunk of 2,048
 /// tokens at 110 a millisecond, the step itself, and attention to a context of 20,000 tokens.
 const STEP_MS: u64 = 42;
-/// Part of an engine's slots that sensitive streams fill before they take one more engine.
+/// Part of an engine's slots that sensitive streams fill before they take one more engine. Keepers
+/// know which engine of the lane has places, so little need be spare; against 0.8, reports on time
+/// rose by 2 to 12 in 100 in four bursts.
 const FILL: f64 = 0.9;
 /// Part of all engines that they may take.
 const MOST: f64 = 0.6;
 /// Steps in which the lane grows and shrinks, over all engines. Where gateways disagree on an
 /// engine, its cached heads are read again elsewhere, and reports are sent among chats.
 const STEPS: usize = 16;
-/// How long an engine stays in the lane after it was last needed: as long as a stream lasts.
+/// How long an engine stays in the lane after it was last needed: a peak of clumped arrivals is
+/// over by then, and the streams that are left on it last about as long again.
 const STAY: Span = Span::millis(700);
 
 /// Whether a route's streams come late on an engine that reads long prompts.
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -55,7 +55,9 @@
 /// old report do not all refuse, and then all send, at once.
 const DITHER_FROM: f64 = 0.3;
 const DITHER_TO: f64 = 1.7;
-/// Objectives, or part of the timeout, that a call may be expected to wait for its first event.
+/// Objectives, or part of the timeout, that a call may be expected to wait for its first event. Of
+/// reports that are expected at 0.5 to 0.6 of theirs, 15 to 22 in 100 come late; at 0.6 to 0.7, 21
+/// to 32, and those behind them with them.
 const OBJECTIVES: f64 = 0.6;
 const OBJECTIVES_URGENT: f64 = 2.0;
 const TIMEOUT_PART: f64 = 0.06;
