A read of the store that takes several answers is bounded call by call

No gateway ever learned a configuration.

Change: each call of a read keeps that bound; the whole may take 3.5 s, as its proof ages from its beginning. Small fleets, whose list is one answer, read as before.

--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -34,6 +34,9 @@
 const AGAIN: Duration = Duration::from_millis(300);
 /// Longest wait for one call: many times the usual few milliseconds.
 const PATIENCE: Duration = Duration::from_millis(900);
+/// Longest wait for a whole read, which may take many calls: its proof ages from its beginning, and
+/// an older one would not be worth having.
+const WHOLE_READ: Duration = Duration::from_millis(3_500);
 /// Life of the gateway's entry without renewal.
 const LEASE: Duration = Duration::from_secs(4);
 /// Time from one renewal to the next.
@@ -75,7 +78,7 @@
 
 /// The store's calls, as one platform makes them.
 pub struct Store {
-    /// Reads everything, as of a moment after the call.
+    /// Reads everything, as of a moment after the call; bounds each call that it makes for it.
     pub read: Box<dyn FnMut() -> Reply<View>>,
     /// Writes the gateway's entry under a new lease of this length; returns the lease.
     pub announce: Box<dyn FnMut(Entry, Duration) -> Reply<u64>>,
@@ -85,7 +88,12 @@
     pub withdraw: Box<dyn FnMut(u64) -> Reply<()>>,
 }
 
-async fn bounded<T>(call: Reply<T>) -> Result<T, Error> {
+/// Waits for one call of the store for as long as an answer may take.
+///
+/// # Errors
+///
+/// [`Error::Silent`] if it takes longer, or the call's own.
+pub async fn bounded<T>(call: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
     tokio::time::timeout(PATIENCE, call).await.unwrap_or(Err(Error::Silent))
 }
 
@@ -99,7 +107,8 @@
             continue;
         }
         let sent = clock::now();
-        let result = bounded(read()).await;
+        let whole = tokio::time::timeout(WHOLE_READ, read()).await;
+        let result = whole.unwrap_or(Err(Error::Silent));
         shared.metrics.store_call("read", result.is_ok());
         match result {
             Ok(view) => {
