Logs and metrics tell whose list was taken, how old, and what was kept

Cause: in the collected logs a list that opened a replica again and a missing entry that was kept looked the same, and nothing told who read the store and who asked peers. Change: lines of lists carry from= and read_ms=; missing_replicas_kept names what is used although it is not listed; counters of views, of questions to readers by outcome, and of bytes of views. No decision is changed.

--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -30,6 +30,17 @@
 /// Weight of the newest first event in a replica's slowness.
 const SLOWNESS_WEIGHT: f64 = 0.15;
 
+/// What a list changed, by identity of the replica.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Listed for the first time.
+    pub came: Vec<String>,
+    /// Gets nothing new from now on.
+    pub closed: Vec<String>,
+    /// Not listed, and used all the same, as its lease may have lapsed in an outage of the store.
+    pub kept: Vec<String>,
+}
+
 /// All replicas.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -42,17 +53,12 @@
 }
 
 impl Fleet {
-    /// Takes the list of replicas in; returns ids that came and ids that closed.
+    /// Takes the list of replicas in; returns what changed by it.
     ///
     /// With `keep_missing`, entries that are not listed stay as they are: after an outage of the
     /// store entries are missing for a moment although their replicas live, and going by the list
     /// alone would empty the fleet.
-    pub fn update(
-        &mut self,
-        now: Time,
-        listings: Vec<Listing>,
-        keep_missing: bool,
-    ) -> (Vec<String>, Vec<String>) {
+    pub fn update(&mut self, now: Time, listings: Vec<Listing>, keep_missing: bool) -> Changes {
         let mut came = Vec::new();
         let mut closed = Vec::new();
         let mut listed: BTreeMap<String, Key<Replica>> = BTreeMap::new();
@@ -76,15 +82,16 @@
             }
             listed.insert(id, key);
         }
-        if keep_missing {
-            return (came, closed);
-        }
         let missing: Vec<(String, Key<Replica>)> = self
             .by_id
             .iter()
             .filter(|(id, _)| !listed.contains_key(*id))
             .map(|(i, k)| (i.clone(), *k))
             .collect();
+        if keep_missing {
+            let kept = missing.into_iter().map(|(id, _)| id).collect();
+            return Changes { came, closed, kept };
+        }
         for (id, key) in missing {
             let Some(replica) = self.replicas.get_mut(key) else {
                 continue;
@@ -97,7 +104,7 @@
                 self.forget(&id, key);
             }
         }
-        (came, closed)
+        Changes { came, closed, kept: Vec::new() }
     }
 
     fn insert(&mut self, now: Time, listing: Listing) -> Key<Replica> {
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -20,6 +20,7 @@
 use super::directory::Entry;
 use super::directory::Heartbeat;
 use super::engine::Common;
+use super::fleet::Changes;
 use super::fleet::Claim;
 use super::fleet::Fleet;
 use super::fleet::Listing;
@@ -194,13 +195,8 @@
         }
     }
 
-    /// Takes the lists of replicas and gateways in; returns replicas that came and that closed.
-    pub fn list(
-        &mut self,
-        now: Time,
-        replicas: Vec<Listing>,
-        gateways: Vec<Entry>,
-    ) -> (Vec<String>, Vec<String>) {
+    /// Takes the lists of replicas and gateways in; returns what changed of the replicas.
+    pub fn list(&mut self, now: Time, replicas: Vec<Listing>, gateways: Vec<Entry>) -> Changes {
         let outage = self.listed.is_some_and(|at| now.since(at) > OUTAGE);
         if outage {
             self.returned = Some(now);
--- a/core/tests/gateway/fleet.rs
+++ b/core/tests/gateway/fleet.rs
@@ -25,9 +25,9 @@
     let mut leaving = listings(2);
     leaving[0].leaving = true;
 
-    let (_, closed) = gateway.list(START, leaving, vec![]);
+    let changes = gateway.list(START, leaving, vec![]);
 
-    assert_eq!(closed, ["engine-0"]);
+    assert_eq!(changes.closed, ["engine-0"]);
     assert_eq!(chosen(&mut gateway, START).as_deref(), Some("engine-1"));
 }
 
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -30,7 +30,12 @@
 impl Metrics {
     /// Adds one to the counter `name` with labels already in text form.
     pub fn count(&self, name: &'static str, labels: String) {
-        *self.series.borrow_mut().counters.entry((name, labels)).or_default() += 1;
+        self.add(name, labels, 1);
+    }
+
+    /// Adds `value` to the counter `name` with labels already in text form.
+    pub fn add(&self, name: &'static str, labels: String, value: u64) {
+        *self.series.borrow_mut().counters.entry((name, labels)).or_default() += value;
     }
 
     /// Counts a call of the store.
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -116,7 +116,7 @@
                     shared.log(Line::new("store_regained"));
                 }
                 sound = true;
-                take(&shared, sent, view);
+                take(&shared, sent, view, Source::Store);
                 tokio::time::sleep(jittered(&shared, PERIOD)).await;
             }
             Err(e) => {
@@ -144,51 +144,72 @@
         };
         let at = clock::now();
         let Some(proof) = peers::ask(shared, address).await else {
+            shared.metrics.count("questions_total", "outcome=\"unanswered\"".to_owned());
             continue;
         };
         if proof.age > OLDEST.0 {
+            shared.metrics.count("questions_total", "outcome=\"too_old\"".to_owned());
             continue;
         }
         let digest = shared.view.borrow().as_ref().map(|known| known.digest);
         if digest == Some(proof.digest) {
+            shared.metrics.count("questions_total", "outcome=\"same\"".to_owned());
             shared.gateway.borrow_mut().confirm_view(clock::now(), at - Span(proof.age));
             return true;
         }
-        if let Ok(Ok((sent, view))) = tokio::time::timeout(PATIENCE, view::fetch(reader)).await {
-            take(shared, sent, view);
+        let fetched = tokio::time::timeout(PATIENCE, view::fetch(shared, reader)).await;
+        let outcome = if matches!(fetched, Ok(Ok(_))) { "fetched" } else { "not_fetched" };
+        shared.metrics.count("questions_total", format!("outcome=\"{outcome}\""));
+        if let Ok(Ok((sent, view))) = fetched {
+            take(shared, sent, view, Source::Peer);
             return true;
         }
     }
     false
 }
 
-fn take(shared: &Shared, sent: Time, view: View) {
+/// Where a view was taken from.
+#[derive(Clone, Copy, Debug, derive_more::Display)]
+#[display(rename_all = "snake_case")]
+enum Source {
+    Store,
+    Peer,
+}
+
+fn take(shared: &Shared, sent: Time, view: View, from: Source) {
     // A reader that lags must not bring a replica back that is known to have left.
     if shared.gateway.borrow().proved().is_some_and(|proved| sent < proved) {
+        shared.metrics.count("views_total", format!("from=\"{from}\",taken=\"too_old\""));
         return;
     }
+    shared.metrics.count("views_total", format!("from=\"{from}\",taken=\"yes\""));
     let known = Known::new(view);
     let now = clock::now();
     let same = shared.view.borrow().as_ref().is_some_and(|k| k.digest == known.digest);
     let mut gateway = shared.gateway.borrow_mut();
     let before = gateway.version();
     let newer = gateway.learn(sent, known.view.config.clone());
-    let (came, closed) =
-        gateway.list(now, known.view.replicas.clone(), known.view.gateways.clone());
+    let changes = gateway.list(now, known.view.replicas.clone(), known.view.gateways.clone());
     let version = gateway.version();
     drop(gateway);
     if !same {
         *shared.view.borrow_mut() = Some(known);
     }
+    let read_ms = now.since(sent).as_millis();
+    let line = |event| {
+        Line::new(event).with("version", version).with("from", from).with("read_ms", read_ms)
+    };
     if newer {
-        let line = Line::new("configuration").with("version", version).with("before", before);
-        shared.log(line.with("read_ms", now.since(sent).as_millis()));
+        shared.log(line("configuration").with("before", before));
+    }
+    for id in changes.came {
+        shared.log(line("replica_listed").with("replica", id));
     }
-    for id in came {
-        shared.log(Line::new("replica_listed").with("replica", id).with("version", version));
+    for id in changes.closed {
+        shared.log(line("replica_closed").with("replica", id));
     }
-    for id in closed {
-        shared.log(Line::new("replica_closed").with("replica", id).with("version", version));
+    if !changes.kept.is_empty() {
+        shared.log(line("missing_replicas_kept").with("replicas", changes.kept.join(",")));
     }
 }
 
--- a/gateway/src/view.rs
+++ b/gateway/src/view.rs
@@ -81,7 +81,7 @@
 /// # Errors
 ///
 /// Why there is no view.
-pub async fn fetch(address: &str) -> Result<(Time, View), Error> {
+pub async fn fetch(shared: &Shared, address: &str) -> Result<(Time, View), Error> {
     let asked = clock::now();
     let unreachable = |e: &dyn std::fmt::Display| Error::Unreachable(e.to_string());
     let mut channel = channel::open(address).await.map_err(|e| unreachable(&e))?;
@@ -94,6 +94,7 @@
         return Err(Error::Refused(response.status().as_u16()));
     }
     let bytes = response.into_body().collect().await.map_err(|e| unreachable(&e))?.to_bytes();
+    shared.metrics.add("view_bytes_total", String::new(), bytes.len() as u64);
     let (age, view) =
         bytes.split_first_chunk::<8>().ok_or(Error::Malformed("too short".to_owned()))?;
     let view = postcard::from_bytes(view).map_err(|e| Error::Malformed(e.to_string()))?;
