Failing test: a list that comes late is taken for an outage of the store

Gaps of over 2.5 s are taken for outages, after which missing entries are kept for 2.2 s, although peers had read the store meanwhile.

--- a/core/tests/gateway/fleet.rs
+++ b/core/tests/gateway/fleet.rs
@@ -1,6 +1,7 @@
 //! Which replicas may get work.
 
 use laburnumwheel_core::gateway::Gateway;
+use laburnumwheel_core::gateway::directory::Heartbeat;
 use laburnumwheel_core::gateway::fleet::Outcome;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::time::Span;
@@ -19,6 +20,17 @@
     gateway.pick(now, &call, &mut grant, &[]).ok().map(|pick| pick.id)
 }
 
+/// A heartbeat of a gateway that read the store `age` ago.
+fn heartbeat(name: &str, age: Span) -> Heartbeat {
+    Heartbeat {
+        entry: entry(name),
+        demands: Vec::new(),
+        loads: Vec::new(),
+        version: 1,
+        proof_age: Some(age.0),
+    }
+}
+
 #[test]
 fn a_replica_that_says_it_leaves_gets_nothing_new() {
     let mut gateway = gateway(2);
@@ -41,6 +53,26 @@
     assert_eq!(chosen(&mut gateway, START).as_deref(), Some("engine-1"));
 }
 
+/// Callers get answers from a replica that has left seconds before. Its entry goes while this
+/// gateway's link is full, so that its list comes 2.6 s after the last one; it takes that for an
+/// outage of the store and goes on using what is missing. Heartbeats told it all the while that
+/// others had read the store: nothing can have lapsed.
+#[test]
+fn a_list_that_comes_late_is_no_outage_of_the_store() {
+    let mut gateway = gateway(2);
+    for ms in (500..=2_500).step_by(500) {
+        let now = START + Span::millis(ms);
+        gateway.hear(now, &heartbeat("two", Span::millis(200)));
+    }
+    let now = START + Span::millis(2_600);
+    gateway.learn(START + Span::millis(1_700), None);
+
+    let changes = gateway.list(now, vec![listing("engine-1")], vec![entry("one"), entry("two")]);
+
+    assert_eq!(changes.closed, ["engine-0"]);
+    assert_eq!(chosen(&mut gateway, now).as_deref(), Some("engine-1"));
+}
+
 /// The store is out for seconds, and leases lapse meanwhile. When it is back, most entries are
 /// missing for a moment although their replicas live; going by the list the fleet would be empty.
 #[test]
