An outage of the store is one only if no gateway had an answer

Cause: a gateway that had no list for 2.5 s took that for an outage and kept missing entries for 2.2 s more. Its own busy link was the reason; peers had read the store all the while, and the replica had left. Ruled out: a list that opens a replica again; a leaving replica that is not closed; waiting inside the gateway (13 and 157 ms). Change: heartbeats already carry the age of the sender's proof; the newest answer that any gateway had decides whether the store was out. Before: fleet::a_list_that_comes_late_is_no_outage_of_the_store failed, now passes; with the heartbeats' part taken out it fails again. Outages are still told by those who hear first that one is over (new test). Conclusion: mended; that lists come late at all is a cause of its own.

--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod gossip;
 pub mod lane;
 pub mod ledger;
+pub mod outage;
 pub mod refusal;
 mod state;
 
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -35,6 +35,7 @@
 use super::lane::Lane;
 use super::ledger::Ledger;
 use super::ledger::Standing;
+use super::outage::Outage;
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use crate::arena::Key;
@@ -42,11 +43,6 @@
 use crate::time::Span;
 use crate::time::Time;
 
-/// After an outage of the store, how long missing entries are kept: replicas that live have
-/// written theirs again within about two seconds.
-const RETURN: Span = Span::millis(2_200);
-/// A read of the store that failed, and no sound one for this long, is an outage.
-const OUTAGE: Span = Span::millis(2_500);
 /// Time to come back for a caller that another gateway can serve at once.
 const ELSEWHERE: Span = Span::millis(50);
 /// Callers who are refused for load come back after some time in this range.
@@ -140,8 +136,7 @@
     common: Common,
     ledger: Ledger,
     tidied: Time,
-    listed: Option<Time>,
-    returned: Option<Time>,
+    outage: Outage,
     stop: Option<Stop>,
 }
 
@@ -169,8 +164,7 @@
             common: Common::default(),
             ledger: Ledger::default(),
             tidied: now,
-            listed: None,
-            returned: None,
+            outage: Outage::default(),
             stop: None,
             settings,
         }
@@ -180,6 +174,7 @@
     ///
     /// A version that is older than one known before is never taken.
     pub fn learn(&mut self, sent: Time, config: Option<Arc<Config>>) -> bool {
+        self.outage.answered(sent);
         let known = self.version();
         match config {
             Some(config) if config.version > known => {
@@ -197,21 +192,15 @@
 
     /// Takes the lists of replicas and gateways in; returns what changed of the replicas.
     pub fn list(&mut self, now: Time, replicas: Vec<Listing>, gateways: Vec<Entry>) -> Changes {
-        let outage = self.listed.is_some_and(|at| now.since(at) > OUTAGE);
-        if outage {
-            self.returned = Some(now);
-        }
-        self.listed = Some(now);
-        let settling = self.returned.is_some_and(|at| now.since(at) < RETURN);
         let own = self.settings.entry.name.clone();
         self.directory.list(now, gateways.into_iter().filter(|e| e.name != own).collect());
-        self.fleet.update(now, replicas, settling)
+        self.fleet.update(now, replicas, self.outage.may_have_lapsed(now))
     }
 
     /// Notes that a peer's proof covers what this gateway knows: nothing had changed at `sent`.
-    pub fn confirm_view(&mut self, now: Time, sent: Time) {
+    pub fn confirm_view(&mut self, sent: Time) {
+        self.outage.answered(sent);
         self.freshness.prove(sent);
-        self.listed = Some(now);
     }
 
     /// Gateways that read the store for all, and whether this one does.
@@ -222,6 +211,9 @@
     /// Takes a peer's heartbeat in, received at `now`.
     pub fn hear(&mut self, now: Time, heartbeat: &Heartbeat) {
         if heartbeat.entry.name != self.settings.entry.name {
+            if let Some(age) = heartbeat.proof_age {
+                self.outage.answered(now - Span(age));
+            }
             self.directory.hear(now, heartbeat);
             self.fleet.learn(now, &heartbeat.loads);
         }
--- a/core/tests/gateway/fleet.rs
+++ b/core/tests/gateway/fleet.rs
@@ -53,6 +53,22 @@
     assert_eq!(chosen(&mut gateway, START).as_deref(), Some("engine-1"));
 }
 
+/// The store comes back after an outage, and another gateway reads it first. Its heartbeat tells of
+/// a young proof before this gateway's own list comes, and that list lacks replicas that live.
+#[test]
+fn an_outage_counts_as_one_also_for_those_who_hear_first_that_it_is_over() {
+    let mut gateway = gateway(2);
+    let back = START + Span::secs(4);
+    gateway.hear(back, &heartbeat("two", Span(0)));
+    let now = back + Span::millis(500);
+    gateway.learn(now, None);
+
+    let changes = gateway.list(now, vec![], vec![entry("one"), entry("two")]);
+
+    assert_eq!(changes.kept, ["engine-0", "engine-1"]);
+    assert!(chosen(&mut gateway, now).is_some());
+}
+
 /// Callers get answers from a replica that has left seconds before. Its entry goes while this
 /// gateway's link is full, so that its list comes 2.6 s after the last one; it takes that for an
 /// outage of the store and goes on using what is missing. Heartbeats told it all the while that
--- a/core/tests/gateway/freshness.rs
+++ b/core/tests/gateway/freshness.rs
@@ -43,8 +43,8 @@
     let asked = START + Span::secs(3);
     let age = Span::secs(1);
 
-    gateway.confirm_view(asked, asked - age);
-    gateway.confirm_view(asked, asked - Span::secs(2));
+    gateway.confirm_view(asked - age);
+    gateway.confirm_view(asked - Span::secs(2));
 
     assert_eq!(gateway.proved(), Some(START + Span::secs(2)));
     assert!(gateway.admit(START + Span::millis(6_400), &ask("report", &[])).is_ok());
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -154,7 +154,7 @@
         let digest = shared.view.borrow().as_ref().map(|known| known.digest);
         if digest == Some(proof.digest) {
             shared.metrics.count("questions_total", "outcome=\"same\"".to_owned());
-            shared.gateway.borrow_mut().confirm_view(clock::now(), at - Span(proof.age));
+            shared.gateway.borrow_mut().confirm_view(at - Span(proof.age));
             return true;
         }
         let fetched = tokio::time::timeout(PATIENCE, view::fetch(shared, reader)).await;
