--- a/core/tests/gateway/fleet.rs
+++ b/core/tests/gateway/fleet.rs
@@ -53,6 +53,25 @@
     assert_eq!(chosen(&mut gateway, START).as_deref(), Some("engine-1"));
 }
 
+/// The same, with a link so full that the reads themselves lie 2.6 s apart: only what the others'
+/// heartbeats told of tells that the store was there.
+#[test]
+fn reads_that_lie_far_apart_are_no_outage_while_others_read() {
+    let mut gateway = gateway(2);
+    for ms in (500..=2_500).step_by(500) {
+        let now = START + Span::millis(ms);
+        gateway.hear(now, &heartbeat("two", Span::millis(200)));
+    }
+    let sent = START + Span::millis(2_600);
+    gateway.learn(sent, None);
+    let now = sent + Span::millis(950);
+
+    let changes = gateway.list(now, vec![listing("engine-1")], vec![entry("one"), entry("two")]);
+
+    assert_eq!(changes.closed, ["engine-0"]);
+    assert_eq!(chosen(&mut gateway, now).as_deref(), Some("engine-1"));
+}
+
 /// The store comes back after an outage, and another gateway reads it first. Its heartbeat tells of
 /// a young proof before this gateway's own list comes, and that list lacks replicas that live.
 #[test]
