--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod freshness;
 mod ledger;
 mod loads;
+mod outage;
 mod routes;
 mod stop;
 mod support;
