What a list lacks tells an outage from a late list

Change: entries are kept only if no answer came for 2.5 s, counted up to the answer, and more are missing than listed; they are closed by the first list or proof that was asked for 2.2 s after the first answer. Heartbeats have no part. Left: an outage so short that less than half of the entries lapse closes these until their next renewal, a second or two.

--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -4,6 +4,7 @@
 mod replica;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::arena::Arena;
 use crate::arena::Key;
@@ -78,6 +79,7 @@
                 }
                 // An entry that left and is listed again lives: its lease had lapsed.
                 replica.closed = listing.leaving;
+                replica.kept = false;
                 replica.listing = listing;
             }
             listed.insert(id, key);
@@ -89,13 +91,14 @@
             .map(|(i, k)| (i.clone(), *k))
             .collect();
         if keep_missing {
-            let kept = missing.into_iter().map(|(id, _)| id).collect();
+            let kept = self.keep(&missing);
             return Changes { came, closed, kept };
         }
         for (id, key) in missing {
             let Some(replica) = self.replicas.get_mut(key) else {
                 continue;
             };
+            replica.kept = false;
             if !replica.closed {
                 replica.closed = true;
                 closed.push(id.clone());
@@ -107,6 +110,41 @@
         Changes { came, closed, kept: Vec::new() }
     }
 
+    /// Number of replicas in use that are not among `listings`.
+    pub fn missing(&self, listings: &[Listing]) -> usize {
+        let listed: BTreeSet<&str> = listings.iter().map(|l| l.id.as_str()).collect();
+        let open = self.replicas.iter().filter(|(_, r)| !r.closed);
+        open.filter(|(_, r)| !listed.contains(r.listing.id.as_str())).count()
+    }
+
+    fn keep(&mut self, missing: &[(String, Key<Replica>)]) -> Vec<String> {
+        let mut kept = Vec::new();
+        for (id, key) in missing {
+            if let Some(replica) = self.replicas.get_mut(*key)
+                && !replica.closed
+            {
+                replica.kept = true;
+                kept.push(id.clone());
+            }
+        }
+        kept
+    }
+
+    /// Closes the replicas that were kept although their entries are missing; returns their ids.
+    pub fn close_kept(&mut self) -> Vec<String> {
+        let mut closed = Vec::new();
+        for (id, key) in &self.by_id {
+            if let Some(replica) = self.replicas.get_mut(*key)
+                && replica.kept
+            {
+                replica.kept = false;
+                replica.closed = true;
+                closed.push(id.clone());
+            }
+        }
+        closed
+    }
+
     fn insert(&mut self, now: Time, listing: Listing) -> Key<Replica> {
         let id = listing.id.clone();
         let service = listing.service.clone();
--- a/core/src/gateway/fleet/replica.rs
+++ b/core/src/gateway/fleet/replica.rs
@@ -78,6 +78,8 @@
     pub listing: Listing,
     /// It must get nothing new: it is leaving, or its entry is gone.
     pub closed: bool,
+    /// Its entry is missing and may have lapsed in an outage of the store.
+    pub(super) kept: bool,
     pub(super) hash: u64,
     pub(super) sensitive: u32,
     pub(super) engine: bool,
@@ -97,6 +99,7 @@
         Replica {
             hash: rendezvous::hash(&[listing.id.as_bytes()]),
             closed: listing.leaving,
+            kept: false,
             listing,
             sensitive: 0,
             engine: false,
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -174,7 +174,6 @@
     ///
     /// A version that is older than one known before is never taken.
     pub fn learn(&mut self, sent: Time, config: Option<Arc<Config>>) -> bool {
-        self.outage.answered(sent);
         let known = self.version();
         match config {
             Some(config) if config.version > known => {
@@ -190,17 +189,27 @@
         }
     }
 
-    /// Takes the lists of replicas and gateways in; returns what changed of the replicas.
-    pub fn list(&mut self, now: Time, replicas: Vec<Listing>, gateways: Vec<Entry>) -> Changes {
+    /// Takes the lists of replicas and gateways in, which were asked for at `sent`; returns what
+    /// changed of the replicas.
+    pub fn list(
+        &mut self,
+        sent: Time,
+        now: Time,
+        replicas: Vec<Listing>,
+        gateways: Vec<Entry>,
+    ) -> Changes {
         let own = self.settings.entry.name.clone();
         self.directory.list(now, gateways.into_iter().filter(|e| e.name != own).collect());
-        self.fleet.update(now, replicas, self.outage.may_have_lapsed(now))
+        let missing = self.fleet.missing(&replicas);
+        let keep = self.outage.may_have_lapsed(sent, now, missing, replicas.len());
+        self.fleet.update(now, replicas, keep)
     }
 
     /// Notes that a peer's proof covers what this gateway knows: nothing had changed at `sent`.
-    pub fn confirm_view(&mut self, sent: Time) {
-        self.outage.answered(sent);
+    /// Returns replicas that are closed by it, as their entries did not come back.
+    pub fn confirm_view(&mut self, sent: Time) -> Vec<String> {
         self.freshness.prove(sent);
+        if self.outage.is_over(sent) { self.fleet.close_kept() } else { Vec::new() }
     }
 
     /// Gateways that read the store for all, and whether this one does.
@@ -211,9 +220,6 @@
     /// Takes a peer's heartbeat in, received at `now`.
     pub fn hear(&mut self, now: Time, heartbeat: &Heartbeat) {
         if heartbeat.entry.name != self.settings.entry.name {
-            if let Some(age) = heartbeat.proof_age {
-                self.outage.answered(now - Span(age));
-            }
             self.directory.hear(now, heartbeat);
             self.fleet.learn(now, &heartbeat.loads);
         }
--- a/core/tests/gateway/fleet.rs
+++ b/core/tests/gateway/fleet.rs
@@ -37,7 +37,7 @@
     let mut leaving = listings(2);
     leaving[0].leaving = true;
 
-    let changes = gateway.list(START, leaving, vec![]);
+    let changes = gateway.list(START, START, leaving, vec![]);
 
     assert_eq!(changes.closed, ["engine-0"]);
     assert_eq!(chosen(&mut gateway, START).as_deref(), Some("engine-1"));
@@ -48,7 +48,12 @@
 fn a_replica_whose_entry_is_gone_gets_nothing_new() {
     let mut gateway = gateway(2);
 
-    gateway.list(START + Span::millis(600), vec![listing("engine-1")], vec![]);
+    gateway.list(
+        START + Span::millis(600),
+        START + Span::millis(600),
+        vec![listing("engine-1")],
+        vec![],
+    );
 
     assert_eq!(chosen(&mut gateway, START).as_deref(), Some("engine-1"));
 }
@@ -66,7 +71,8 @@
     gateway.learn(sent, None);
     let now = sent + Span::millis(950);
 
-    let changes = gateway.list(now, vec![listing("engine-1")], vec![entry("one"), entry("two")]);
+    let changes =
+        gateway.list(sent, now, vec![listing("engine-1")], vec![entry("one"), entry("two")]);
 
     assert_eq!(changes.closed, ["engine-0"]);
     assert_eq!(chosen(&mut gateway, now).as_deref(), Some("engine-1"));
@@ -82,7 +88,7 @@
     let now = back + Span::millis(500);
     gateway.learn(now, None);
 
-    let changes = gateway.list(now, vec![], vec![entry("one"), entry("two")]);
+    let changes = gateway.list(now, now, vec![], vec![entry("one"), entry("two")]);
 
     assert_eq!(changes.kept, ["engine-0", "engine-1"]);
     assert!(chosen(&mut gateway, now).is_some());
@@ -100,9 +106,11 @@
         gateway.hear(now, &heartbeat("two", Span::millis(200)));
     }
     let now = START + Span::millis(2_600);
-    gateway.learn(START + Span::millis(1_700), None);
+    let sent = START + Span::millis(1_700);
+    gateway.learn(sent, None);
 
-    let changes = gateway.list(now, vec![listing("engine-1")], vec![entry("one"), entry("two")]);
+    let changes =
+        gateway.list(sent, now, vec![listing("engine-1")], vec![entry("one"), entry("two")]);
 
     assert_eq!(changes.closed, ["engine-0"]);
     assert_eq!(chosen(&mut gateway, now).as_deref(), Some("engine-1"));
@@ -116,9 +124,14 @@
     let back = START + Span::secs(4);
     gateway.learn(back, None);
 
-    gateway.list(back, vec![], vec![]);
+    gateway.list(back, back, vec![], vec![]);
     let at_once = chosen(&mut gateway, back);
-    gateway.list(back + Span::millis(2_300), vec![listing("engine-2")], vec![]);
+    gateway.list(
+        back + Span::millis(2_300),
+        back + Span::millis(2_300),
+        vec![listing("engine-2")],
+        vec![],
+    );
     let later = chosen(&mut gateway, back + Span::millis(2_300));
 
     assert!(at_once.is_some());
@@ -174,7 +187,7 @@
 fn gateways_list_one_another_without_themselves() {
     let mut gateway = gateway(1);
 
-    gateway.list(START, listings(1), vec![entry("one"), entry("two")]);
+    gateway.list(START, START, listings(1), vec![entry("one"), entry("two")]);
 
     assert_eq!(gateway.peers(), ["two:2"]);
 }
--- a/core/tests/gateway/outage.rs
+++ b/core/tests/gateway/outage.rs
@@ -33,7 +33,7 @@
 fn read(gateway: &mut Gateway, sent: Time, took: Span, replicas: &[&str]) -> Vec<String> {
     gateway.learn(sent, None);
     let found = replicas.iter().map(|id| listing(id)).collect();
-    gateway.list(sent + took, found, vec![entry("one"), entry("two")]).kept
+    gateway.list(sent, sent + took, found, vec![entry("one"), entry("two")]).kept
 }
 
 /// Callers are refused for want of replicas after an outage of four seconds, although all live.
@@ -116,3 +116,32 @@
 
     assert_eq!(usable, 1);
 }
+
+/// After an outage two of three replicas come back, and the third had left. Gateways that do not
+/// read the store are told "nothing has changed" for as long as nothing does; that is when they
+/// have to close it, and not before it could have come back.
+#[test]
+fn a_kept_entry_is_closed_by_a_proof_that_is_young_enough() {
+    let mut gateway = gateway(3);
+    read(&mut gateway, at(4_000), Span::millis(10), &["engine-1"]);
+    read(&mut gateway, at(5_000), Span::millis(10), &["engine-1", "engine-2"]);
+
+    let early = gateway.confirm_view(at(6_200));
+    let usable = gateway.fleet().usable(at(6_200), "engines");
+    let late = gateway.confirm_view(at(6_300));
+
+    assert!(early.is_empty(), "{early:?}");
+    assert_eq!(usable, 3);
+    assert_eq!(late, ["engine-0"]);
+}
+
+/// The store is out twice. What was noted of the first outage must not end the grace of the second.
+#[test]
+fn a_second_outage_counts_like_the_first() {
+    let mut gateway = gateway(2);
+    read(&mut gateway, at(4_000), Span::millis(10), &[]);
+
+    let kept = read(&mut gateway, at(9_000), Span::millis(10), &[]);
+
+    assert_eq!(kept, ["engine-0", "engine-1"]);
+}
--- a/core/tests/gateway/support.rs
+++ b/core/tests/gateway/support.rs
@@ -99,7 +99,7 @@
 pub fn gateway(engines: usize) -> Gateway {
     let mut gateway = Gateway::new(settings("one"), START);
     gateway.learn(START, Some(Arc::new(config(1))));
-    gateway.list(START, listings(engines), vec![entry("one")]);
+    gateway.list(START, START, listings(engines), vec![entry("one")]);
     gateway
 }
 
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -154,7 +154,10 @@
         let digest = shared.view.borrow().as_ref().map(|known| known.digest);
         if digest == Some(proof.digest) {
             shared.metrics.count("questions_total", "outcome=\"same\"".to_owned());
-            shared.gateway.borrow_mut().confirm_view(at - Span(proof.age));
+            let closed = shared.gateway.borrow_mut().confirm_view(at - Span(proof.age));
+            for id in closed {
+                shared.log(Line::new("replica_closed").with("replica", id).with("from", "proof"));
+            }
             return true;
         }
         let fetched = tokio::time::timeout(PATIENCE, view::fetch(shared, reader)).await;
@@ -189,7 +192,7 @@
     let mut gateway = shared.gateway.borrow_mut();
     let before = gateway.version();
     let newer = gateway.learn(sent, known.view.config.clone());
-    let changes = gateway.list(now, known.view.replicas.clone(), known.view.gateways.clone());
+    let changes = gateway.list(sent, now, known.view.replicas.clone(), known.view.gateways.clone());
     let version = gateway.version();
     drop(gateway);
     if !same {
