--- a/core/tests/gateway/outage.rs
+++ b/core/tests/gateway/outage.rs
@@ -2,6 +2,7 @@
 
 use laburnumwheel_core::gateway::Gateway;
 use laburnumwheel_core::gateway::directory::Heartbeat;
+use laburnumwheel_core::gateway::fleet::Listing;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 
@@ -145,3 +146,40 @@
 
     assert_eq!(kept, ["engine-0", "engine-1"]);
 }
+
+/// Callers of one service are refused for want of replicas after an outage of three seconds,
+/// although all live. Its replicas were started together, so their leases lapsed together; those of
+/// the other services did not, and more entries are listed than missing.
+#[test]
+fn a_service_whose_entries_all_lapsed_is_not_left_without_replicas() {
+    let mut gateway = gateway(4);
+    let mut both = crate::support::listings(4);
+    for id in ["bid-0", "bid-1"] {
+        both.push(Listing { service: "bids".to_owned(), ..listing(id) });
+    }
+    gateway.learn(at(10), None);
+    gateway.list(at(10), at(20), both, vec![]);
+    gateway.learn(at(3_100), None);
+
+    gateway.list(at(3_100), at(3_110), crate::support::listings(4), vec![]);
+
+    assert_eq!(gateway.fleet().usable(at(3_110), "bids"), 2);
+}
+
+/// The store goes for two seconds, is there for 0.3 s and goes again. Gateways have an answer in
+/// between, few replicas renew in so short a time, and all leases lapse: no gap of answers is as
+/// long as an outage, and the first list after the second one empties the fleet.
+#[test]
+fn two_outages_in_a_row_are_as_long_as_both() {
+    let mut gateway = gateway(4);
+    read(
+        &mut gateway,
+        at(2_100),
+        Span::millis(10),
+        &["engine-0", "engine-1", "engine-2", "engine-3"],
+    );
+
+    let kept = read(&mut gateway, at(4_400), Span::millis(10), &[]);
+
+    assert_eq!(kept.len(), 4);
+}
