A router's own freeze does not count against its peers

Cause: after a freeze the first tick judged probes and suspects by the clock, before what lay in the sockets was read; peers that were well were suspected or dead, for everyone. Change: a tick that comes 300 ms or more after the last one moves the deadlines of probes and suspects by the gap.

--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -33,6 +33,9 @@
 pub const DEAD_AFTER: Span = Span::millis(2_500);
 /// Time after which a router that left or died is forgotten.
 pub const FORGET_AFTER: Span = Span::secs(7_200);
+/// A tick that comes this long after the last one tells that this router stood still: many times
+/// the driver's 10 ms, and well below the time after which a probe is judged.
+const FROZEN: Span = Span::millis(300);
 const RING: usize = 2;
 const FANOUT: usize = 4;
 const HELPERS: usize = 2;
@@ -162,6 +165,7 @@
     relays: BTreeMap<u64, Relay>,
     sequence: u64,
     last_round: Time,
+    last_tick: Time,
     last_dead_probe: Time,
     last_repair: Time,
     own_rides: u32,
@@ -179,6 +183,7 @@
             relays: BTreeMap::new(),
             sequence: 0,
             last_round: Time(0),
+            last_tick: Time(0),
             last_dead_probe: Time(0),
             last_repair: Time(0),
             own_rides: RIDES,
@@ -362,6 +367,7 @@
 
     /// Sends due probes and judges those without an answer.
     pub fn tick(&mut self, now: Time, rng: &mut SmallRng, out: &mut Vec<Action>) {
+        self.excuse(now);
         self.judge(now, rng, out);
         if now.since(self.last_round) < PROBE {
             return;
@@ -409,6 +415,25 @@
         self.probes.insert(sequence, Probe { name, sent: now, redialled: false });
     }
 
+    /// Moves deadlines of peers by the time for which this router itself was frozen or starved:
+    /// their answers lie unread in its sockets, and judged by the clock they would be suspected,
+    /// or dead, for everyone.
+    fn excuse(&mut self, now: Time) {
+        let gap = now.since(self.last_tick);
+        self.last_tick = now;
+        if gap < FROZEN {
+            return;
+        }
+        for probe in self.probes.values_mut() {
+            probe.sent = probe.sent + gap;
+        }
+        for member in self.others.values_mut() {
+            if member.record.verdict == Verdict::Suspect {
+                member.since = member.since + gap;
+            }
+        }
+    }
+
     fn judge(&mut self, now: Time, rng: &mut SmallRng, out: &mut Vec<Action>) {
         let late = self.probes.iter().filter(|(_, p)| now.since(p.sent) >= REDIAL_AFTER);
         let late: Vec<(u64, Probe)> = late.map(|(s, p)| (*s, p.clone())).collect();
