An outage is told for each service, and without silence where most is missing at once

Change: after silence any service of which more is missing than listed tells; where more is newly missing than listed in all, no silence is needed.

--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -13,6 +13,7 @@
 use crate::gateway::gossip::Sighting;
 use crate::gateway::ledger::Change;
 use crate::gateway::ledger::Notice;
+use crate::gateway::outage::Absence;
 use crate::time::Span;
 use crate::time::Time;
 
@@ -110,11 +111,23 @@
         Changes { came, closed, kept: Vec::new() }
     }
 
-    /// Number of replicas in use that are not among `listings`.
-    pub fn missing(&self, listings: &[Listing]) -> usize {
+    /// How many of the replicas in use are not among `listings`, against those that are.
+    pub fn absence(&self, listings: &[Listing]) -> Absence {
         let listed: BTreeSet<&str> = listings.iter().map(|l| l.id.as_str()).collect();
-        let open = self.replicas.iter().filter(|(_, r)| !r.closed);
-        open.filter(|(_, r)| !listed.contains(r.listing.id.as_str())).count()
+        let mut services: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for listing in listings {
+            services.entry(&listing.service).or_default().0 += 1;
+        }
+        let mut newly = 0;
+        let in_use = self.replicas.iter().map(|(_, r)| r).filter(|r| !r.closed);
+        for replica in in_use.filter(|r| !listed.contains(r.listing.id.as_str())) {
+            services.entry(&replica.listing.service).or_default().1 += 1;
+            newly += usize::from(!replica.kept);
+        }
+        Absence {
+            most_at_once: newly > listings.len(),
+            most_of_a_service: services.values().any(|(listed, missing)| missing > listed),
+        }
     }
 
     fn keep(&mut self, missing: &[(String, Key<Replica>)]) -> Vec<String> {
--- a/core/src/gateway/outage.rs
+++ b/core/src/gateway/outage.rs
@@ -18,6 +18,15 @@
 /// within about two seconds.
 const RETURN: Span = Span::millis(2_200);
 
+/// How much of what is in use a list lacks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Absence {
+    /// Of all services together more is missing, and was not before, than is listed.
+    pub most_at_once: bool,
+    /// Of some service more is missing than listed.
+    pub most_of_a_service: bool,
+}
+
 /// What a gateway knows of the store's outages.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Outage {
@@ -28,22 +37,17 @@
 }
 
 impl Outage {
-    /// Notes a list that was asked for at `sent` and came at `now`, with `listed` entries and
-    /// without `missing` ones of replicas in use; tells whether these may have lapsed.
+    /// Notes a list that was asked for at `sent` and came at `now` and lacks entries of replicas in
+    /// use; tells whether these may have lapsed.
     ///
-    /// The store may have hung until the answer came, so an outage is counted up to `now`, and
-    /// only a list that was asked for after the return is complete. Where fewer entries are
-    /// missing than listed they are taken for gone: after a short outage that closes up to half of
-    /// the replicas until their next renewal, for a second or two.
-    pub fn may_have_lapsed(
-        &mut self,
-        sent: Time,
-        now: Time,
-        missing: usize,
-        listed: usize,
-    ) -> bool {
+    /// The store may have hung until the answer came, so silence is counted up to `now`, and only
+    /// a list that was asked for after the return is complete. Where most of all entries are
+    /// missing no silence is needed: two short outages in a row have an answer in between. Where
+    /// few are, they are taken for gone; after a short outage that closes less than half of each
+    /// service until the next renewal, for a second or two.
+    pub fn may_have_lapsed(&mut self, sent: Time, now: Time, absence: Absence) -> bool {
         let silent = self.asked.is_some_and(|last| now.since(last) > OUTAGE);
-        if silent && missing > listed {
+        if absence.most_at_once || (silent && absence.most_of_a_service) {
             self.returned = Some(now);
         }
         !self.is_over(sent)
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -200,8 +200,8 @@
     ) -> Changes {
         let own = self.settings.entry.name.clone();
         self.directory.list(now, gateways.into_iter().filter(|e| e.name != own).collect());
-        let missing = self.fleet.missing(&replicas);
-        let keep = self.outage.may_have_lapsed(sent, now, missing, replicas.len());
+        let absence = self.fleet.absence(&replicas);
+        let keep = self.outage.may_have_lapsed(sent, now, absence);
         self.fleet.update(now, replicas, keep)
     }
 
