An entry of the store that can't be used costs nothing but itself

Cause: one entry that couldn't be decoded failed the whole read, the proof of freshness aged out, and every call on every host was refused.

A replica whose entry turns unreadable is closed at once, also while missing entries are kept after an outage, and is reopened by its next readable entry. Its listing names the identity only, so it is handed on to the other gateways like any other. An unreadable configuration withholds the proof: the last one stays in force no longer than the bound on revocation.

Ruled out: skipping the fields that are missing (the address may be anybody's), and dropping flawed entries silently (an outage's grace would keep such a replica).

--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -65,6 +65,15 @@
         for listing in listings {
             let id = listing.id.clone();
             let known = self.by_id.get(&id).copied();
+            if listing.is_unreadable() {
+                // Nobody can say what has become of a replica whose entry is spoilt, so it gets
+                // nothing new; what was learnt of it is kept for its next readable entry.
+                if let Some(key) = known {
+                    closed.extend(self.close(key).then(|| id.clone()));
+                    listed.insert(id, key);
+                }
+                continue;
+            }
             let key = match known {
                 Some(key) => key,
                 None => {
@@ -93,20 +102,19 @@
             return Changes { came, closed, kept };
         }
         for (id, key) in missing {
-            let Some(replica) = self.replicas.get_mut(key) else {
-                continue;
-            };
-            if !replica.closed {
-                replica.closed = true;
-                closed.push(id.clone());
-            }
-            if replica.own == 0 {
+            closed.extend(self.close(key).then(|| id.clone()));
+            if self.replicas.get(key).is_some_and(|r| r.own == 0) {
                 self.forget(&id, key);
             }
         }
         Changes { came, closed, kept: Vec::new() }
     }
 
+    /// Closes a replica; `false` if it was closed or is unknown.
+    fn close(&mut self, key: Key<Replica>) -> bool {
+        self.replicas.get_mut(key).is_some_and(|r| !std::mem::replace(&mut r.closed, true))
+    }
+
     fn insert(&mut self, now: Time, listing: Listing) -> Key<Replica> {
         let id = listing.id.clone();
         let service = listing.service.clone();
--- a/core/src/gateway/fleet/replica.rs
+++ b/core/src/gateway/fleet/replica.rs
@@ -34,6 +34,25 @@
     pub leaving: bool,
 }
 
+impl Listing {
+    /// An entry of which only the identity is known: it names no replica to use.
+    pub fn unreadable(id: &str) -> Listing {
+        Listing {
+            id: id.to_owned(),
+            service: String::new(),
+            address: String::new(),
+            domain: String::new(),
+            slots: 0,
+            leaving: true,
+        }
+    }
+
+    /// Whether only the identity is known.
+    pub fn is_unreadable(&self) -> bool {
+        self.address.is_empty()
+    }
+}
+
 /// What a replica said of its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
--- a/core/tests/gateway/fleet.rs
+++ b/core/tests/gateway/fleet.rs
@@ -2,6 +2,7 @@
 
 use laburnumwheel_core::gateway::Gateway;
 use laburnumwheel_core::gateway::directory::Heartbeat;
+use laburnumwheel_core::gateway::fleet::Listing;
 use laburnumwheel_core::gateway::fleet::Outcome;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::time::Span;
@@ -90,6 +91,37 @@
     assert_eq!(later.as_deref(), Some("engine-2"));
 }
 
+/// Calls go on to a replica whose entry another writer has spoilt. After an outage of the store,
+/// what is missing is used on for a moment; an entry that is there and says nothing is not missing.
+#[test]
+fn a_replica_whose_entry_is_unreadable_gets_nothing_also_after_an_outage() {
+    let mut gateway = gateway(3);
+    let back = START + Span::secs(4);
+    gateway.learn(back, None);
+
+    let changes = gateway.list(back, vec![Listing::unreadable("engine-0")], vec![]);
+    let used = gateway.fleet().usable(back, "engines");
+    let whole = back + Span::millis(500);
+    gateway.list(whole, listings(3), vec![]);
+
+    assert_eq!(changes.closed, ["engine-0"]);
+    assert_eq!(changes.kept, ["engine-1", "engine-2"]);
+    assert_eq!(used, 2);
+    assert_eq!(gateway.fleet().usable(whole, "engines"), 3);
+}
+
+#[test]
+fn an_unreadable_entry_of_an_unknown_replica_names_none() {
+    let mut gateway = gateway(1);
+    let mut listed = listings(1);
+    listed.push(Listing::unreadable("stray"));
+
+    let changes = gateway.list(START, listed, vec![]);
+
+    assert!(changes.came.is_empty() && changes.closed.is_empty());
+    assert_eq!(gateway.fleet().iter().count(), 1);
+}
+
 /// An address is given to a replica of another service. The first call finds out; no further one
 /// goes there until the list names the address anew.
 #[test]
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -126,6 +126,7 @@
             pool: Pool::default(),
             metrics: Metrics::default(),
             view: RefCell::new(None),
+            flaws: RefCell::default(),
             questions: RefCell::default(),
             lease: Cell::new(None),
             connections: Cell::new(0),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod channel;
 pub mod clock;
 pub mod dialect;
+pub mod flaw;
 pub mod gateway;
 pub mod log;
 pub mod metrics;
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -12,6 +12,7 @@
 
 use crate::channel::Pool;
 use crate::dialect::Dialect;
+use crate::flaw::Told;
 use crate::log::Line;
 use crate::log::Log;
 use crate::metrics::Metrics;
@@ -30,6 +31,8 @@
     pub metrics: Metrics,
     /// What the store was last known to hold.
     pub view: RefCell<Option<Known>>,
+    /// Flawed entries of the store that have been logged.
+    pub flaws: RefCell<Told>,
     /// Questions to other gateways that wait for an answer.
     pub questions: RefCell<Questions>,
     /// Datagrams between gateways.
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -16,6 +16,10 @@
 use serde::Serialize;
 
 use crate::clock;
+use crate::flaw;
+use crate::flaw::Flaw;
+use crate::flaw::Kind;
+use crate::flaw::Subject;
 use crate::log::Line;
 use crate::peers;
 use crate::shared::Shared;
@@ -51,6 +55,17 @@
     pub replicas: Vec<Listing>,
     /// Gateways.
     pub gateways: Vec<Entry>,
+    /// Entries that name nothing to use. Whoever reads the store tells of them; they are neither
+    /// handed on nor part of the digest.
+    #[serde(skip)]
+    pub flaws: Vec<Flaw>,
+}
+
+impl View {
+    /// Whether the configuration that the store holds could be read, or there is none.
+    fn has_readable_config(&self) -> bool {
+        self.flaws.iter().all(|f| f.subject != Subject::Configuration)
+    }
 }
 
 /// Why a call of the store failed.
@@ -169,26 +184,54 @@
 }
 
 /// Where a view was taken from.
-#[derive(Clone, Copy, Debug, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 #[display(rename_all = "snake_case")]
 enum Source {
     Store,
     Peer,
 }
 
-fn take(shared: &Shared, sent: Time, view: View, from: Source) {
+/// Replicas of services that the configuration doesn't name; no call goes there.
+fn of_unknown_services(view: &View) -> Vec<Flaw> {
+    let Some(config) = &view.config else {
+        return Vec::new();
+    };
+    let strays = view.replicas.iter().filter(|listing| !listing.is_unreadable());
+    strays
+        .filter(|listing| config.service(&listing.service).is_none())
+        .map(|listing| Flaw {
+            subject: Subject::Replica,
+            key: listing.id.clone(),
+            kind: Kind::Service,
+        })
+        .collect()
+}
+
+fn take(shared: &Shared, sent: Time, mut view: View, from: Source) {
     // A reader that lags must not bring a replica back that is known to have left.
     if shared.gateway.borrow().proved().is_some_and(|proved| sent < proved) {
         shared.metrics.count("views_total", format!("from=\"{from}\",taken=\"too_old\""));
         return;
     }
     shared.metrics.count("views_total", format!("from=\"{from}\",taken=\"yes\""));
+    // A version that can't be read may be the one that takes a key away. The last one that could
+    // be read stays in force, and its proof of freshness ages as if the store were out of reach:
+    // no key is honoured for longer than the bound on revocation.
+    let readable = view.has_readable_config();
+    if !readable {
+        view.config = shared.gateway.borrow().config().cloned();
+    }
+    if from == Source::Store {
+        let strays = of_unknown_services(&view);
+        view.flaws.extend(strays);
+        flaw::tell(shared, &shared.flaws, &view.flaws);
+    }
     let known = Known::new(view);
     let now = clock::now();
     let same = shared.view.borrow().as_ref().is_some_and(|k| k.digest == known.digest);
     let mut gateway = shared.gateway.borrow_mut();
     let before = gateway.version();
-    let newer = gateway.learn(sent, known.view.config.clone());
+    let newer = readable && gateway.learn(sent, known.view.config.clone());
     let changes = gateway.list(now, known.view.replicas.clone(), known.view.gateways.clone());
     let version = gateway.version();
     drop(gateway);
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -226,7 +226,7 @@
 pub fn view(replicas: &[&Replica]) -> View {
     let listed = replicas.iter().enumerate();
     let replicas = listed.map(|(i, r)| listing(&format!("replica-{i}"), r.address)).collect();
-    View { config: Some(Arc::new(config(1))), replicas, gateways: Vec::new() }
+    View { config: Some(Arc::new(config(1))), replicas, gateways: Vec::new(), flaws: Vec::new() }
 }
 
 fn held_store(held: &Held) -> Store {
