Failing tests: a replica that starts again under its id is taken for its former life

The type for one run of a replica, id and start, comes with them: listings carry it, and gateways speak of a run by a digest of both. The fleet does not tell runs apart yet.

Changed tests: fixtures of ledger.rs and loads.rs build the digest through the type; same values.

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -12,6 +12,7 @@
 use crate::gateway::gossip::Demand;
 use crate::gateway::gossip::Demands;
 use crate::gateway::gossip::Sighting;
+use crate::incarnation::Digest;
 use crate::rendezvous;
 use crate::time::Span;
 use crate::time::Time;
@@ -166,8 +167,8 @@
 
     /// The keeper of an engine, with its address for datagrams; `None` if that is this gateway,
     /// `own`.
-    pub fn keeper(&self, now: Time, own: &str, engine: u32) -> Option<(u32, &str)> {
-        let score = |gateway: u32| rendezvous::score(u64::from(engine), u64::from(gateway));
+    pub fn keeper(&self, now: Time, own: &str, engine: Digest) -> Option<(u32, &str)> {
+        let score = |gateway: u32| rendezvous::score(u64::from(engine.0), u64::from(gateway));
         let own = score(short(own));
         let live = self.members.values().filter(|m| m.is_live(now));
         let first = live.max_by_key(|m| score(m.short))?;
--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -13,6 +13,7 @@
 use crate::gateway::gossip::Sighting;
 use crate::gateway::ledger::Change;
 use crate::gateway::ledger::Notice;
+use crate::incarnation::Digest;
 use crate::time::Span;
 use crate::time::Time;
 
@@ -36,6 +37,8 @@
 pub struct Changes {
     /// Listed for the first time.
     pub came: Vec<String>,
+    /// Another life is there than before.
+    pub replaced: Vec<String>,
     /// Gets nothing new from now on.
     pub closed: Vec<String>,
     /// Not listed, and used all the same, as its lease may have lapsed in an outage of the store.
@@ -61,10 +64,11 @@
     /// alone would empty the fleet.
     pub fn update(&mut self, now: Time, listings: Vec<Listing>, keep_missing: bool) -> Changes {
         let mut came = Vec::new();
+        let replaced = Vec::new();
         let mut closed = Vec::new();
         let mut listed: BTreeMap<String, Key<Replica>> = BTreeMap::new();
         for listing in listings {
-            let id = listing.id.clone();
+            let id = listing.incarnation.id.clone();
             let known = self.by_id.get(&id).copied();
             if listing.is_unreadable() {
                 // Nobody can say what has become of a replica whose entry is spoilt, so it gets
@@ -101,7 +105,7 @@
             .collect();
         if keep_missing {
             let kept = self.keep(&missing);
-            return Changes { came, closed, kept };
+            return Changes { came, replaced, closed, kept };
         }
         for (id, key) in missing {
             closed.extend(self.close(key).then(|| id.clone()));
@@ -109,7 +113,7 @@
                 self.forget(&id, key);
             }
         }
-        Changes { came, closed, kept: Vec::new() }
+        Changes { came, replaced, closed, kept: Vec::new() }
     }
 
     /// Closes a replica; `false` if it was closed or is unknown.
@@ -123,9 +127,9 @@
 
     /// Number of replicas in use that are not among `listings`.
     pub fn missing(&self, listings: &[Listing]) -> usize {
-        let listed: BTreeSet<&str> = listings.iter().map(|l| l.id.as_str()).collect();
+        let listed: BTreeSet<&str> = listings.iter().map(|l| l.incarnation.id.as_str()).collect();
         let open = self.replicas.iter().filter(|(_, r)| !r.closed);
-        open.filter(|(_, r)| !listed.contains(r.listing.id.as_str())).count()
+        open.filter(|(_, r)| !listed.contains(r.listing.incarnation.id.as_str())).count()
     }
 
     fn keep(&mut self, missing: &[(String, Key<Replica>)]) -> Vec<String> {
@@ -157,7 +161,7 @@
     }
 
     fn insert(&mut self, now: Time, listing: Listing) -> Key<Replica> {
-        let id = listing.id.clone();
+        let id = listing.incarnation.id.clone();
         let service = listing.service.clone();
         let key = self.replicas.insert(Replica::new(listing, now));
         self.by_id.insert(id, key);
@@ -216,7 +220,7 @@
 
     fn tell_keeper(&mut self, claim: &Claim, change: Change) {
         if let Some(replica) = self.replicas.get(claim.replica) {
-            let engine = replica.short();
+            let engine = replica.digest();
             self.notices.push(Notice { engine, call: claim.call, change });
         }
     }
@@ -243,13 +247,13 @@
         if sightings.is_empty() {
             return;
         }
-        let seen: BTreeMap<u32, &Sighting> = sightings.iter().map(|s| (s.replica, s)).collect();
+        let seen: BTreeMap<Digest, &Sighting> = sightings.iter().map(|s| (s.replica, s)).collect();
         let keys: Vec<Key<Replica>> = self.replicas.iter().map(|(k, _)| k).collect();
         for key in keys {
             let Some(replica) = self.replicas.get_mut(key) else {
                 continue;
             };
-            let Some(s) = seen.get(&replica.short()) else {
+            let Some(s) = seen.get(&replica.digest()) else {
                 continue;
             };
             let at = gossip::at(now, s.age_ms);
@@ -268,7 +272,7 @@
                 let report = replica.report?;
                 let age_ms = gossip::age_ms(now, report.at)?;
                 Some(Sighting {
-                    replica: replica.short(),
+                    replica: replica.digest(),
                     running: report.running.min(u32::from(u16::MAX)) as u16,
                     waiting: report.waiting as u16,
                     age_ms,
--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -4,6 +4,7 @@
 use crate::gateway::ask::Part;
 use crate::gateway::engine;
 use crate::gateway::ledger::Standing;
+use crate::incarnation::Digest;
 use crate::rendezvous;
 use crate::time::Span;
 use crate::time::Time;
@@ -121,13 +122,13 @@
         need: &Need<'_>,
         domain: &str,
         tried: &[Key<Replica>],
-    ) -> Vec<u32> {
+    ) -> Vec<Digest> {
         let candidates = self.candidates(now, need, tried);
         let mut scored = self.score(now, need, domain, &candidates);
         scored.sort_by(|a, b| a.0.total_cmp(&b.0));
         scored.truncate(ASKED.max(HOMES));
         let claims = scored.iter().filter_map(|(_, claim)| self.get(claim.replica));
-        claims.map(Replica::short).collect()
+        claims.map(Replica::digest).collect()
     }
 
     fn candidates(
@@ -169,7 +170,7 @@
         let homes = homes(need.parts, candidates);
         let at_home = need.engine.is_some_and(|u| own_shared(need.parts, &u) >= LONG_SHARED);
         let eligible = candidates.iter().filter(|(key, _)| !at_home || homes.contains(key));
-        let standing = |r: &Replica| need.standings.iter().find(|s| s.engine == r.short());
+        let standing = |r: &Replica| need.standings.iter().find(|s| s.engine == r.digest());
         let any = eligible.clone().any(|(_, r)| standing(r).is_some());
         let eligible = eligible.filter(|(_, r)| !any || standing(r).is_some());
         let scored = eligible.map(|(key, replica)| {
--- a/core/src/gateway/fleet/replica.rs
+++ b/core/src/gateway/fleet/replica.rs
@@ -1,7 +1,8 @@
 //! One replica as a gateway sees it: load, silence, rest and what it has cached.
 
 use crate::gateway::engine::Cache;
-use crate::rendezvous;
+use crate::incarnation::Digest;
+use crate::incarnation::Incarnation;
 use crate::time::Span;
 use crate::time::Time;
 
@@ -20,8 +21,8 @@
 /// An entry of the list of replicas.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Listing {
-    /// Identity of this run of the replica.
-    pub id: String,
+    /// The run of the replica.
+    pub incarnation: Incarnation,
     /// Service by name.
     pub service: String,
     /// IP address and port.
@@ -38,7 +39,7 @@
     /// An entry of which only the identity is known: it names no replica to use.
     pub fn unreadable(id: &str) -> Listing {
         Listing {
-            id: id.to_owned(),
+            incarnation: Incarnation::unstated(id),
             service: String::new(),
             address: String::new(),
             domain: String::new(),
@@ -116,7 +117,7 @@
 impl Replica {
     pub(super) fn new(listing: Listing, now: Time) -> Replica {
         Replica {
-            hash: rendezvous::hash(&[listing.id.as_bytes()]),
+            hash: listing.incarnation.hash(),
             closed: listing.leaving,
             kept: false,
             listing,
@@ -152,9 +153,9 @@
         !self.closed && now >= self.resting_until && !self.is_silent(now)
     }
 
-    /// Short hash of its identity, by which gateways speak of it.
-    pub(super) fn short(&self) -> u32 {
-        self.hash as u32
+    /// Short hash of the run, by which gateways speak of it.
+    pub(super) fn digest(&self) -> Digest {
+        Digest(self.hash as u32)
     }
 
     pub(super) fn learn(&mut self, at: Time, running: u32, waiting: u32) {
--- a/core/src/gateway/gossip.rs
+++ b/core/src/gateway/gossip.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::incarnation::Digest;
 use crate::time::Span;
 use crate::time::Time;
 
@@ -22,8 +23,8 @@
 /// Load of a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sighting {
-    /// Short hash of the replica's identity.
-    pub replica: u32,
+    /// Run of the replica.
+    pub replica: Digest,
     /// Calls it works on.
     pub running: u16,
     /// Calls that wait inside it.
--- a/core/src/gateway/ledger.rs
+++ b/core/src/gateway/ledger.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::incarnation::Digest;
 use crate::time::Span;
 use crate::time::Time;
 
@@ -44,8 +45,8 @@
 /// One change, as it is told to the engine's keeper.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Notice {
-    /// Short hash of the engine's identity.
-    pub engine: u32,
+    /// Run of the engine.
+    pub engine: Digest,
     /// The call: its gateway's short hash in the upper half, and a number of that gateway's.
     pub call: u64,
     /// What happened.
@@ -55,8 +56,8 @@
 /// What a keeper knows of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Standing {
-    /// Short hash of the engine's identity.
-    pub engine: u32,
+    /// Run of the engine.
+    pub engine: Digest,
     /// Calls there, running and waiting.
     pub calls: u16,
     /// Time to read all prompts there that are not read yet, in milliseconds.
@@ -83,11 +84,11 @@
 /// All engines that this gateway keeps, or has kept lately.
 #[derive(Debug, Default)]
 pub struct Ledger {
-    engines: BTreeMap<u32, Engine>,
+    engines: BTreeMap<Digest, Engine>,
 }
 
 impl Ledger {
-    fn engine(&mut self, now: Time, engine: u32) -> &mut Engine {
+    fn engine(&mut self, now: Time, engine: Digest) -> &mut Engine {
         self.engines.entry(engine).or_insert_with(|| Engine {
             since: now,
             entries: BTreeMap::new(),
@@ -114,7 +115,7 @@
     }
 
     /// What is known of an engine; `None` while too little is.
-    pub fn standing(&mut self, now: Time, engine: u32) -> Option<Standing> {
+    pub fn standing(&mut self, now: Time, engine: Digest) -> Option<Standing> {
         let kept = self.engine(now, engine);
         kept.entries.retain(|_, entry| now.since(entry.at) < LONGEST);
         let settled = now.since(kept.since) >= SETTLED;
@@ -134,7 +135,7 @@
     }
 
     /// Forgets engines that are not `kept` by this gateway any more.
-    pub fn release(&mut self, mut kept: impl FnMut(u32) -> bool) {
+    pub fn release(&mut self, mut kept: impl FnMut(Digest) -> bool) {
         self.engines.retain(|engine, _| kept(*engine));
     }
 }
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -392,7 +392,7 @@
         let replica = replica.ok_or(Refusal::not_run(Reason::NoReplica, BUSY))?;
         let pick = Pick {
             claim,
-            id: replica.listing.id.clone(),
+            id: replica.listing.incarnation.id.clone(),
             address: replica.listing.address.clone(),
             engine: engine.is_some(),
         };
--- a/core/src/gateway/state/keeper.rs
+++ b/core/src/gateway/state/keeper.rs
@@ -9,6 +9,7 @@
 use crate::gateway::directory;
 use crate::gateway::ledger::Notice;
 use crate::gateway::ledger::Standing;
+use crate::incarnation::Digest;
 use crate::time::Span;
 use crate::time::Time;
 
@@ -23,8 +24,8 @@
         now: Time,
         ask: &Ask,
         grant: &Grant,
-    ) -> BTreeMap<Option<String>, Vec<u32>> {
-        let mut inquiries: BTreeMap<Option<String>, Vec<u32>> = BTreeMap::new();
+    ) -> BTreeMap<Option<String>, Vec<Digest>> {
+        let mut inquiries: BTreeMap<Option<String>, Vec<Digest>> = BTreeMap::new();
         let Some(engine) = self.engine(grant) else {
             return inquiries;
         };
@@ -43,7 +44,7 @@
     }
 
     /// What this gateway knows as the keeper of these engines.
-    pub fn standings(&mut self, now: Time, engines: &[u32]) -> Vec<Standing> {
+    pub fn standings(&mut self, now: Time, engines: &[Digest]) -> Vec<Standing> {
         engines.iter().filter_map(|engine| self.ledger.standing(now, *engine)).collect()
     }
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod event;
 pub mod gateway;
 pub mod idempotency;
+pub mod incarnation;
 pub mod limit;
 pub mod member;
 pub mod node;
--- a/core/tests/gateway/ledger.rs
+++ b/core/tests/gateway/ledger.rs
@@ -17,7 +17,8 @@
 use laburnumwheel_core::gateway::ledger::Standing;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::gateway::refusal::Refusal;
-use laburnumwheel_core::rendezvous;
+use laburnumwheel_core::incarnation::Digest;
+use laburnumwheel_core::incarnation::Incarnation;
 use laburnumwheel_core::time::Span;
 
 use crate::support::START;
@@ -25,7 +26,7 @@
 use crate::support::entry;
 use crate::support::gateway;
 
-const ENGINE: u32 = 7;
+const ENGINE: Digest = Digest(7);
 const SETTLED: Span = Span::secs(2);
 
 fn notice(call: u64, change: Change) -> Notice {
@@ -53,7 +54,7 @@
 
 /// Reports of all engines, as heard from a peer just now.
 fn all_busy(gateway: &mut Gateway, engines: usize, running: u16, waiting: u16) {
-    let replica = |i: usize| rendezvous::hash(&[format!("engine-{i}").as_bytes()]) as u32;
+    let replica = |i: usize| Incarnation::unstated(&format!("engine-{i}")).digest();
     let sighting = |i: usize| Sighting { replica: replica(i), running, waiting, age_ms: 0 };
     let loads = (0..engines).map(sighting).collect();
     let heartbeat =
@@ -157,7 +158,7 @@
 
     let pick = pick(&mut gateway, &asked).unwrap();
 
-    let hash = rendezvous::hash(&[pick.id.as_bytes()]) as u32;
+    let hash = Incarnation::unstated(&pick.id).digest();
     assert_eq!(hash, asked[1].engine);
 }
 
@@ -177,7 +178,7 @@
 
     let pick = gateway.pick(START, &call, &mut grant, &asked).unwrap();
 
-    let hash = rendezvous::hash(&[pick.id.as_bytes()]) as u32;
+    let hash = Incarnation::unstated(&pick.id).digest();
     assert_eq!(asked.len(), 2);
     assert_eq!(hash, asked[1].engine);
 }
--- a/core/tests/gateway/loads.rs
+++ b/core/tests/gateway/loads.rs
@@ -16,7 +16,7 @@
 use laburnumwheel_core::gateway::ledger::Standing;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::gateway::refusal::Refusal;
-use laburnumwheel_core::rendezvous;
+use laburnumwheel_core::incarnation::Incarnation;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 
@@ -69,13 +69,13 @@
 }
 
 fn standing(engine: &str, calls: u16, unread_ms: f32) -> Standing {
-    let engine = rendezvous::hash(&[engine.as_bytes()]) as u32;
+    let engine = Incarnation::unstated(engine).digest();
     Standing { engine, calls, unread_ms, interval_ms: 60.0 }
 }
 
 fn busy(gateway: &mut Gateway, now: Time, running: u16, waiting: u16) {
     let seen = |i: usize| Sighting {
-        replica: rendezvous::hash(&[format!("engine-{i}").as_bytes()]) as u32,
+        replica: Incarnation::unstated(&format!("engine-{i}")).digest(),
         running,
         waiting,
         age_ms: 0,
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod ledger;
 mod loads;
 mod outage;
+mod restart;
 mod routes;
 mod stop;
 mod support;
--- a/core/tests/gateway/support.rs
+++ b/core/tests/gateway/support.rs
@@ -18,6 +18,7 @@
 use laburnumwheel_core::gateway::config::Target;
 use laburnumwheel_core::gateway::directory::Entry;
 use laburnumwheel_core::gateway::fleet::Listing;
+use laburnumwheel_core::incarnation::Incarnation;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 
@@ -82,7 +83,7 @@
 
 pub fn listing(id: &str) -> Listing {
     Listing {
-        id: id.to_owned(),
+        incarnation: Incarnation::unstated(id),
         service: "engines".to_owned(),
         address: format!("{id}:8000"),
         domain: "mixco".to_owned(),
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -7,6 +7,7 @@
 use laburnumwheel_core::gateway::directory::Heartbeat;
 use laburnumwheel_core::gateway::ledger::Notice;
 use laburnumwheel_core::gateway::ledger::Standing;
+use laburnumwheel_core::incarnation::Digest;
 use rand::Rng;
 use rand::seq::SliceRandom;
 use serde::Deserialize;
@@ -40,7 +41,7 @@
     /// What the sender knows.
     Proof(Proof),
     /// How are these engines, which you keep?
-    Inquiry(u64, Vec<u32>),
+    Inquiry(u64, Vec<Digest>),
     /// How they are.
     Standings(u64, Vec<Standing>),
     /// What happened at engines that you keep.
@@ -85,14 +86,14 @@
 /// An answer that takes longer than it is worth is done without.
 pub async fn standings(
     shared: &Shared,
-    inquiries: BTreeMap<Option<String>, Vec<u32>>,
+    inquiries: BTreeMap<Option<String>, Vec<Digest>>,
 ) -> Vec<Standing> {
     let asked = inquiries.iter().map(|(keeper, engines)| inquire(shared, keeper, engines));
     let answers = futures_util::future::join_all(asked).await;
     answers.into_iter().flatten().collect()
 }
 
-async fn inquire(shared: &Shared, keeper: &Option<String>, engines: &[u32]) -> Vec<Standing> {
+async fn inquire(shared: &Shared, keeper: &Option<String>, engines: &[Digest]) -> Vec<Standing> {
     let Some(keeper) = keeper else {
         return shared.gateway.borrow_mut().standings(clock::now(), engines);
     };
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -204,7 +204,7 @@
         .filter(|listing| config.service(&listing.service).is_none())
         .map(|listing| Flaw {
             subject: Subject::Replica,
-            key: listing.id.clone(),
+            key: listing.incarnation.id.clone(),
             kind: Kind::Service,
         })
         .collect()
--- a/gateway/tests/flaws.rs
+++ b/gateway/tests/flaws.rs
@@ -15,8 +15,8 @@
     let mut told = Told::default();
     let (cut, odd) = (flaw("a", Kind::Bytes), flaw("a", Kind::State));
 
-    let seen = [&[cut.clone()][..], &[cut.clone()], &[odd.clone()], &[], &[]];
-    let changes = seen.map(|found| told.update(found));
+    let seen = [vec![cut.clone()], vec![cut.clone()], vec![odd.clone()], vec![], vec![]];
+    let changes = seen.map(|found| told.update(&found));
 
     let came = |flaw| Changes { came: vec![flaw], ..Changes::default() };
     let went = Changes { went: vec![odd.clone()], ..Changes::default() };
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -24,6 +24,7 @@
 use laburnumwheel_core::gateway::config::Target;
 use laburnumwheel_core::gateway::directory::Entry;
 use laburnumwheel_core::gateway::fleet::Listing;
+use laburnumwheel_core::incarnation::Incarnation;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_gateway::channel;
 use laburnumwheel_gateway::channel::Channel;
@@ -211,7 +212,7 @@
 
 pub fn listing(id: &str, address: SocketAddr) -> Listing {
     Listing {
-        id: id.to_owned(),
+        incarnation: Incarnation::unstated(id),
         service: "service".to_owned(),
         address: address.to_string(),
         domain: "mixco".to_owned(),
