A replica that starts again under its id is another replica

Cause: the fleet went by the id alone, and kept connections by the address.

Change: an entry of another start, service or address puts a new replica in the place of the known one, under a new key of the arena; what was learnt of the former life goes at once, and its late events find nothing. Gossip, notices and standings name a run by the digest of id and start; those of a run that is not listed are dropped, so a keeper has no ledger of a former life, nor one that any datagram can make grow. Kept connections go by the key of the life and are closed when it goes.

Ruled out: taking the greater start for the living one. A clock that was set back would pin the dead life until it catches up; lists are taken in the order in which they were read, so the newest tells.

Late lists: as before, one that was read earlier is not taken.

--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -50,6 +50,7 @@
 pub struct Fleet {
     replicas: Arena<Replica>,
     by_id: BTreeMap<String, Key<Replica>>,
+    by_digest: BTreeMap<Digest, Key<Replica>>,
     by_service: BTreeMap<String, Vec<Key<Replica>>>,
     /// Calls sent to engines so far; numbers them in the keepers' ledgers.
     calls: u32,
@@ -64,7 +65,7 @@
     /// alone would empty the fleet.
     pub fn update(&mut self, now: Time, listings: Vec<Listing>, keep_missing: bool) -> Changes {
         let mut came = Vec::new();
-        let replaced = Vec::new();
+        let mut replaced = Vec::new();
         let mut closed = Vec::new();
         let mut listed: BTreeMap<String, Key<Replica>> = BTreeMap::new();
         for listing in listings {
@@ -80,7 +81,13 @@
                 continue;
             }
             let key = match known {
-                Some(key) => key,
+                Some(key) if self.is_same_life(key, &listing) => key,
+                Some(key) => {
+                    // Late events of the former life find nothing under its key.
+                    self.forget(&id, key);
+                    replaced.push(id.clone());
+                    self.insert(now, listing.clone())
+                }
                 None => {
                     came.push(id.clone());
                     self.insert(now, listing.clone())
@@ -116,6 +123,19 @@
         Changes { came, replaced, closed, kept: Vec::new() }
     }
 
+    /// Whether an entry is of the life that is known.
+    ///
+    /// Only equality counts, not which start is the greater: the list is the newest, and a clock
+    /// that was set back would pin the dead life.
+    fn is_same_life(&self, key: Key<Replica>, listing: &Listing) -> bool {
+        self.replicas.get(key).is_some_and(|replica| {
+            let known = &replica.listing;
+            known.incarnation == listing.incarnation
+                && known.service == listing.service
+                && known.address == listing.address
+        })
+    }
+
     /// Closes a replica; `false` if it was closed or is unknown.
     fn close(&mut self, key: Key<Replica>) -> bool {
         let Some(replica) = self.replicas.get_mut(key) else {
@@ -165,19 +185,29 @@
         let service = listing.service.clone();
         let key = self.replicas.insert(Replica::new(listing, now));
         self.by_id.insert(id, key);
+        if let Some(replica) = self.replicas.get(key) {
+            self.by_digest.insert(replica.digest(), key);
+        }
         self.by_service.entry(service).or_default().push(key);
         key
     }
 
     fn forget(&mut self, id: &str, key: Key<Replica>) {
         self.by_id.remove(id);
-        if let Some(replica) = self.replicas.remove(key)
-            && let Some(keys) = self.by_service.get_mut(&replica.listing.service)
-        {
+        let Some(replica) = self.replicas.remove(key) else {
+            return;
+        };
+        self.by_digest.remove(&replica.digest());
+        if let Some(keys) = self.by_service.get_mut(&replica.listing.service) {
             keys.retain(|k| *k != key);
         }
     }
 
+    /// Whether a run is listed.
+    pub fn has(&self, run: Digest) -> bool {
+        self.by_digest.contains_key(&run)
+    }
+
     /// A replica.
     pub fn get(&self, key: Key<Replica>) -> Option<&Replica> {
         self.replicas.get(key)
@@ -244,16 +274,10 @@
 
     /// Takes in loads that other gateways saw.
     pub fn learn(&mut self, now: Time, sightings: &[Sighting]) {
-        if sightings.is_empty() {
-            return;
-        }
-        let seen: BTreeMap<Digest, &Sighting> = sightings.iter().map(|s| (s.replica, s)).collect();
-        let keys: Vec<Key<Replica>> = self.replicas.iter().map(|(k, _)| k).collect();
-        for key in keys {
-            let Some(replica) = self.replicas.get_mut(key) else {
-                continue;
-            };
-            let Some(s) = seen.get(&replica.digest()) else {
+        for s in sightings {
+            // What is said of a former life finds none.
+            let key = self.by_digest.get(&s.replica).copied();
+            let Some(replica) = key.and_then(|key| self.replicas.get_mut(key)) else {
                 continue;
             };
             let at = gossip::at(now, s.age_ms);
--- a/core/src/gateway/state/keeper.rs
+++ b/core/src/gateway/state/keeper.rs
@@ -45,18 +45,21 @@
 
     /// What this gateway knows as the keeper of these engines.
     pub fn standings(&mut self, now: Time, engines: &[Digest]) -> Vec<Standing> {
-        engines.iter().filter_map(|engine| self.ledger.standing(now, *engine)).collect()
+        let listed = engines.iter().filter(|engine| self.fleet.has(**engine));
+        listed.filter_map(|engine| self.ledger.standing(now, *engine)).collect()
     }
 
-    /// Takes in what another gateway tells the keeper of an engine.
+    /// Takes in what another gateway tells the keeper of an engine. What concerns a run that is not
+    /// listed is dropped: it is a former one, or comes before its entry and its ledger is too young
+    /// to say anything.
     pub fn note(&mut self, now: Time, notices: &[Notice]) {
         self.tidy(now);
-        for notice in notices {
+        for notice in notices.iter().filter(|notice| self.fleet.has(notice.engine)) {
             self.ledger.note(now, notice);
         }
     }
 
-    /// Forgets engines that have another keeper now, and calls of gateways that are gone.
+    /// Forgets engines that are gone or have another keeper now, and calls of gateways that are gone.
     fn tidy(&mut self, now: Time) {
         if now.since(self.tidied) < TIDY {
             return;
@@ -64,7 +67,9 @@
         self.tidied = now;
         let (directory, name) = (&self.directory, self.settings.entry.name.as_str());
         let own = directory::short(name);
-        self.ledger.release(|engine| directory.keeper(now, name, engine).is_none());
+        let fleet = &self.fleet;
+        self.ledger
+            .release(|engine| fleet.has(engine) && directory.keeper(now, name, engine).is_none());
         self.ledger.retain(|gateway| gateway == own || directory.lives(now, gateway));
     }
 
@@ -79,7 +84,8 @@
             let keeper = self.directory.keeper(now, &self.settings.entry.name, notice.engine);
             match keeper.map(|(_, address)| address.to_owned()) {
                 Some(address) => told.entry(address).or_default().push(notice),
-                None => self.ledger.note(now, &notice),
+                None if self.fleet.has(notice.engine) => self.ledger.note(now, &notice),
+                None => {}
             }
         }
         told
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -172,7 +172,6 @@
     pub channel: Channel,
     /// Identity of the replica.
     pub replica: String,
-    address: String,
 }
 
 impl Begun {
@@ -180,7 +179,8 @@
     pub fn finish(self, outcome: Outcome) {
         self.in_flight.end(outcome);
         let shared = self.in_flight.shared.clone();
-        shared.pool.keep(&self.address, self.channel, self.said.keep_alive);
+        let replica = self.in_flight.claim.replica;
+        shared.pool.keep(replica, self.channel, self.said.keep_alive);
     }
 }
 
@@ -222,7 +222,7 @@
 
     async fn connect(&mut self, pick: &Pick) -> Result<Channel, Failure> {
         if self.grant.route.idempotent
-            && let Some(channel) = self.shared.pool.take(&pick.address)
+            && let Some(channel) = self.shared.pool.take(pick.claim.replica)
         {
             return Ok(channel);
         }
@@ -306,15 +306,7 @@
         }
         in_flight.heard(Some(&said));
         let (head, body) = answer.into_parts();
-        let begun = Begun {
-            head,
-            said,
-            body,
-            in_flight,
-            channel,
-            replica: pick.id.clone(),
-            address: pick.address.clone(),
-        };
+        let begun = Begun { head, said, body, in_flight, channel, replica: pick.id.clone() };
         if begun.said.not_run || begun.head.status.is_server_error() {
             return Err(self.refused(begun).await);
         }
--- a/gateway/src/channel.rs
+++ b/gateway/src/channel.rs
@@ -13,6 +13,8 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use laburnumwheel_core::arena::Key;
+use laburnumwheel_core::gateway::fleet::Replica;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 use socket2::SockRef;
@@ -70,17 +72,21 @@
     until: Time,
 }
 
-/// Kept connections by address.
+/// Kept connections by run of the replica.
+///
+/// A replica may start again under its identity and address. A call that is sent on a connection
+/// to its former run is lost without anybody knowing whether it ran; a key of the former run finds
+/// none, and neither does one of the next run find those of the former.
 #[derive(Debug, Default)]
 pub struct Pool {
-    resting: RefCell<BTreeMap<String, Vec<Resting>>>,
+    resting: RefCell<BTreeMap<Key<Replica>, Vec<Resting>>>,
 }
 
 impl Pool {
-    /// A kept connection to `address` that looks open.
-    pub fn take(&self, address: &str) -> Option<Channel> {
+    /// A kept connection to `replica` that looks open.
+    pub fn take(&self, replica: Key<Replica>) -> Option<Channel> {
         let mut resting = self.resting.borrow_mut();
-        let kept = resting.get_mut(address)?;
+        let kept = resting.get_mut(&replica)?;
         let now = clock::now();
         while let Some(r) = kept.pop() {
             if now < r.until && r.channel.sender.is_ready() {
@@ -91,7 +97,7 @@
     }
 
     /// Keeps a connection whose answer has been read whole.
-    pub fn keep(&self, address: &str, channel: Channel, keep_alive: Option<u64>) {
+    pub fn keep(&self, replica: Key<Replica>, channel: Channel, keep_alive: Option<u64>) {
         let now = clock::now();
         let stated = keep_alive.map_or(REST, |s| Span(Span::secs(s).0 * 3 / 4));
         let mut resting = self.resting.borrow_mut();
@@ -99,12 +105,17 @@
             kept.retain(|r| now < r.until && !r.channel.sender.is_closed());
             !kept.is_empty()
         });
-        let kept = resting.entry(address.to_owned()).or_default();
+        let kept = resting.entry(replica).or_default();
         if kept.len() < KEPT && !channel.sender.is_closed() {
             kept.push(Resting { channel, until: now + stated.min(REST) });
         }
     }
 
+    /// Closes the connections to replicas that are gone.
+    pub fn retain(&self, mut is_there: impl FnMut(Key<Replica>) -> bool) {
+        self.resting.borrow_mut().retain(|replica, _| is_there(*replica));
+    }
+
     /// Kept connections.
     pub fn len(&self) -> usize {
         self.resting.borrow().values().map(Vec::len).sum()
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -237,6 +237,7 @@
     let newer = readable && gateway.learn(sent, known.view.config.clone());
     let changes = gateway.list(sent, now, known.view.replicas.clone(), known.view.gateways.clone());
     let version = gateway.version();
+    shared.pool.retain(|replica| gateway.fleet().get(replica).is_some());
     drop(gateway);
     if !same {
         *shared.view.borrow_mut() = Some(known);
@@ -251,6 +252,9 @@
     for id in changes.came {
         shared.log(line("replica_listed").with("replica", id));
     }
+    for id in changes.replaced {
+        shared.log(line("replica_replaced").with("replica", id));
+    }
     for id in changes.closed {
         shared.log(line("replica_closed").with("replica", id));
     }
