--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -14,6 +14,7 @@
 use crate::gateway::ledger::Change;
 use crate::gateway::ledger::Notice;
 use crate::gateway::outage::Absence;
+use crate::incarnation::Digest;
 use crate::time::Span;
 use crate::time::Time;
 
@@ -37,6 +38,8 @@
 pub struct Changes {
     /// Listed for the first time.
     pub came: Vec<String>,
+    /// Another life is there than before.
+    pub replaced: Vec<String>,
     /// Gets nothing new from now on.
     pub closed: Vec<String>,
     /// Not listed, and used all the same, as its lease may have lapsed in an outage of the store.
@@ -48,6 +51,7 @@
 pub struct Fleet {
     replicas: Arena<Replica>,
     by_id: BTreeMap<String, Key<Replica>>,
+    by_digest: BTreeMap<Digest, Key<Replica>>,
     by_service: BTreeMap<String, Vec<Key<Replica>>>,
     /// Calls sent to engines so far; numbers them in the keepers' ledgers.
     calls: u32,
@@ -62,13 +66,29 @@
     /// alone would empty the fleet.
     pub fn update(&mut self, now: Time, listings: Vec<Listing>, keep_missing: bool) -> Changes {
         let mut came = Vec::new();
+        let mut replaced = Vec::new();
         let mut closed = Vec::new();
         let mut listed: BTreeMap<String, Key<Replica>> = BTreeMap::new();
         for listing in listings {
-            let id = listing.id.clone();
+            let id = listing.incarnation.id.clone();
             let known = self.by_id.get(&id).copied();
+            if listing.is_unreadable() {
+                // Nobody can say what has become of a replica whose entry is spoilt, so it gets
+                // nothing new; what was learnt of it is kept for its next readable entry.
+                if let Some(key) = known {
+                    closed.extend(self.close(key).then(|| id.clone()));
+                    listed.insert(id, key);
+                }
+                continue;
+            }
             let key = match known {
-                Some(key) => key,
+                Some(key) if self.is_same_life(key, &listing) => key,
+                Some(key) => {
+                    // Late events of the former life find nothing under its key.
+                    self.forget(&id, key);
+                    replaced.push(id.clone());
+                    self.insert(now, listing.clone())
+                }
                 None => {
                     came.push(id.clone());
                     self.insert(now, listing.clone())
@@ -93,34 +113,49 @@
             .collect();
         if keep_missing {
             let kept = self.keep(&missing);
-            return Changes { came, closed, kept };
+            return Changes { came, replaced, closed, kept };
         }
         for (id, key) in missing {
-            let Some(replica) = self.replicas.get_mut(key) else {
-                continue;
-            };
-            replica.kept = false;
-            if !replica.closed {
-                replica.closed = true;
-                closed.push(id.clone());
-            }
-            if replica.own == 0 {
+            closed.extend(self.close(key).then(|| id.clone()));
+            if self.replicas.get(key).is_some_and(|r| r.own == 0) {
                 self.forget(&id, key);
             }
         }
-        Changes { came, closed, kept: Vec::new() }
+        Changes { came, replaced, closed, kept: Vec::new() }
+    }
+
+    /// Whether an entry is of the life that is known.
+    ///
+    /// Only equality counts, not which start is the greater: the list is the newest, and a clock
+    /// that was set back would pin the dead life.
+    fn is_same_life(&self, key: Key<Replica>, listing: &Listing) -> bool {
+        self.replicas.get(key).is_some_and(|replica| {
+            let known = &replica.listing;
+            known.incarnation == listing.incarnation
+                && known.service == listing.service
+                && known.address == listing.address
+        })
+    }
+
+    /// Closes a replica; `false` if it was closed or is unknown.
+    fn close(&mut self, key: Key<Replica>) -> bool {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return false;
+        };
+        replica.kept = false;
+        !std::mem::replace(&mut replica.closed, true)
     }
 
     /// How many of the replicas in use are not among `listings`, against those that are.
     pub fn absence(&self, listings: &[Listing]) -> Absence {
-        let listed: BTreeSet<&str> = listings.iter().map(|l| l.id.as_str()).collect();
+        let listed: BTreeSet<&str> = listings.iter().map(|l| l.incarnation.id.as_str()).collect();
         let mut services: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
         for listing in listings {
             services.entry(&listing.service).or_default().0 += 1;
         }
         let mut newly = 0;
         let in_use = self.replicas.iter().map(|(_, r)| r).filter(|r| !r.closed);
-        for replica in in_use.filter(|r| !listed.contains(r.listing.id.as_str())) {
+        for replica in in_use.filter(|r| !listed.contains(r.listing.incarnation.id.as_str())) {
             services.entry(&replica.listing.service).or_default().1 += 1;
             newly += usize::from(!replica.kept);
         }
@@ -159,23 +194,33 @@
     }
 
     fn insert(&mut self, now: Time, listing: Listing) -> Key<Replica> {
-        let id = listing.id.clone();
+        let id = listing.incarnation.id.clone();
         let service = listing.service.clone();
         let key = self.replicas.insert(Replica::new(listing, now));
         self.by_id.insert(id, key);
+        if let Some(replica) = self.replicas.get(key) {
+            self.by_digest.insert(replica.digest(), key);
+        }
         self.by_service.entry(service).or_default().push(key);
         key
     }
 
     fn forget(&mut self, id: &str, key: Key<Replica>) {
         self.by_id.remove(id);
-        if let Some(replica) = self.replicas.remove(key)
-            && let Some(keys) = self.by_service.get_mut(&replica.listing.service)
-        {
+        let Some(replica) = self.replicas.remove(key) else {
+            return;
+        };
+        self.by_digest.remove(&replica.digest());
+        if let Some(keys) = self.by_service.get_mut(&replica.listing.service) {
             keys.retain(|k| *k != key);
         }
     }
 
+    /// Whether a run is listed.
+    pub fn has(&self, run: Digest) -> bool {
+        self.by_digest.contains_key(&run)
+    }
+
     /// A replica.
     pub fn get(&self, key: Key<Replica>) -> Option<&Replica> {
         self.replicas.get(key)
@@ -218,7 +263,7 @@
 
     fn tell_keeper(&mut self, claim: &Claim, change: Change) {
         if let Some(replica) = self.replicas.get(claim.replica) {
-            let engine = replica.short();
+            let engine = replica.digest();
             self.notices.push(Notice { engine, call: claim.call, change });
         }
     }
@@ -242,16 +287,10 @@
 
     /// Takes in loads that other gateways saw.
     pub fn learn(&mut self, now: Time, sightings: &[Sighting]) {
-        if sightings.is_empty() {
-            return;
-        }
-        let seen: BTreeMap<u32, &Sighting> = sightings.iter().map(|s| (s.replica, s)).collect();
-        let keys: Vec<Key<Replica>> = self.replicas.iter().map(|(k, _)| k).collect();
-        for key in keys {
-            let Some(replica) = self.replicas.get_mut(key) else {
-                continue;
-            };
-            let Some(s) = seen.get(&replica.short()) else {
+        for s in sightings {
+            // What is said of a former life finds none.
+            let key = self.by_digest.get(&s.replica).copied();
+            let Some(replica) = key.and_then(|key| self.replicas.get_mut(key)) else {
                 continue;
             };
             let at = gossip::at(now, s.age_ms);
@@ -270,7 +309,7 @@
                 let report = replica.report?;
                 let age_ms = gossip::age_ms(now, report.at)?;
                 Some(Sighting {
-                    replica: replica.short(),
+                    replica: replica.digest(),
                     running: report.running.min(u32::from(u16::MAX)) as u16,
                     waiting: report.waiting as u16,
                     age_ms,
