--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -243,14 +245,25 @@
     }
 }
 
-/// Starts a gateway that has taken up what the store holds.
-pub async fn gateway(held: &Held) -> Running {
-    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-    let settings = Settings {
+/// A store that also lists the gateways that announce themselves.
+fn listing_store(held: &Held) -> Store {
+    let listed = Rc::clone(held);
+    let announce = move |entry: Entry, _| {
+        if let Some(view) = listed.borrow_mut().as_mut() {
+            view.gateways.retain(|known| known.name != entry.name);
+            view.gateways.push(entry);
+        }
+        Box::pin(async { Ok(1_u64) }) as store::Reply<u64>
+    };
+    Store { announce: Box::new(announce), ..held_store(held) }
+}
+
+fn settings(name: &str, peer_address: SocketAddr) -> Settings {
+    Settings {
         entry: Entry {
-            name: "one".to_owned(),
-            address: any.to_string(),
-            peer_address: any.to_string(),
+            name: name.to_owned(),
+            address: "127.0.0.1:0".to_owned(),
+            peer_address: peer_address.to_string(),
             domain: "mixco".to_owned(),
             incarnation: 1,
             weight: 100,
@@ -258,13 +271,70 @@
         revocation: Some(Span::secs(30)),
         budget: budget::Rules { ratio: 5.0, extra: 0.0, window: Span::secs(10) },
         seed: 1,
-    };
-    let builder = Builder::new(settings, own::dialect(), held_store(held), any, any);
+    }
+}
+
+async fn started(settings: Settings, store: Store, peers: SocketAddr) -> Running {
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let builder = Builder::new(settings, own::dialect(), store, any, peers);
     let running = builder.learn_time(Duration::from_millis(200)).start().await.unwrap();
-    while running.shared.gateway.borrow().version() == 0 {
+    until("a configuration", || running.shared.gateway.borrow().version() > 0).await;
+    running
+}
+
+/// Starts a gateway that has taken up what the store holds.
+pub async fn gateway(held: &Held) -> Running {
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    started(settings("one", any), held_store(held), any).await
+}
+
+/// Starts gateways that know one another through the store.
+pub async fn gateways(held: &Held, count: u64) -> Vec<Running> {
+    let mut all = Vec::new();
+    for i in 0..count {
+        let peers = SocketAddr::from(([127, 0, 0, 1], port()));
+        let mut settings = settings(&format!("gateway-{i}"), peers);
+        settings.seed = i;
+        all.push(started(settings, listing_store(held), peers).await);
+    }
+    all
+}
+
+/// A port below those that the system gives to outgoing connections, free for datagrams and for
+/// connections; no other test of this process gets it.
+fn port() -> u16 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(89);
+    loop {
+        let at = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = (10_000 + at % 20_000) as u16;
+        let datagrams = std::net::UdpSocket::bind(("127.0.0.1", port));
+        if datagrams.is_ok() && std::net::TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
+}
+
+/// Looks this often at most for something that must become true, so that a fault fails the test
+/// instead of hanging it.
+const MOST_LOOKS: usize = 3_000;
+
+/// Waits for something that must become true.
+pub async fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    for _ in 0..MOST_LOOKS {
+        if condition() {
+            return;
+        }
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    running
+    panic!("never came true: {what}");
+}
+
+/// Sum of a gateway's counters whose line holds `part`.
+pub fn counted(running: &Running, part: &str) -> u64 {
+    let text = running.shared.metrics.render(&[]);
+    let lines = text.lines().filter(|line| line.contains(part));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
 }
 
 /// Starts a gateway before these replicas.
