Gateways hand on what has changed of a view instead of all of it

Cause: whoever asked a reader and heard of any change fetched the whole view, configuration and lists, from one of a few readers on links of 10 Mbit/s; with a replica leaving each half second that is the whole view all the time.

Change: the asker says which parts it has (configuration, replicas, gateways, by digest), and the reader answers with the items that were set and the keys that were removed since; a part that it does not remember is handed on whole. The digest is a sum of hashes of items, so it costs as much as the change; what comes out is checked against the reader's, and if it differs the whole view is fetched, logged and counted (view_mismatch). Readers remember eight views, others one. An asker stays with one reader as long as that lives, since readers see different states while much changes. The head of an answer has 0.9 s as before, its body 3.5 s, so that a whole view on a narrow link can come to its end.

Taken out, each of the check of the result, the check of the base and the order of readers makes a test fail.

--- a/core/src/gateway/config.rs
+++ b/core/src/gateway/config.rs
@@ -78,6 +78,15 @@
     pub priority: Option<u8>,
 }
 
+/// An organisation with its keys.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Account {
+    /// The organisation.
+    pub organisation: Organisation,
+    /// Its keys in order.
+    pub keys: Vec<Bytes>,
+}
+
 /// Bounds on what callers send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
@@ -103,7 +112,7 @@
 }
 
 /// One version of the configuration, indexed.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Config {
     /// Its version; later ones are higher.
     pub version: u64,
@@ -111,8 +120,8 @@
     pub limits: Limits,
     routes: BTreeMap<String, BTreeMap<String, Arc<Route>>>,
     services: BTreeMap<String, Service>,
-    organisations: Vec<Organisation>,
-    keys: BTreeMap<Bytes, usize>,
+    organisations: BTreeMap<Arc<str>, Organisation>,
+    keys: BTreeMap<Bytes, Arc<str>>,
     lowest: BTreeMap<String, u8>,
 }
 
@@ -122,17 +131,24 @@
         Config { version, limits, ..Config::default() }
     }
 
-    /// The configuration with one more route.
-    pub fn with_route(mut self, route: Route) -> Config {
+    /// The configuration with one more route, in place of one of the same host and prefix.
+    pub fn with_route(mut self, route: impl Into<Arc<Route>>) -> Config {
+        let route = route.into();
+        self.rank(&route);
+        let routes = self.routes.entry(route.host.clone()).or_default();
+        if routes.insert(route.prefix.clone(), route).is_some() {
+            // The one that was replaced may have been the only one of its rank.
+            self.lowest.clear();
+            self.routes().iter().for_each(|route| self.rank(route));
+        }
+        self
+    }
+
+    fn rank(&mut self, route: &Route) {
         for target in &route.targets {
             let lowest = self.lowest.entry(target.service.clone()).or_default();
             *lowest = route.priority.max(*lowest);
         }
-        self.routes
-            .entry(route.host.clone())
-            .or_default()
-            .insert(route.prefix.clone(), Arc::new(route));
-        self
     }
 
     /// The configuration with one more service.
@@ -147,12 +163,35 @@
         organisation: Organisation,
         keys: impl IntoIterator<Item = Bytes>,
     ) -> Config {
-        let at = self.organisations.len();
-        self.organisations.push(organisation);
-        self.keys.extend(keys.into_iter().map(|key| (key, at)));
+        let name: Arc<str> = Arc::from(organisation.name.as_str());
+        self.organisations.insert(Arc::clone(&name), organisation);
+        self.keys.extend(keys.into_iter().map(|key| (key, Arc::clone(&name))));
         self
     }
 
+    /// All routes, ordered by host and prefix.
+    pub fn routes(&self) -> Vec<Arc<Route>> {
+        self.routes.values().flat_map(BTreeMap::values).cloned().collect()
+    }
+
+    /// All services, ordered by name.
+    pub fn services(&self) -> Vec<Service> {
+        self.services.values().cloned().collect()
+    }
+
+    /// All organisations with their keys, ordered by name.
+    pub fn accounts(&self) -> Vec<Account> {
+        let mut keys: BTreeMap<&str, Vec<Bytes>> = BTreeMap::new();
+        for (key, name) in &self.keys {
+            keys.entry(name).or_default().push(key.clone());
+        }
+        let account = |organisation: &Organisation| Account {
+            keys: keys.remove(organisation.name.as_str()).unwrap_or_default(),
+            organisation: organisation.clone(),
+        };
+        self.organisations.values().map(account).collect()
+    }
+
     /// The route with the longest prefix of `path` under `host`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.routes.get(host)?;
@@ -183,7 +222,7 @@
 
     /// The organisation that holds a key.
     pub fn organisation(&self, key: &[u8]) -> Option<&Organisation> {
-        self.organisations.get(*self.keys.get(key)?)
+        self.organisations.get(self.keys.get(key)?)
     }
 
     /// The service with this name.
--- /dev/null
+++ b/core/src/gateway/delta.rs
@@ -0,0 +1,211 @@
+//! The difference between two views, as gateways hand it on.
+//!
+//! It says from which parts it begins and which digest comes out. Whoever applies it to something
+//! else, or gets other bytes than were sent, sees by the digest that the result is wrong.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::config::Account;
+use super::config::Config;
+use super::config::Limits;
+use super::config::Route;
+use super::config::Service;
+use super::directory::Entry;
+use super::fleet::Listing;
+use super::view;
+use super::view::Base;
+use super::view::Digest;
+use super::view::Item;
+use super::view::Known;
+use super::view::View;
+
+/// Why a difference can't be applied.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The bytes are not those of a difference.
+    #[error("difference not understood: {0}")]
+    Malformed(String),
+    /// It begins from something else.
+    #[error("the difference begins from something else")]
+    Base,
+    /// What comes out is not what was meant.
+    #[error("the difference leads to something else")]
+    Result,
+}
+
+/// Items of one list that were set, and keys of those that were removed.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Changes<K, T> {
+    set: Vec<T>,
+    removed: Vec<K>,
+}
+
+impl<K: Ord, T: Item<Key = K>> Changes<K, T> {
+    fn between(old: &[T], new: &[T]) -> Changes<K, T> {
+        let mut changes = Changes { set: Vec::new(), removed: Vec::new() };
+        view::differences(old, new, |old, new| match (old, new) {
+            (_, Some(new)) => changes.set.push(new.clone()),
+            (Some(old), None) => changes.removed.push(old.key()),
+            (None, None) => {}
+        });
+        changes
+    }
+
+    /// The list after the changes; `digest` is carried along.
+    fn apply(self, old: &[T], digest: &mut u64) -> Vec<T> {
+        if self.set.is_empty() && self.removed.is_empty() {
+            return old.to_vec();
+        }
+        let mut items: BTreeMap<K, T> = old.iter().map(|item| (item.key(), item.clone())).collect();
+        let gone: Vec<T> = self.removed.iter().filter_map(|key| items.remove(key)).collect();
+        let mut count = |gone: Option<&T>, come: Option<&T>| {
+            let (less, more) = (gone.map_or(0, view::hash), come.map_or(0, view::hash));
+            *digest = digest.wrapping_sub(less).wrapping_add(more);
+        };
+        gone.iter().for_each(|item| count(Some(item), None));
+        for item in self.set {
+            count(items.get(&item.key()), Some(&item));
+            items.insert(item.key(), item);
+        }
+        items.into_values().collect()
+    }
+}
+
+/// Changes of a configuration.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Patch {
+    version: u64,
+    limits: Limits,
+    routes: Changes<(String, String), Arc<Route>>,
+    services: Changes<String, Service>,
+    accounts: Changes<String, Account>,
+}
+
+impl Patch {
+    fn between(old: &Config, new: &Config) -> Patch {
+        Patch {
+            version: new.version,
+            limits: new.limits,
+            routes: Changes::between(&old.routes(), &new.routes()),
+            services: Changes::between(&old.services(), &new.services()),
+            accounts: Changes::between(&old.accounts(), &new.accounts()),
+        }
+    }
+
+    fn apply(self, old: Option<&Arc<Config>>, digest: &mut u64) -> Config {
+        let empty = Arc::default();
+        if let Some(old) = old {
+            *digest = digest.wrapping_sub(view::head(old.version, &old.limits));
+        }
+        let old = old.unwrap_or(&empty);
+        *digest = digest.wrapping_add(view::head(self.version, &self.limits));
+        let routes = self.routes.apply(&old.routes(), digest);
+        let services = self.services.apply(&old.services(), digest);
+        let accounts = self.accounts.apply(&old.accounts(), digest);
+        let mut config = Config::new(self.version, self.limits);
+        for route in routes {
+            config = config.with_route(route);
+        }
+        for service in services {
+            config = config.with_service(service);
+        }
+        for Account { organisation, keys } in accounts {
+            config = config.with_organisation(organisation, keys);
+        }
+        config
+    }
+}
+
+/// The difference between two views.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Delta {
+    from: Digest,
+    to: Digest,
+    /// `None` if the configuration is the same, or there is none.
+    config: Option<Patch>,
+    replicas: Changes<String, Listing>,
+    gateways: Changes<String, Entry>,
+}
+
+impl Delta {
+    /// What leads from `old` to `new`.
+    pub fn between(old: Base<'_>, new: &Known) -> Delta {
+        let empty = Arc::default();
+        let (from, to) = (old.digest, new.digest);
+        let config = new.view.config.as_ref().filter(|_| from.config != to.config);
+        Delta {
+            from,
+            to,
+            config: config.map(|config| Patch::between(old.config.unwrap_or(&empty), config)),
+            replicas: Changes::between(old.replicas, &new.view.replicas),
+            gateways: Changes::between(old.gateways, &new.view.gateways),
+        }
+    }
+
+    /// Whether it begins from nothing, and so holds everything.
+    pub fn is_whole(&self) -> bool {
+        self.from == Digest::default()
+    }
+
+    /// What comes out for who knows `known`; parts that begin from nothing need nothing.
+    ///
+    /// # Errors
+    ///
+    /// That it begins from something else, or that something else comes out than was meant.
+    pub fn apply(self, known: Option<&Known>) -> Result<Known, Error> {
+        let own = known.map(Known::base).unwrap_or_default();
+        let (from, to) = (self.from, self.to);
+        let fits = |from: u64, own: u64| from == 0 || from == own;
+        let fits = fits(from.config, own.digest.config)
+            && fits(from.replicas, own.digest.replicas)
+            && fits(from.gateways, own.digest.gateways);
+        if !fits {
+            return Err(Error::Base);
+        }
+        let mut digest = from;
+        let replicas = if from.replicas == 0 { &[] } else { own.replicas };
+        let replicas = self.replicas.apply(replicas, &mut digest.replicas);
+        let gateways = if from.gateways == 0 { &[] } else { own.gateways };
+        let gateways = self.gateways.apply(gateways, &mut digest.gateways);
+        let old = own.config.filter(|_| from.config != 0);
+        let config = match self.config {
+            Some(patch) => Some(Arc::new(patch.apply(old, &mut digest.config))),
+            None if to.config == 0 => {
+                digest.config = 0;
+                None
+            }
+            None => old.cloned(),
+        };
+        if digest != to {
+            return Err(Error::Result);
+        }
+        Ok(Known { view: Arc::new(View { config, replicas, gateways }), digest })
+    }
+
+    /// Its bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Malformed`], which can't happen for what [`Delta::between`] makes.
+    pub fn encode(&self) -> Result<Vec<u8>, Error> {
+        postcard::to_stdvec(self).map_err(|e| Error::Malformed(e.to_string()))
+    }
+
+    /// The difference that `bytes` hold, and nothing besides. Lists are made as items come, so that a
+    /// length that is not true takes a megabyte at most.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Malformed`].
+    pub fn decode(bytes: &[u8]) -> Result<Delta, Error> {
+        match postcard::take_from_bytes(bytes) {
+            Ok((delta, [])) => Ok(delta),
+            Ok((_, rest)) => Err(Error::Malformed(format!("{} bytes too many", rest.len()))),
+            Err(e) => Err(Error::Malformed(e.to_string())),
+        }
+    }
+}
--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod ask;
 pub mod budget;
 pub mod config;
+pub mod delta;
 pub mod directory;
 pub mod engine;
 pub mod events;
@@ -17,6 +18,7 @@
 pub mod ledger;
 pub mod refusal;
 mod state;
+pub mod view;
 
 pub use self::state::Gateway;
 pub use self::state::Grant;
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -214,6 +214,11 @@
         self.listed = Some(now);
     }
 
+    /// Name of this gateway.
+    pub fn name(&self) -> &str {
+        &self.settings.entry.name
+    }
+
     /// Gateways that read the store for all, and whether this one does.
     pub fn readers(&self, now: Time) -> (Vec<String>, bool) {
         self.directory.readers(now, &self.settings.entry.name)
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -7,6 +7,7 @@
 use laburnumwheel_core::gateway::directory::Heartbeat;
 use laburnumwheel_core::gateway::ledger::Notice;
 use laburnumwheel_core::gateway::ledger::Standing;
+use laburnumwheel_core::gateway::view::Digest;
 use rand::Rng;
 use rand::seq::SliceRandom;
 use serde::Deserialize;
@@ -60,7 +61,7 @@
     /// The question.
     pub question: u64,
     /// Digest of everything that the store held.
-    pub digest: u64,
+    pub digest: Digest,
     /// Age of the read that saw it, in microseconds.
     pub age: u64,
 }
@@ -136,7 +137,7 @@
 
 async fn reply(shared: &Shared, from: SocketAddr, question: u64) {
     let age = shared.gateway.borrow().proof_age(clock::now());
-    let digest = shared.view.borrow().as_ref().map(|known| known.digest);
+    let digest = shared.views.borrow().newest().map(|known| known.digest);
     if let (Some(age), Some(digest)) = (age, digest) {
         let proof = Proof { question, digest, age: age.0 };
         post(&shared.socket, from, &Message::Proof(proof)).await;
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use laburnumwheel_core::gateway::Gateway;
+use laburnumwheel_core::gateway::view::History;
 use rand::rngs::SmallRng;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -16,7 +17,7 @@
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::peers::Questions;
-use crate::view::Known;
+use crate::view::Deltas;
 
 /// State of the process.
 pub struct State {
@@ -28,8 +29,10 @@
     pub pool: Pool,
     /// Counters and histograms.
     pub metrics: Metrics,
-    /// What the store was last known to hold.
-    pub view: RefCell<Option<Known>>,
+    /// What the store was last known to hold, and before.
+    pub views: RefCell<History>,
+    /// Differences between views in encoded form.
+    pub deltas: RefCell<Deltas>,
     /// Questions to other gateways that wait for an answer.
     pub questions: RefCell<Questions>,
     /// Datagrams between gateways.
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -2,25 +2,23 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::time::Duration;
 
-use laburnumwheel_core::gateway::config::Config;
 use laburnumwheel_core::gateway::directory::Entry;
-use laburnumwheel_core::gateway::fleet::Listing;
+use laburnumwheel_core::gateway::view::Known;
+use laburnumwheel_core::rendezvous;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 use rand::Rng;
 use rand::seq::SliceRandom;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::clock;
 use crate::log::Line;
 use crate::peers;
 use crate::shared::Shared;
 use crate::view;
-use crate::view::Known;
+
+pub use laburnumwheel_core::gateway::view::View;
 
 /// Time from one read to the next, and from one question to the next: both, and a lost answer, fit
 /// into two seconds, the shortest bound on taking up a change.
@@ -33,26 +31,18 @@
 /// Time to the next try after a failed one; calls that are refused cost as much as others.
 const AGAIN: Duration = Duration::from_millis(300);
 /// Longest wait for one call: many times the usual few milliseconds.
-const PATIENCE: Duration = Duration::from_millis(900);
-/// Longest wait for a whole read, which may take many calls: its proof ages from its beginning, and
-/// an older one would not be worth having.
-const WHOLE_READ: Duration = Duration::from_millis(3_500);
+pub(crate) const PATIENCE: Duration = Duration::from_millis(900);
+/// Longest wait for a whole read, which may take many calls, and for a whole view on a narrow link:
+/// its proof ages from its beginning, and an older one would not be worth having.
+pub(crate) const WHOLE_READ: Duration = Duration::from_millis(3_500);
+/// Views that a reader remembers, to say what has changed since: those of four seconds if each read
+/// finds a change, and more than any gateway lags behind that has its proofs from there.
+const REMEMBERED: usize = 8;
 /// Life of the gateway's entry without renewal.
 const LEASE: Duration = Duration::from_secs(4);
 /// Time from one renewal to the next.
 const RENEWAL: Duration = Duration::from_millis(1_300);
 
-/// Everything the store holds for a gateway, read at one moment.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct View {
-    /// Newest configuration; `None` if none was ever written.
-    pub config: Option<Arc<Config>>,
-    /// Replicas of all services.
-    pub replicas: Vec<Listing>,
-    /// Gateways.
-    pub gateways: Vec<Entry>,
-}
-
 /// Why a call of the store failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -112,11 +102,12 @@
         shared.metrics.store_call("read", result.is_ok());
         match result {
             Ok(view) => {
+                let known = Known::new(view, shared.views.borrow().newest());
                 if !sound {
                     shared.log(Line::new("store_regained"));
                 }
                 sound = true;
-                take(&shared, sent, view, Source::Store);
+                take(&shared, sent, known, Source::Store);
                 tokio::time::sleep(jittered(&shared, PERIOD)).await;
             }
             Err(e) => {
@@ -132,13 +123,27 @@
     }
 }
 
-/// Asks readers, in random order, whether anything has changed, and takes over what has.
+/// The readers in the order in which this gateway asks them: always the same one first, as long as it
+/// lives, and the others at random.
+///
+/// Readers read at different moments, so when much changes each sees states that others do not. One
+/// that does not know the asker's state can't say what has changed since, and hands on whole lists.
+fn order(shared: &Shared, readers: &[String]) -> Vec<String> {
+    let own = rendezvous::hash(&[shared.gateway.borrow().name().as_bytes()]);
+    let score = |reader: &String| rendezvous::score(own, rendezvous::hash(&[reader.as_bytes()]));
+    let mut readers = readers.to_vec();
+    readers.sort_by_key(|reader| std::cmp::Reverse(score(reader)));
+    if let Some((_, others)) = readers.split_first_mut() {
+        others.shuffle(&mut *shared.rng.borrow_mut());
+    }
+    readers
+}
+
+/// Asks readers whether anything has changed, and takes over what has.
 ///
 /// `false` if none of them could say: then the store must be read after all.
 async fn asked(shared: &Shared, readers: &[String]) -> bool {
-    let mut readers = readers.to_vec();
-    readers.shuffle(&mut *shared.rng.borrow_mut());
-    for reader in readers.iter().take(READERS_ASKED) {
+    for reader in order(shared, readers).iter().take(READERS_ASKED) {
         let Ok(address) = reader.parse() else {
             continue;
         };
@@ -151,18 +156,24 @@
             shared.metrics.count("questions_total", "outcome=\"too_old\"".to_owned());
             continue;
         }
-        let digest = shared.view.borrow().as_ref().map(|known| known.digest);
+        let digest = shared.views.borrow().newest().map(|known| known.digest);
         if digest == Some(proof.digest) {
             shared.metrics.count("questions_total", "outcome=\"same\"".to_owned());
             shared.gateway.borrow_mut().confirm_view(clock::now(), at - Span(proof.age));
             return true;
         }
-        let fetched = tokio::time::timeout(PATIENCE, view::fetch(shared, reader)).await;
-        let outcome = if matches!(fetched, Ok(Ok(_))) { "fetched" } else { "not_fetched" };
+        let fetched = view::fetch(shared, reader).await;
+        let outcome = if fetched.is_ok() { "fetched" } else { "not_fetched" };
         shared.metrics.count("questions_total", format!("outcome=\"{outcome}\""));
-        if let Ok(Ok((sent, view))) = fetched {
-            take(shared, sent, view, Source::Peer);
-            return true;
+        match fetched {
+            Ok((sent, known)) => {
+                take(shared, sent, known, Source::Peer);
+                return true;
+            }
+            Err(e) => {
+                let line = Line::new("view_not_fetched").with("reader", reader);
+                shared.log(line.with("error", e));
+            }
         }
     }
     false
@@ -176,25 +187,23 @@
     Peer,
 }
 
-fn take(shared: &Shared, sent: Time, view: View, from: Source) {
+fn take(shared: &Shared, sent: Time, known: Known, from: Source) {
     // A reader that lags must not bring a replica back that is known to have left.
     if shared.gateway.borrow().proved().is_some_and(|proved| sent < proved) {
         shared.metrics.count("views_total", format!("from=\"{from}\",taken=\"too_old\""));
         return;
     }
     shared.metrics.count("views_total", format!("from=\"{from}\",taken=\"yes\""));
-    let known = Known::new(view);
     let now = clock::now();
-    let same = shared.view.borrow().as_ref().is_some_and(|k| k.digest == known.digest);
     let mut gateway = shared.gateway.borrow_mut();
     let before = gateway.version();
     let newer = gateway.learn(sent, known.view.config.clone());
     let changes = gateway.list(now, known.view.replicas.clone(), known.view.gateways.clone());
     let version = gateway.version();
+    // Whoever does not read the store is seldom asked what has changed; views take memory.
+    let remembered = if gateway.readers(now).1 { REMEMBERED } else { 1 };
     drop(gateway);
-    if !same {
-        *shared.view.borrow_mut() = Some(known);
-    }
+    shared.views.borrow_mut().push(known, remembered);
     let read_ms = now.since(sent).as_millis();
     let line = |event| {
         Line::new(event).with("version", version).with("from", from).with("read_ms", read_ms)
--- a/gateway/src/view.rs
+++ b/gateway/src/view.rs
@@ -1,102 +1,155 @@
 //! What the store holds, passed on from the gateways that read it to the others.
 //!
 //! Every call of the store has its price, and a fleet may make only so many. So a few gateways
-//! read, and the others ask one of them whether anything has changed, and for everything if it
-//! has. The answer's proof ages from the reader's own read: a question sent at `t` and answered
-//! with an age of `a` proves what the store held at `t - a` or later.
+//! read, and the others ask one of them whether anything has changed, and for what has. The
+//! answer's proof ages from the reader's own read: a question sent at `t` and answered with an age
+//! of `a` proves what the store held at `t - a` or later.
 
-use std::cell::RefCell;
-use std::rc::Rc;
+use std::collections::BTreeMap;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use laburnumwheel_core::rendezvous;
+use laburnumwheel_core::gateway::delta;
+use laburnumwheel_core::gateway::delta::Delta;
+use laburnumwheel_core::gateway::view::Digest;
+use laburnumwheel_core::gateway::view::Known;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 
 use crate::body::Answer;
 use crate::channel;
+use crate::channel::Channel;
 use crate::clock;
+use crate::log::Line;
 use crate::shared::Shared;
 use crate::store::Error;
-use crate::store::View;
+use crate::store::PATIENCE;
+use crate::store::WHOLE_READ;
 
-/// The last view, and a digest that is equal for equal views.
-#[derive(Clone, Debug)]
-pub struct Known {
-    /// What the store held.
-    pub view: Rc<View>,
-    /// Its digest.
-    pub digest: u64,
-}
+/// Largest answer that is read, in bytes: several times a view of 10,000 replicas and as many routes
+/// and organisations, and a fifth of a small host's memory.
+const LARGEST: usize = 16 << 20;
+/// Encoded differences that are kept: one for each state that askers are in after a change.
+const DELTAS: usize = 16;
 
-impl Known {
-    /// A view with its digest.
-    pub fn new(view: View) -> Known {
-        // Encoding can't fail for these types; an empty encoding only makes gateways ask again.
-        let bytes = postcard::to_stdvec(&view).unwrap_or_default();
-        Known { digest: rendezvous::hash(&[&bytes]), view: Rc::new(view) }
-    }
+/// Differences to the newest view in encoded form, as many ask for the same in a row.
+#[derive(Debug, Default)]
+pub struct Deltas {
+    to: Digest,
+    encoded: BTreeMap<Digest, Bytes>,
 }
 
-type Encoded = RefCell<Option<(u64, Bytes)>>;
-
-thread_local! {
-    /// The last view in encoded form, as many ask for it in a row after a change.
-    static ENCODED: Encoded = const { RefCell::new(None) };
+impl Deltas {
+    fn get(&mut self, delta: (Digest, Digest), encode: impl FnOnce() -> Bytes) -> Bytes {
+        let (from, to) = delta;
+        if self.to != to || self.encoded.len() >= DELTAS {
+            self.encoded.clear();
+            self.to = to;
+        }
+        self.encoded.entry(from).or_insert_with(encode).clone()
+    }
 }
 
-/// Answers a peer that asks for everything: the age of the proof, then the view.
-pub fn answer(shared: &Shared, _: &Request<Incoming>) -> Response<Answer> {
+/// Answers a peer that asks for what is new to it: the age of the proof, then the difference.
+pub fn answer(shared: &Shared, request: &Request<Incoming>) -> Response<Answer> {
     let age = shared.gateway.borrow().proof_age(clock::now());
-    let known = shared.view.borrow().clone();
-    let (Some(age), Some(known)) = (age, known) else {
+    let delta = age.and_then(|_| difference(shared, digest(request.uri().query())));
+    let (Some(age), Some(delta)) = (age, delta) else {
         let mut response = Response::new(Answer::whole(""));
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         return response;
     };
     let mut bytes = age.0.to_le_bytes().to_vec();
-    bytes.extend_from_slice(&encoded(&known));
+    bytes.extend_from_slice(&delta);
     Response::new(Answer::whole(bytes))
 }
 
-fn encoded(known: &Known) -> Bytes {
-    ENCODED.with_borrow_mut(|last| match last {
-        Some((digest, bytes)) if *digest == known.digest => bytes.clone(),
-        _ => {
-            let bytes = Bytes::from(postcard::to_stdvec(&*known.view).unwrap_or_default());
-            *last = Some((known.digest, bytes.clone()));
-            bytes
+fn difference(shared: &Shared, known: Digest) -> Option<Bytes> {
+    let views = shared.views.borrow();
+    let newest = views.newest()?;
+    let base = views.base(known);
+    let encode = || match Delta::between(base, newest).encode() {
+        Ok(bytes) => Bytes::from(bytes),
+        Err(e) => {
+            shared.log(Line::new("view_not_encoded").with("error", e));
+            Bytes::new()
         }
-    })
+    };
+    Some(shared.deltas.borrow_mut().get((base.digest, newest.digest), encode))
+}
+
+/// The digest that a peer says it has; that of nothing if it says none.
+fn digest(query: Option<&str>) -> Digest {
+    let mut parts = query.unwrap_or_default().split('-');
+    let mut part = || parts.next().and_then(|p| u64::from_str_radix(p, 16).ok()).unwrap_or(0);
+    Digest { config: part(), replicas: part(), gateways: part() }
 }
 
-/// Fetches everything from the peer at `address`, with the time at which it was true.
+/// Fetches what is new from the peer at `address`; returns everything, with the time at which it was
+/// true.
 ///
 /// # Errors
 ///
 /// Why there is no view.
-pub async fn fetch(shared: &Shared, address: &str) -> Result<(Time, View), Error> {
+pub async fn fetch(shared: &Shared, address: &str) -> Result<(Time, Known), Error> {
+    let known = shared.views.borrow().newest().cloned();
+    let (sent, delta) = fetch_delta(shared, address, known.as_ref()).await?;
+    match delta.apply(known.as_ref()) {
+        Ok(new) => Ok((sent, new)),
+        Err(e) => {
+            // What comes out is checked, so a wrong difference costs one whole view and no more.
+            shared.metrics.count("view_mismatches_total", String::new());
+            shared.log(Line::new("view_mismatch").with("reader", address).with("error", e));
+            let (sent, delta) = fetch_delta(shared, address, None).await?;
+            Ok((sent, delta.apply(None).map_err(malformed)?))
+        }
+    }
+}
+
+async fn fetch_delta(
+    shared: &Shared,
+    address: &str,
+    known: Option<&Known>,
+) -> Result<(Time, Delta), Error> {
     let asked = clock::now();
+    let head = tokio::time::timeout(PATIENCE, head(address, known)).await;
+    let (_channel, response) = head.unwrap_or(Err(Error::Silent))?;
+    let body = Limited::new(response.into_body(), LARGEST).collect();
+    let body = tokio::time::timeout(WHOLE_READ, body).await.map_err(|_| Error::Silent)?;
+    let bytes = body.map_err(|e| Error::Unreachable(e.to_string()))?.to_bytes();
+    let (age, delta) =
+        bytes.split_first_chunk::<8>().ok_or(Error::Malformed("too short".to_owned()))?;
+    let delta = Delta::decode(delta).map_err(malformed)?;
+    let kind = if delta.is_whole() { "whole" } else { "difference" };
+    shared.metrics.add("view_bytes_total", format!("kind=\"{kind}\""), bytes.len() as u64);
+    shared.metrics.count("view_fetches_total", format!("kind=\"{kind}\""));
+    Ok((asked - Span(u64::from_le_bytes(*age)), delta))
+}
+
+async fn head(
+    address: &str,
+    known: Option<&Known>,
+) -> Result<(Channel, Response<Incoming>), Error> {
     let unreachable = |e: &dyn std::fmt::Display| Error::Unreachable(e.to_string());
     let mut channel = channel::open(address).await.map_err(|e| unreachable(&e))?;
-    let request = Request::get("/view")
+    let Digest { config, replicas, gateways } = known.map(|k| k.digest).unwrap_or_default();
+    let request = Request::get(format!("/view?{config:x}-{replicas:x}-{gateways:x}"))
         .header(hyper::header::HOST, address)
         .body(Full::default())
         .map_err(|e| Error::Malformed(e.to_string()))?;
     let response = channel.sender.send_request(request).await.map_err(|e| unreachable(&e))?;
-    if response.status() != StatusCode::OK {
-        return Err(Error::Refused(response.status().as_u16()));
+    match response.status() {
+        StatusCode::OK => Ok((channel, response)),
+        other => Err(Error::Refused(other.as_u16())),
     }
-    let bytes = response.into_body().collect().await.map_err(|e| unreachable(&e))?.to_bytes();
-    shared.metrics.add("view_bytes_total", String::new(), bytes.len() as u64);
-    let (age, view) =
-        bytes.split_first_chunk::<8>().ok_or(Error::Malformed("too short".to_owned()))?;
-    let view = postcard::from_bytes(view).map_err(|e| Error::Malformed(e.to_string()))?;
-    Ok((asked - Span(u64::from_le_bytes(*age)), view))
+}
+
+fn malformed(e: delta::Error) -> Error {
+    Error::Malformed(e.to_string())
 }
--- a/gateway/tests/views.rs
+++ b/gateway/tests/views.rs
@@ -3,15 +3,24 @@
 mod support;
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use laburnumwheel_core::gateway::config::Route;
 use laburnumwheel_core::gateway::config::Target;
+use laburnumwheel_core::gateway::delta::Delta;
+use laburnumwheel_core::gateway::view::Base;
+use laburnumwheel_core::gateway::view::Known;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_gateway::clock;
 use laburnumwheel_gateway::gateway::Running;
 use laburnumwheel_gateway::store::View;
+use laburnumwheel_gateway::view::fetch;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 use crate::support::Held;
 use crate::support::config;
@@ -28,6 +37,9 @@
 const REPLICAS: usize = 300;
 /// Most bytes that one change of the list may cost a gateway that asks.
 const CHANGE_BYTES: u64 = 500;
+/// Changes in a row, and the pause between them: a fraction of the time from one read to the next.
+const CHANGES: usize = 20;
+const PAUSE: Duration = Duration::from_millis(150);
 
 fn route(i: usize) -> Route {
     Route {
@@ -97,3 +109,88 @@
         assert!(cost <= CHANGE_BYTES * GATEWAYS, "{cost} bytes");
     });
 }
+
+/// Replicas leave faster than lists are read. Each reader sees states that the others never saw; a
+/// gateway that asks another reader each time has a state that this one does not know, and gets whole
+/// lists, which fill the links again.
+#[test]
+fn changes_in_a_row_cost_a_gateway_few_bytes_each() {
+    run(async {
+        let held: Held = Rc::new(RefCell::new(Some(view(1, 2))));
+        let all = settled(&held).await;
+        let before = bytes(&all);
+
+        for _ in 0..CHANGES {
+            held.borrow_mut().as_mut().unwrap().replicas.remove(7);
+            tokio::time::sleep(PAUSE).await;
+        }
+        until("gone everywhere", || all.iter().all(|g| open(g) == REPLICAS - CHANGES)).await;
+
+        let cost = bytes(&all) - before;
+        assert!(cost <= CHANGE_BYTES * GATEWAYS * CHANGES as u64, "{cost} bytes");
+    });
+}
+
+#[test]
+fn one_route_that_is_added_costs_a_gateway_few_bytes() {
+    run(async {
+        let held: Held = Rc::new(RefCell::new(Some(view(1, ROUTES))));
+        let all = settled(&held).await;
+        let before = bytes(&all);
+
+        held.borrow_mut().as_mut().unwrap().config = view(2, ROUTES + 1).config;
+        until("in force everywhere", || {
+            all.iter().all(|g| g.shared.gateway.borrow().version() == 2)
+        })
+        .await;
+
+        let cost = bytes(&all) - before;
+        assert!(cost <= CHANGE_BYTES * GATEWAYS, "{cost} bytes");
+        for g in &all {
+            let config = g.shared.gateway.borrow().config().unwrap().clone();
+            assert_eq!(config.len(), view(2, ROUTES + 1).config.unwrap().len());
+        }
+    });
+}
+
+/// A reader says what has changed, and the bytes are not what it meant. Applied, they would send calls
+/// to replicas that nobody listed; the gateway sees that the digest is another one, and asks for all.
+#[test]
+fn a_difference_that_leads_elsewhere_is_replaced_by_the_whole_view() {
+    run(async {
+        let held: Held = Rc::new(RefCell::new(Some(view(1, 2))));
+        let all = gateways(&held, 1).await;
+        let old = all[0].shared.views.borrow().newest().unwrap().clone();
+        let mut left = view(1, 2);
+        left.replicas.remove(7);
+        left.gateways = old.view.gateways.clone();
+        let new = Known::new(left, None);
+        let mut damaged = Delta::between(old.base(), &new).encode().unwrap();
+        let id = damaged.windows(11).position(|w| w == b"replica-007").unwrap();
+        damaged[id + 10] = b'8';
+        let whole = Delta::between(Base::default(), &new).encode().unwrap();
+        let reader = reader([damaged, whole]).await;
+
+        let fetched = fetch(&all[0].shared, &reader.to_string()).await.unwrap().1;
+
+        assert_eq!(fetched, new);
+        assert_eq!(counted(&all[0], "view_mismatches_total"), 1);
+    });
+}
+
+/// A reader that answers each request with the next of these differences.
+async fn reader(deltas: [Vec<u8>; 2]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::task::spawn_local(async move {
+        for delta in deltas {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.read(&mut [0; 1_024]).await.unwrap();
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", delta.len() + 8);
+            stream.write_all(head.as_bytes()).await.unwrap();
+            stream.write_all(&[0; 8]).await.unwrap();
+            stream.write_all(&delta).await.unwrap();
+        }
+    });
+    address
+}
