--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -4,6 +4,7 @@
 mod replica;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::arena::Arena;
 use crate::arena::Key;
@@ -12,6 +13,7 @@
 use crate::gateway::gossip::Sighting;
 use crate::gateway::ledger::Change;
 use crate::gateway::ledger::Notice;
+use crate::gateway::outage::Absence;
 use crate::time::Span;
 use crate::time::Time;
 
@@ -78,6 +80,7 @@
                 }
                 // An entry that left and is listed again lives: its lease had lapsed.
                 replica.closed = listing.leaving;
+                replica.kept = false;
                 replica.listing = listing;
             }
             listed.insert(id, key);
@@ -89,13 +92,14 @@
             .map(|(i, k)| (i.clone(), *k))
             .collect();
         if keep_missing {
-            let kept = missing.into_iter().map(|(id, _)| id).collect();
+            let kept = self.keep(&missing);
             return Changes { came, closed, kept };
         }
         for (id, key) in missing {
             let Some(replica) = self.replicas.get_mut(key) else {
                 continue;
             };
+            replica.kept = false;
             if !replica.closed {
                 replica.closed = true;
                 closed.push(id.clone());
@@ -107,6 +111,53 @@
         Changes { came, closed, kept: Vec::new() }
     }
 
+    /// How many of the replicas in use are not among `listings`, against those that are.
+    pub fn absence(&self, listings: &[Listing]) -> Absence {
+        let listed: BTreeSet<&str> = listings.iter().map(|l| l.id.as_str()).collect();
+        let mut services: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for listing in listings {
+            services.entry(&listing.service).or_default().0 += 1;
+        }
+        let mut newly = 0;
+        let in_use = self.replicas.iter().map(|(_, r)| r).filter(|r| !r.closed);
+        for replica in in_use.filter(|r| !listed.contains(r.listing.id.as_str())) {
+            services.entry(&replica.listing.service).or_default().1 += 1;
+            newly += usize::from(!replica.kept);
+        }
+        Absence {
+            most_at_once: newly > listings.len(),
+            most_of_a_service: services.values().any(|(listed, missing)| missing > listed),
+        }
+    }
+
+    fn keep(&mut self, missing: &[(String, Key<Replica>)]) -> Vec<String> {
+        let mut kept = Vec::new();
+        for (id, key) in missing {
+            if let Some(replica) = self.replicas.get_mut(*key)
+                && !replica.closed
+            {
+                replica.kept = true;
+                kept.push(id.clone());
+            }
+        }
+        kept
+    }
+
+    /// Closes the replicas that were kept although their entries are missing; returns their ids.
+    pub fn close_kept(&mut self) -> Vec<String> {
+        let mut closed = Vec::new();
+        for (id, key) in &self.by_id {
+            if let Some(replica) = self.replicas.get_mut(*key)
+                && replica.kept
+            {
+                replica.kept = false;
+                replica.closed = true;
+                closed.push(id.clone());
+            }
+        }
+        closed
+    }
+
     fn insert(&mut self, now: Time, listing: Listing) -> Key<Replica> {
         let id = listing.id.clone();
         let service = listing.service.clone();
--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod gossip;
 pub mod lane;
 pub mod ledger;
+pub mod outage;
 pub mod refusal;
 mod state;
 pub mod view;
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -159,7 +159,10 @@
         let digest = shared.views.borrow().newest().map(|known| known.digest);
         if digest == Some(proof.digest) {
             shared.metrics.count("questions_total", "outcome=\"same\"".to_owned());
-            shared.gateway.borrow_mut().confirm_view(clock::now(), at - Span(proof.age));
+            let closed = shared.gateway.borrow_mut().confirm_view(at - Span(proof.age));
+            for id in closed {
+                shared.log(Line::new("replica_closed").with("replica", id).with("from", "proof"));
+            }
             return true;
         }
         let fetched = view::fetch(shared, reader).await;
@@ -198,7 +201,7 @@
     let mut gateway = shared.gateway.borrow_mut();
     let before = gateway.version();
     let newer = gateway.learn(sent, known.view.config.clone());
-    let changes = gateway.list(now, known.view.replicas.clone(), known.view.gateways.clone());
+    let changes = gateway.list(sent, now, known.view.replicas.clone(), known.view.gateways.clone());
     let version = gateway.version();
     // Whoever does not read the store is seldom asked what has changed; views take memory.
     let remembered = if gateway.readers(now).1 { REMEMBERED } else { 1 };
