Failing test: gateways of the greatest weight read the store for all

The choice gets the gateway's own entry instead of its name; it is the same as before. The existing test of it was rewritten for that, with the same two checks.

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -153,11 +153,11 @@
     ///
     /// The first by hash of those that live: all gateways agree but for a moment, and a gateway
     /// that disagrees only reads once more, or asks one that asks itself.
-    pub fn readers(&self, now: Time, own: &str) -> (Vec<String>, bool) {
+    pub fn readers(&self, now: Time, own: &Entry) -> (Vec<String>, bool) {
         let live = self.members.values().filter(|m| m.is_live(now));
         let mut all: Vec<(u32, Option<&str>)> =
             live.map(|m| (m.short, Some(m.entry.peer_address.as_str()))).collect();
-        all.push((short(own), None));
+        all.push((short(&own.name), None));
         all.sort();
         all.truncate(READERS + all.len() / GATEWAYS_PER_READER);
         let is_reader = all.iter().any(|(_, address)| address.is_none());
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -219,7 +219,7 @@
 
     /// Gateways that read the store for all, and whether this one does.
     pub fn readers(&self, now: Time) -> (Vec<String>, bool) {
-        self.directory.readers(now, &self.settings.entry.name)
+        self.directory.readers(now, &self.settings.entry)
     }
 
     /// Takes a peer's heartbeat in, received at `now`.
--- a/core/tests/gateway/directory.rs
+++ b/core/tests/gateway/directory.rs
@@ -97,21 +97,45 @@
     assert_eq!(directory.sensitive(START + Span::secs(3)), 3);
 }
 
+/// Who reads, as the gateway `own` sees it: the others' addresses, and whether it does itself.
+fn readers(all: &[Entry], own: &Entry) -> (Vec<String>, bool) {
+    let mut directory = Directory::default();
+    let others: Vec<Entry> = all.iter().filter(|e| e.name != own.name).cloned().collect();
+    directory.list(START, others.clone());
+    for e in &others {
+        directory.hear(START, &heartbeat(e, true));
+    }
+    directory.readers(START, own)
+}
+
 #[test]
 fn a_few_gateways_read_the_store_for_all() {
-    let names: Vec<String> = (0..65).map(|i| format!("gateway-{i}")).collect();
-    let readers = |own: &str| {
-        let mut directory = Directory::default();
-        let others: Vec<Entry> = names.iter().filter(|n| *n != own).map(|n| entry(n)).collect();
-        directory.list(START, others.clone());
-        for e in &others {
-            directory.hear(START, &heartbeat(e, true));
-        }
-        directory.readers(START, own)
-    };
-
-    let reading = names.iter().filter(|name| readers(name).1).count();
+    let all: Vec<Entry> = (0..65).map(|i| entry(&format!("gateway-{i}"))).collect();
+
+    let reading = all.iter().filter(|own| readers(&all, own).1).count();
 
     assert_eq!(reading, 5);
-    assert_eq!(readers("gateway-0").0.len(), 5 - usize::from(readers("gateway-0").1));
+    let (others, is_reader) = readers(&all, &all[0]);
+    assert_eq!(others.len(), 5 - usize::from(is_reader));
+}
+
+/// Some hosts have links of 10 Mbit/s and others of 200. If one of the narrow reads the store for all,
+/// its reads take longer than their proofs are worth, and the others read the store themselves.
+#[test]
+fn gateways_of_the_greatest_weight_read_for_all() {
+    let wide = |i: usize| i % 10 == 3;
+    let gateway = |i| Entry { weight: if wide(i) { 500 } else { 120 }, ..entry(&format!("g-{i}")) };
+    let all: Vec<Entry> = (0..65).map(gateway).collect();
+
+    let reading: Vec<&Entry> = all.iter().filter(|own| readers(&all, own).1).collect();
+
+    assert_eq!(reading.len(), 5);
+    assert!(reading.iter().all(|e| e.weight == 500), "{reading:?}");
+    let mut addresses: Vec<String> = reading.iter().map(|e| e.peer_address.clone()).collect();
+    addresses.sort();
+    for own in all.iter().filter(|e| e.weight < 500) {
+        let mut seen = readers(&all, own).0;
+        seen.sort();
+        assert_eq!(seen, addresses);
+    }
 }
