The store is read by the gateways of the greatest weight

Cause: the readers were the first by hash, whatever their links; a host of 10 Mbit/s and 0.12 of a core could read for all, and its proofs were old by the time that others asked.

Change: of the living the ones of the greatest weight, among equals the first by hash, so that fleets of equal hosts choose as before.

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -3,6 +3,7 @@
 //! Two sources are joined: the list in the store, which survives any gateway but lags and can be
 //! out of reach, and heartbeats between gateways, which are quick but lost now and then.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use rand::Rng;
@@ -151,17 +152,19 @@
 
     /// Addresses of the gateways that read the store for all, and whether this one, `own`, is one.
     ///
-    /// The first by hash of those that live: all gateways agree but for a moment, and a gateway
-    /// that disagrees only reads once more, or asks one that asks itself.
+    /// Of those that live the ones of the greatest weight, for their links are wide and their proofs
+    /// young; among equals the first by hash. All gateways agree but for a moment, and one that
+    /// disagrees only reads once more, or asks one that asks itself.
     pub fn readers(&self, now: Time, own: &Entry) -> (Vec<String>, bool) {
+        let rank = |short: u32, entry: &Entry| (Reverse(entry.weight), short);
         let live = self.members.values().filter(|m| m.is_live(now));
-        let mut all: Vec<(u32, Option<&str>)> =
-            live.map(|m| (m.short, Some(m.entry.peer_address.as_str()))).collect();
-        all.push((short(&own.name), None));
+        let address = |m: &Member| m.entry.peer_address.clone();
+        let mut all: Vec<_> = live.map(|m| (rank(m.short, &m.entry), Some(address(m)))).collect();
+        all.push((rank(short(&own.name), own), None));
         all.sort();
         all.truncate(READERS + all.len() / GATEWAYS_PER_READER);
         let is_reader = all.iter().any(|(_, address)| address.is_none());
-        (all.into_iter().filter_map(|(_, a)| a.map(str::to_owned)).collect(), is_reader)
+        (all.into_iter().filter_map(|(_, address)| address).collect(), is_reader)
     }
 
     /// The keeper of an engine, with its address for datagrams; `None` if that is this gateway,
