An answer of the store that keeps coming is no silence

Cause: one call, its body included, might last 0.9 s; over 10 Mbit/s that is 1.1 MB, some 840 KB before base64. Change: the head, and each part of the body, must come within 0.9 s; a whole read within 3.5 s, as before.

--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -4,6 +4,11 @@
 use std::pin::Pin;
 use std::time::Duration;
 
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
 use laburnumwheel_core::gateway::directory::Entry;
 use laburnumwheel_core::gateway::view::Known;
 use laburnumwheel_core::rendezvous;
@@ -39,6 +44,9 @@
 /// Longest wait for a whole read, which may take many calls, and for a whole view on a narrow link:
 /// its proof ages from its beginning, and an older one would not be worth having.
 pub(crate) const WHOLE_READ: Duration = Duration::from_millis(3_500);
+/// Largest answer that is read, in bytes: several times a view of 10,000 replicas and as many routes
+/// and organisations, and a fifth of a small host's memory.
+const LARGEST: usize = 16 << 20;
 /// Views that a reader remembers, to say what has changed since: those of four seconds if each read
 /// finds a change, and more than any gateway lags behind that has its proofs from there.
 const REMEMBERED: usize = 8;
@@ -108,6 +116,27 @@
     tokio::time::timeout(PATIENCE, call).await.unwrap_or(Err(Error::Silent))
 }
 
+/// Reads the body of an answer, of which each part must come within the time that one call may take.
+///
+/// Bounded as a whole, a long answer over a narrow link was taken for a store that does not answer,
+/// at every gateway and for as long as the answer stayed long.
+///
+/// # Errors
+///
+/// [`Error::Silent`] if nothing more comes, or that the answer broke off or is too large.
+pub async fn collect(body: Incoming) -> Result<Bytes, Error> {
+    let mut body = Limited::new(body, LARGEST);
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = bounded(async { Ok(body.frame().await) }).await?;
+        match frame {
+            Some(Ok(frame)) => bytes.extend(frame.into_data()),
+            Some(Err(e)) => return Err(Error::Unreachable(e.to_string())),
+            None => return Ok(bytes.freeze()),
+        }
+    }
+}
+
 /// Keeps up with the store for ever: a reader by reading, any other gateway by asking a reader.
 pub async fn follow(shared: Shared, mut read: Box<dyn FnMut() -> Reply<Reading>>) {
     let mut sound = true;
--- a/gateway/src/view.rs
+++ b/gateway/src/view.rs
@@ -8,9 +8,7 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -28,13 +26,11 @@
 use crate::clock;
 use crate::log::Line;
 use crate::shared::Shared;
+use crate::store;
 use crate::store::Error;
 use crate::store::PATIENCE;
 use crate::store::WHOLE_READ;
 
-/// Largest answer that is read, in bytes: several times a view of 10,000 replicas and as many routes
-/// and organisations, and a fifth of a small host's memory.
-const LARGEST: usize = 16 << 20;
 /// Encoded differences that are kept: one for each state that askers are in after a change.
 const DELTAS: usize = 16;
 
@@ -120,9 +116,8 @@
     let asked = clock::now();
     let head = tokio::time::timeout(PATIENCE, head(address, known)).await;
     let (_channel, response) = head.unwrap_or(Err(Error::Silent))?;
-    let body = Limited::new(response.into_body(), LARGEST).collect();
-    let body = tokio::time::timeout(WHOLE_READ, body).await.map_err(|_| Error::Silent)?;
-    let bytes = body.map_err(|e| Error::Unreachable(e.to_string()))?.to_bytes();
+    let body = tokio::time::timeout(WHOLE_READ, store::collect(response.into_body())).await;
+    let bytes = body.unwrap_or(Err(Error::Silent))?;
     let (age, delta) =
         bytes.split_first_chunk::<8>().ok_or(Error::Malformed("too short".to_owned()))?;
     let delta = Delta::decode(delta).map_err(malformed)?;
