Failing tests: numbers of a replica or a peer that overflow, or are none

Properties of every decoder of bytes from the store, a peer or a replica. Found: - running and waiting of a load report are added up and overflow; - a stated time for kept connections overflows when three quarters of it are taken; - a standing that is negative or no number becomes a call's expected time. In a build with overflow checks the first two end the process; without them the sum wraps.

--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -11,4 +11,5 @@
 mod restart;
 mod routes;
 mod stop;
+mod strays;
 mod support;
--- a/gateway/src/channel.rs
+++ b/gateway/src/channel.rs
@@ -66,6 +66,11 @@
     Ok(Channel { sender, task: task.abort_handle() })
 }
 
+/// How long a connection may rest whose replica closes it after `keep_alive` seconds, if stated.
+pub fn rest(keep_alive: Option<u64>) -> Span {
+    keep_alive.map_or(REST, |s| Span(Span::secs(s).0 * 3 / 4)).min(REST)
+}
+
 #[derive(Debug)]
 struct Resting {
     channel: Channel,
@@ -99,7 +104,6 @@
     /// Keeps a connection whose answer has been read whole.
     pub fn keep(&self, replica: Key<Replica>, channel: Channel, keep_alive: Option<u64>) {
         let now = clock::now();
-        let stated = keep_alive.map_or(REST, |s| Span(Span::secs(s).0 * 3 / 4));
         let mut resting = self.resting.borrow_mut();
         resting.retain(|_, kept| {
             kept.retain(|r| now < r.until && !r.channel.sender.is_closed());
@@ -107,7 +111,7 @@
         });
         let kept = resting.entry(replica).or_default();
         if kept.len() < KEPT && !channel.sender.is_closed() {
-            kept.push(Resting { channel, until: now + stated.min(REST) });
+            kept.push(Resting { channel, until: now + rest(keep_alive) });
         }
     }
 
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -33,7 +33,7 @@
 
 /// A datagram between gateways.
 #[derive(Debug, Serialize, Deserialize)]
-enum Message {
+pub enum Message {
     /// The sender lives.
     Heartbeat(Box<Heartbeat>),
     /// Has anything changed?
@@ -48,6 +48,15 @@
     Notices(Vec<Notice>),
 }
 
+/// Decodes a datagram; whatever its bytes, it takes no more memory than a few times its length.
+///
+/// # Errors
+///
+/// What can't be understood.
+pub fn decode(bytes: &[u8]) -> Result<Message, postcard::Error> {
+    postcard::from_bytes(bytes)
+}
+
 /// Answers that are waited for, by question.
 #[derive(Debug, Default)]
 pub struct Questions {
@@ -179,7 +188,7 @@
                 continue;
             }
         };
-        match postcard::from_bytes::<Message>(&bytes[..n]) {
+        match decode(&bytes[..n]) {
             Ok(Message::Heartbeat(heartbeat)) => {
                 shared.gateway.borrow_mut().hear(clock::now(), &heartbeat);
             }
--- /dev/null
+++ b/gateway/tests/decoders.rs
@@ -0,0 +1,138 @@
+//! Whatever a peer or a replica sends: decoding it ends, and costs nothing else.
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use laburnumwheel_core::gateway::directory::Entry;
+use laburnumwheel_core::gateway::directory::Heartbeat;
+use laburnumwheel_core::gateway::fleet::Listing;
+use laburnumwheel_core::gateway::gossip::Demand;
+use laburnumwheel_core::gateway::gossip::Sighting;
+use laburnumwheel_core::incarnation::Digest;
+use laburnumwheel_core::incarnation::Incarnation;
+use laburnumwheel_core::time::Span;
+use laburnumwheel_gateway::channel;
+use laburnumwheel_gateway::dialect::own;
+use laburnumwheel_gateway::peers;
+use laburnumwheel_gateway::peers::Message;
+use laburnumwheel_gateway::store::View;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+
+fn entry() -> Entry {
+    Entry {
+        name: "two".to_owned(),
+        address: "10.0.0.2:1".to_owned(),
+        peer_address: "10.0.0.2:2".to_owned(),
+        domain: "mixco".to_owned(),
+        incarnation: 7,
+        weight: 100,
+    }
+}
+
+fn heartbeat() -> Vec<u8> {
+    let demand = Demand { gateway: 3, open: true, sensitive: 4, age_ms: 5 };
+    let load = Sighting { replica: Digest(6), running: 7, waiting: 8, age_ms: 9 };
+    let heartbeat = Heartbeat {
+        entry: entry(),
+        demands: vec![demand; 3],
+        loads: vec![load; 3],
+        version: 10,
+        proof_age: Some(11),
+    };
+    postcard::to_stdvec(&Message::Heartbeat(Box::new(heartbeat))).unwrap()
+}
+
+fn view() -> Vec<u8> {
+    let listing = Listing {
+        incarnation: Incarnation::of("i-1", 1_764_700_000_000),
+        service: "s".to_owned(),
+        address: "10.0.0.3:1".to_owned(),
+        domain: "mixco".to_owned(),
+        slots: 6,
+        leaving: false,
+    };
+    let replicas = vec![listing; 3];
+    let view = View { config: None, replicas, gateways: vec![entry()], flaws: Vec::new() };
+    postcard::to_stdvec(&view).unwrap()
+}
+
+/// Bytes with some of them changed, and cut.
+fn spoilt(mut bytes: Vec<u8>, changes: &[(usize, u8)], length: usize) -> Vec<u8> {
+    for (at, byte) in changes {
+        let at = at % bytes.len();
+        bytes[at] = *byte;
+    }
+    bytes.truncate(length);
+    bytes
+}
+
+proptest! {
+    #[test]
+    fn any_datagram_is_decoded_or_refused(bytes: Vec<u8>) {
+        let _ = peers::decode(&bytes);
+    }
+
+    /// A length that is stated and not sent is not allocated: a heartbeat of a hundred bytes never
+    /// decodes to more items than it has bytes.
+    #[test]
+    fn a_spoilt_heartbeat_takes_no_more_than_its_length(
+        changes in proptest::collection::vec((any::<usize>(), any::<u8>()), 0..6),
+        length in 0usize..200,
+    ) {
+        let bytes = spoilt(heartbeat(), &changes, length);
+
+        if let Ok(Message::Heartbeat(heartbeat)) = peers::decode(&bytes) {
+            prop_assert!(heartbeat.loads.len() + heartbeat.demands.len() <= bytes.len());
+            prop_assert!(heartbeat.entry.name.len() <= bytes.len());
+        }
+    }
+
+    #[test]
+    fn a_spoilt_view_is_decoded_or_refused(
+        changes in proptest::collection::vec((any::<usize>(), any::<u8>()), 0..6),
+        length in 0usize..300,
+    ) {
+        let bytes = spoilt(view(), &changes, length);
+
+        if let Ok(view) = postcard::from_bytes::<View>(&bytes) {
+            prop_assert!(view.replicas.len() + view.gateways.len() <= bytes.len());
+        }
+    }
+
+    /// Every value of a header that HTTP lets through; the others are read all the same.
+    #[test]
+    fn the_head_of_any_answer_is_read(
+        names in proptest::collection::vec("[a-z-]{1,20}", 0..5),
+        value in proptest::collection::vec(0x20u8..0x7f, 0..40),
+    ) {
+        let mut headers = HeaderMap::new();
+        headers.insert(own::ID, HeaderValue::from_static("call-1"));
+        let value = HeaderValue::from_bytes(&value).unwrap();
+        for name in names.iter().map(String::as_str).chain([own::LOAD]) {
+            let name = HeaderName::try_from(name).unwrap();
+            headers.entry(name).or_insert(value.clone());
+        }
+
+        let head = (own::dialect().head)(&headers);
+
+        prop_assert_eq!(head.id, Some(Bytes::from_static(b"call-1")));
+    }
+
+    #[test]
+    fn a_connection_never_rests_longer_than_its_replica_states(seconds: u64) {
+        let rest = channel::rest(Some(seconds));
+
+        prop_assert!(rest <= Span::secs(seconds));
+    }
+}
+
+/// A replica states an absurd time for which it keeps connections, and the gateway's process ends
+/// in an overflow, with every call that it holds.
+#[test]
+fn the_longest_time_that_can_be_stated_is_no_longer_than_the_usual() {
+    assert_eq!(channel::rest(Some(u64::MAX)), channel::rest(None));
+}
