Numbers of a replica or a peer that overflow, or are none, are not believed

Loads are added up in floating point, three quarters of a stated time are taken by dividing first, a notice that is no number counts as nothing, and a standing whose numbers can't be an engine's is left out, as if its keeper had not answered.

--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -170,7 +170,8 @@
         let homes = homes(need.parts, candidates);
         let at_home = need.engine.is_some_and(|u| own_shared(need.parts, &u) >= LONG_SHARED);
         let eligible = candidates.iter().filter(|(key, _)| !at_home || homes.contains(key));
-        let standing = |r: &Replica| need.standings.iter().find(|s| s.engine == r.digest());
+        let standing =
+            |r: &Replica| need.standings.iter().find(|s| s.engine == r.digest() && s.is_sound());
         let any = eligible.clone().any(|(_, r)| standing(r).is_some());
         let eligible = eligible.filter(|(_, r)| !any || standing(r).is_some());
         let scored = eligible.map(|(key, replica)| {
--- a/core/src/gateway/fleet/replica.rs
+++ b/core/src/gateway/fleet/replica.rs
@@ -159,7 +159,9 @@
     }
 
     pub(super) fn learn(&mut self, at: Time, running: u32, waiting: u32) {
-        let others = (f64::from(running + waiting) - f64::from(self.own)).max(0.0);
+        // Added up as integers, an absurd report would overflow.
+        let there = f64::from(running) + f64::from(waiting);
+        let others = (there - f64::from(self.own)).max(0.0);
         self.report = Some(Report { running, waiting: f64::from(waiting), others, at });
     }
 
--- a/core/src/gateway/ledger.rs
+++ b/core/src/gateway/ledger.rs
@@ -31,6 +31,12 @@
 const INTERVAL_FROM_MS: f64 = 15.0;
 const INTERVAL_TO_MS: f64 = 250.0;
 
+/// Longest time to read one prompt that is believed, in milliseconds: many times that of the longest
+/// prompts, which take under a second.
+const MOST_UNREAD_MS: f64 = 10_000.0;
+/// Largest number of a standing that is believed, in milliseconds: longer than any call lasts.
+const MOST_MS: f32 = 1e6;
+
 /// What happened to a call at an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Change {
@@ -66,6 +72,15 @@
     pub interval_ms: f32,
 }
 
+impl Standing {
+    /// Whether its numbers can be those of an engine. A single one that is no number would make
+    /// every comparison of costs false.
+    pub fn is_sound(&self) -> bool {
+        let possible = 0.0..=MOST_MS;
+        possible.contains(&self.unread_ms) && possible.contains(&self.interval_ms)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     at: Time,
@@ -102,7 +117,8 @@
         let engine = self.engine(now, notice.engine);
         match notice.change {
             Change::Sent(ms) => {
-                let entry = Entry { at: now, unread_ms: f64::from(ms).clamp(0.0, 10_000.0) };
+                let ms = if ms.is_nan() { 0.0 } else { f64::from(ms) };
+                let entry = Entry { at: now, unread_ms: ms.clamp(0.0, MOST_UNREAD_MS) };
                 engine.entries.insert(notice.call, entry);
             }
             Change::Read => {
--- a/gateway/src/channel.rs
+++ b/gateway/src/channel.rs
@@ -68,7 +68,7 @@
 
 /// How long a connection may rest whose replica closes it after `keep_alive` seconds, if stated.
 pub fn rest(keep_alive: Option<u64>) -> Span {
-    keep_alive.map_or(REST, |s| Span(Span::secs(s).0 * 3 / 4)).min(REST)
+    keep_alive.map_or(REST, |s| Span(Span::secs(s).0 / 4 * 3)).min(REST)
 }
 
 #[derive(Debug)]
