--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -13,6 +13,7 @@
 use crate::gateway::gossip::Sighting;
 use crate::gateway::ledger::Change;
 use crate::gateway::ledger::Notice;
+use crate::gateway::outage::Absence;
 use crate::incarnation::Digest;
 use crate::time::Span;
 use crate::time::Time;
@@ -145,11 +146,33 @@
         !std::mem::replace(&mut replica.closed, true)
     }
 
-    /// Number of replicas in use that are not among `listings`.
-    pub fn missing(&self, listings: &[Listing]) -> usize {
+    /// How many of the replicas in use are not among `listings`, against those that are. One whose
+    /// entry is unreadable is among them.
+    pub fn absence(&self, listings: &[Listing]) -> Absence {
         let listed: BTreeSet<&str> = listings.iter().map(|l| l.incarnation.id.as_str()).collect();
-        let open = self.replicas.iter().filter(|(_, r)| !r.closed);
-        open.filter(|(_, r)| !listed.contains(r.listing.incarnation.id.as_str())).count()
+        let mut services: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for listing in listings {
+            services.entry(self.service_of(listing)).or_default().0 += 1;
+        }
+        let mut newly = 0;
+        let in_use = self.replicas.iter().map(|(_, r)| r).filter(|r| !r.closed);
+        for replica in in_use.filter(|r| !listed.contains(r.listing.incarnation.id.as_str())) {
+            services.entry(&replica.listing.service).or_default().1 += 1;
+            newly += usize::from(!replica.kept);
+        }
+        Absence {
+            most_at_once: newly > listings.len(),
+            most_of_a_service: services.values().any(|(listed, missing)| missing > listed),
+        }
+    }
+
+    /// The service that an entry names, or that its replica was known for if it is unreadable.
+    fn service_of<'a>(&'a self, listing: &'a Listing) -> &'a str {
+        if !listing.is_unreadable() {
+            return &listing.service;
+        }
+        let known = self.by_id.get(&listing.incarnation.id).and_then(|key| self.replicas.get(*key));
+        known.map_or("", |replica| &replica.listing.service)
     }
 
     fn keep(&mut self, missing: &[(String, Key<Replica>)]) -> Vec<String> {
