--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -12,4 +12,5 @@
 mod restart;
 mod routes;
 mod stop;
+mod strays;
 mod support;
