--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -243,8 +243,8 @@
     }
 }
 
-/// Starts a gateway that has taken up what the store holds.
-pub async fn gateway(held: &Held) -> Running {
+/// A gateway that is not started yet.
+pub fn builder(held: &Held) -> Builder {
     let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
     let settings = Settings {
         entry: Entry {
@@ -259,8 +259,13 @@
         budget: budget::Rules { ratio: 5.0, extra: 0.0, window: Span::secs(10) },
         seed: 1,
     };
-    let builder = Builder::new(settings, own::dialect(), held_store(held), any, any);
-    let running = builder.learn_time(Duration::from_millis(200)).start().await.unwrap();
+    Builder::new(settings, own::dialect(), held_store(held), any, any)
+        .learn_time(Duration::from_millis(200))
+}
+
+/// Starts a gateway that has taken up what the store holds.
+pub async fn gateway(held: &Held) -> Running {
+    let running = builder(held).start().await.unwrap();
     while running.shared.gateway.borrow().version() == 0 {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
