A planned stop ends with the last connection, not with the last call

Cause: `Running::stop` counted calls, and a call is over when its answer is handed to its connection. The process ended while connections still held parts of answers that replicas had written whole; callers on slow links lost them.

Change: once callers had their time to learn of the stop, each connection is closed after the answer that is on its way, or after it has rested for 100 ms. A connection counts until its caller has closed it in turn, or gone on with a next call, which stays unread. The process ends with the last connection, or with the grace time as before. `stopped` tells the connections cut and the time taken.

Ruled out: closing the listener with the connections; calls that fit into what is left of the stop are better answered than sent away. Reading on after the close: a call that crosses it would have been read.

--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -263,6 +263,11 @@
         self.stop.is_some()
     }
 
+    /// Whether the gateway is leaving and all callers had the time to learn of it.
+    pub fn is_closing(&self, now: Time) -> bool {
+        self.stop.is_some_and(|stop| now > stop.learned)
+    }
+
     /// Whether callers may be sent here.
     pub fn is_open(&self, now: Time) -> bool {
         self.stop.is_none() && self.config.is_some() && self.freshness.is_current(now)
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -129,6 +129,7 @@
             questions: RefCell::default(),
             lease: Cell::new(None),
             connections: Cell::new(0),
+            connections_closing: Notify::new(),
             calls: Cell::new(0),
             rng: RefCell::new(SmallRng::seed_from_u64(self.settings.seed)),
             lines_waiting: Notify::new(),
@@ -203,7 +204,12 @@
 
 impl Running {
     /// Leaves: no new callers are sent here, those that come are served while they learn of it,
-    /// and every call that was taken is finished if the grace time allows.
+    /// and then their connections are closed, each after the answer that is on its way.
+    ///
+    /// The end is that of the last connection, and not of the last call: a call is over when its
+    /// answer is handed to its connection, and a process that ended then would cut off what a
+    /// caller on a slow link has yet to read. Whoever does not read is cut off at the end of the
+    /// grace time.
     pub async fn stop(self) {
         let shared = self.shared;
         let began = clock::now();
@@ -217,13 +223,19 @@
         loop {
             tokio::time::sleep(LOOK).await;
             let past = clock::duration(clock::now().since(began));
-            let idle = shared.calls.get() == 0;
-            let done = idle && (shared.connections.get() == 0 || past > self.learn_time);
-            if (done && past > self.learn_time / 2) || past + RESERVE > self.grace {
+            if past > self.learn_time {
+                shared.connections_closing.notify_waiters();
+            }
+            let done = shared.connections.get() == 0 && past > self.learn_time / 2;
+            if done || past + RESERVE > self.grace {
                 break;
             }
         }
-        shared.log(Line::new("stopped").with("calls", shared.calls.get()));
+        let line = Line::new("stopped")
+            .with("calls", shared.calls.get())
+            .with("connections", shared.connections.get())
+            .with("took_ms", clock::now().since(began).as_millis());
+        shared.log(line);
         shared.lines.flush();
     }
 }
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -35,6 +36,9 @@
 /// How long a connection may rest beyond the limit, so that a caller's last call never crosses
 /// the close.
 const IDLE_SLACK: Span = Span::secs(1);
+/// In a stop, how long a connection may rest before it is closed: a caller that has just connected
+/// sends its call within a round trip between failure domains, which takes a few milliseconds.
+const CLOSING_REST: Span = Span::millis(100);
 /// Pause after an error of `accept`, which comes at once again when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -99,27 +103,43 @@
     let limits = shared.gateway.borrow().config().map_or_else(Limits::default, |c| c.limits);
     let mut builder = http1::Builder::new();
     builder.max_buf_size(limits.head.max(16_384) + 8_192).auto_date_header(false);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    loop {
+    let mut connection = builder.serve_connection(TokioIo::new(stream), service);
+    let served = loop {
         tokio::select! {
-            // A caller that left shows as an error; its calls have been dropped and logged.
-            _ = connection.as_mut() => break,
-            () = tokio::time::sleep(rest(&shared, &activity)) => {
-                if rest(&shared, &activity).is_zero() {
-                    connection.as_mut().graceful_shutdown();
-                    activity.last.set(clock::now());
-                }
-            }
+            served = &mut connection => break served,
+            () = shared.connections_closing.notified() => {}
+            () = tokio::time::sleep(rest(&shared, &activity)) => {}
         }
+        if rest(&shared, &activity).is_zero() {
+            Pin::new(&mut connection).graceful_shutdown();
+            activity.last.set(clock::now());
+        }
+    };
+    // A caller that left shows as an error; its calls have been dropped and logged.
+    if served.is_ok() && shared.gateway.borrow().is_stopping() {
+        taken(&connection.into_parts().io.into_inner()).await;
     }
     shared.connections.set(shared.connections.get() - 1);
 }
 
+/// Waits until the caller has what was written to it.
+///
+/// What the system holds for a caller is lost where the host's network ends with the process.
+/// A caller that closes the connection in turn, or sends its next call, has read all before it.
+/// Nothing is taken out: a call that crosses the close stays unread, and so has not run.
+async fn taken(stream: &TcpStream) {
+    // An error means that the caller is gone.
+    let _ = stream.peek(&mut [0; 1]).await;
+}
+
 /// Time until the connection has rested for too long.
 fn rest(shared: &Shared, activity: &Activity) -> Duration {
-    let limits = shared.gateway.borrow().config().map_or_else(Limits::default, |c| c.limits);
-    let allowed = limits.idle_time + IDLE_SLACK;
+    let gateway = shared.gateway.borrow();
+    let limits = gateway.config().map_or_else(Limits::default, |c| c.limits);
+    let allowed = match gateway.is_closing(clock::now()) {
+        true => CLOSING_REST,
+        false => limits.idle_time + IDLE_SLACK,
+    };
     if activity.calls.get() > 0 {
         return clock::duration(allowed);
     }
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -40,6 +40,8 @@
     pub lease: Cell<Option<u64>>,
     /// Open connections of callers.
     pub connections: Cell<usize>,
+    /// Wakes the connections of callers when they are to be closed.
+    pub connections_closing: Notify,
     /// Calls in progress.
     pub calls: Cell<usize>,
     /// Lines on their way out.
--- a/gateway/tests/stops.rs
+++ b/gateway/tests/stops.rs
@@ -8,10 +8,12 @@
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::mpsc;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use laburnumwheel_core::time::Span;
 use socket2::Domain;
 use socket2::Socket;
 use socket2::Type;
@@ -19,6 +21,7 @@
 
 use crate::support::Act;
 use crate::support::END;
+use crate::support::Held;
 use crate::support::KEY;
 use crate::support::Replica;
 use crate::support::builder;
@@ -55,8 +58,7 @@
         let thread = std::thread::spawn(move || {
             run(async move {
                 let replica = Replica::start(script).await;
-                let held = Rc::new(RefCell::new(Some(view(&[&replica]))));
-                let running = builder(&held).grace(grace).start().await.unwrap();
+                let running = builder(&patient(&replica)).grace(grace).start().await.unwrap();
                 while running.shared.gateway.borrow().version() == 0 {
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
@@ -94,6 +96,15 @@
     }
 }
 
+/// A store of which the gateway learns to keep resting connections for an hour.
+fn patient(replica: &Replica) -> Held {
+    let mut seen = view(&[replica]);
+    let mut config = seen.config.as_deref().cloned().unwrap();
+    config.limits.idle_time = Span::secs(3_600);
+    seen.config = Some(Arc::new(config));
+    Rc::new(RefCell::new(Some(seen)))
+}
+
 /// A caller's connection with small buffers.
 fn connect(address: SocketAddr) -> TcpStream {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
@@ -189,9 +200,10 @@
     stopping.end();
 }
 
-/// One caller has stopped reading. It gets no more than the grace time, so that the host can go.
+/// One caller takes its answer a few bytes at a time. It gets no more than the grace time, so that
+/// the host can go.
 #[test]
-fn a_caller_that_never_reads_does_not_hold_a_stop_for_ever() {
+fn a_caller_that_hardly_reads_does_not_hold_a_stop_for_ever() {
     let body = "r".repeat(LONG);
     let grace = Duration::from_millis(2_500);
     let process = Process::start(vec![Act::Write(whole("200 OK", &body))], grace);
@@ -199,7 +211,15 @@
     ask(&mut caller, "/once/x");
     begins(&mut caller);
 
-    process.stop().end();
+    let stopping = process.stop();
+    let mut more = true;
+    while more && !stopping.has_ended() {
+        more = caller.read(&mut [0; 4_096]).is_ok_and(|n| n > 0);
+        std::thread::sleep(PAUSE / 20);
+    }
+
+    assert!(more);
+    stopping.end();
 }
 
 /// Callers keep connections open for their next call. They see them closed once they had the time
@@ -252,7 +272,7 @@
         begins(&mut caller);
 
         let stopping = process.stop();
-        // Connections are closed 200 to 400 ms after the signal.
+        // Connections are closed 200 to 400 ms after the signal; the call comes around then.
         std::thread::sleep(Duration::from_millis(180 + 30 * delay));
         let asked = caller.write_all(head("/once/x", 0).as_bytes());
         let mut answer = Vec::new();
@@ -264,6 +284,46 @@
     }
 }
 
+/// A replica breaks off a draft that may not be repeated. Also in a stop its caller sees that at
+/// once, and does not wait for the process to end.
+#[test]
+fn a_stream_that_breaks_off_in_a_stop_is_closed_at_once() {
+    let script = vec![Act::WriteAndCloseLater(events(1, 2), 2 * PAUSE)];
+    let process = Process::start(script, NO_END);
+    let mut caller = connect(process.address);
+    ask(&mut caller, "/once-stream/x");
+    let mut answer = begins(&mut caller);
+
+    let stopping = process.stop();
+    caller.read_to_end(&mut answer).unwrap();
+
+    assert!(!answer.ends_with(END.as_bytes()));
+    stopping.end();
+}
+
+/// A caller that could not learn of the stop comes while the process still waits for another.
+#[test]
+fn a_caller_that_comes_late_in_a_stop_is_answered_once() {
+    let script = vec![Act::Silent, Act::Write(whole("200 OK", "answer"))];
+    let process = Process::start(script, NO_END);
+    let mut long = connect(process.address);
+    ask(&mut long, "/once/x");
+    let address = process.address;
+    std::thread::sleep(PAUSE / 10);
+
+    let stopping = process.stop();
+    std::thread::sleep(PAUSE);
+    let mut caller = connect(address);
+    ask(&mut caller, "/once/x");
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).unwrap();
+
+    assert!(answer.ends_with("answer"));
+    assert!(!stopping.has_ended());
+    drop((caller, long));
+    assert_eq!(stopping.end(), 2);
+}
+
 /// A gateway is told to stop in an outage of the store, before it ever knew a configuration.
 #[test]
 fn a_gateway_without_a_configuration_stops() {
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -65,6 +65,8 @@
     Write(String),
     /// Writes them and closes.
     WriteAndClose(String),
+    /// Writes them and closes after some time.
+    WriteAndCloseLater(String, Duration),
     /// Reads on and never answers.
     Silent,
 }
@@ -111,6 +113,11 @@
                     let _ = stream.write_all(text.replace("ID", &id).as_bytes()).await;
                     return;
                 }
+                Act::WriteAndCloseLater(text, later) => {
+                    let _ = stream.write_all(text.replace("ID", &id).as_bytes()).await;
+                    tokio::time::sleep(later).await;
+                    return;
+                }
                 Act::Silent => {
                     // Ends when the gateway closes the connection.
                     let _ = stream.read(&mut [0; 16]).await;
