Failing tests: calls that begin too late in a stop

A call is admitted by its head. If its body comes late, or its first replica refuses it late, it is sent to a replica that can't finish with it before the process ends, although nothing of it has run and its caller could be told so. Two tests of gateway/tests/stops.rs fail.

The rule of admission becomes `Gateway::may_begin`, so that a test of the core can name it; what admission does is the same. Calls that a replica may have run go on as before: one that ends is worth no less than one that is cut off.

--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -316,11 +316,7 @@
     /// The refusal to answer with.
     pub fn admit(&mut self, now: Time, ask: &Ask) -> Result<Grant, Refusal> {
         let grant = self.resolve(now, now, ask)?;
-        // Whoever comes this late could have known of the stop; a call that may outlast the
-        // process would be cut in the middle of its answer, so it is better off elsewhere.
-        if self.stop.is_some_and(|stop| now > stop.learned && grant.deadline > stop.end) {
-            return Err(Refusal::not_run(Reason::Stopping, ELSEWHERE));
-        }
+        self.may_begin(now, &grant)?;
         let rules = self.settings.budget;
         let began = self.began;
         let budget = self.budgets.entry(grant.service.clone());
@@ -328,6 +324,21 @@
         Ok(grant)
     }
 
+    /// Looks whether a call of which nothing has run may still be sent to a replica.
+    ///
+    /// Once all callers had the time to learn of a stop, a call that may outlast the process would
+    /// be cut in the middle of its answer. While nothing of it has run, it is better off elsewhere.
+    ///
+    /// # Errors
+    ///
+    /// The refusal to answer with.
+    pub fn may_begin(&self, now: Time, grant: &Grant) -> Result<(), Refusal> {
+        if self.stop.is_some_and(|stop| now > stop.learned && grant.deadline > stop.end) {
+            return Err(Refusal::not_run(Reason::Stopping, ELSEWHERE));
+        }
+        Ok(())
+    }
+
     fn resolve(&self, now: Time, arrived: Time, ask: &Ask) -> Result<Grant, Refusal> {
         let Some(config) = &self.config else {
             return Err(Refusal::not_run(Reason::NoConfiguration, ELSEWHERE));
--- a/core/tests/gateway/stop.rs
+++ b/core/tests/gateway/stop.rs
@@ -1,5 +1,6 @@
 //! A planned stop: what a gateway that leaves still takes.
 
+use laburnumwheel_core::gateway::ask::Ask;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::time::Span;
 
@@ -45,3 +46,21 @@
 
     assert!(grant.is_ok());
 }
+
+/// A chat came early in a stop, and its body late, or its first replica refused it late. Sent on
+/// now it would be cut off with the process.
+#[test]
+fn a_long_call_that_was_admitted_early_does_not_begin_late_in_a_stop() {
+    let mut gateway = gateway(2);
+    gateway.stop(START, LEARNED, GRACE);
+    let chat = Ask { patience: Some(Span::secs(15)), ..ask("chat", &[(1, 500)]) };
+    let grant = gateway.admit(START + Span::millis(2_600), &chat).unwrap();
+
+    let soon = gateway.may_begin(START + LEARNED, &grant);
+    let late = gateway.may_begin(START + Span::millis(5_000), &grant);
+
+    assert!(soon.is_ok());
+    let refusal = late.unwrap_err();
+    assert_eq!(refusal.reason, Reason::Stopping);
+    assert!(refusal.not_run);
+}
--- a/gateway/tests/stops.rs
+++ b/gateway/tests/stops.rs
@@ -27,6 +27,7 @@
 use crate::support::builder;
 use crate::support::chunk;
 use crate::support::events;
+use crate::support::not_run;
 use crate::support::run;
 use crate::support::view;
 use crate::support::whole;
@@ -96,9 +97,10 @@
     }
 }
 
-/// A store of which the gateway learns to keep resting connections for an hour.
+/// A store of which the gateway learns to keep resting connections for an hour. The replica is
+/// listed twice, so that a refused call finds another.
 fn patient(replica: &Replica) -> Held {
-    let mut seen = view(&[replica]);
+    let mut seen = view(&[replica, replica]);
     let mut config = seen.config.as_deref().cloned().unwrap();
     config.limits.idle_time = Span::secs(3_600);
     seen.config = Some(Arc::new(config));
@@ -261,6 +263,47 @@
     stopping.end();
 }
 
+/// The same, but the call may outlast the process: passed on now, its answer would be cut off. It
+/// was admitted by its head, when that could not be known, and nothing of it has run.
+#[test]
+fn a_call_whose_body_comes_too_late_in_a_stop_is_sent_elsewhere() {
+    let grace = Duration::from_millis(2_500);
+    let process = Process::start(vec![Act::Write(whole("200 OK", "answer"))], grace);
+    let mut caller = connect(process.address);
+    caller.write_all((head("/once/x", 8) + "half").as_bytes()).unwrap();
+    std::thread::sleep(PAUSE / 10);
+
+    let stopping = process.stop();
+    std::thread::sleep(PAUSE);
+    caller.write_all(b"rest").unwrap();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).unwrap();
+
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.contains("retry-after: "));
+    drop(caller);
+    assert_eq!(stopping.end(), 0);
+}
+
+/// A replica was slow to say that it is full. A further one would only begin with the call, and be
+/// cut off with it; that the call has not run is still true.
+#[test]
+fn a_call_that_is_refused_late_in_a_stop_is_sent_elsewhere() {
+    let script = vec![Act::WriteLater(not_run(), PAUSE), Act::Write(whole("200 OK", "answer"))];
+    let process = Process::start(script, Duration::from_millis(2_500));
+    let mut caller = connect(process.address);
+    ask(&mut caller, "/once/x");
+    std::thread::sleep(PAUSE / 10);
+
+    let stopping = process.stop();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).unwrap();
+
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    drop(caller);
+    assert_eq!(stopping.end(), 1);
+}
+
 /// A caller goes on with a kept connection until it sees it closed. Its last call may cross the
 /// close; then it was not passed on, and can be sent elsewhere without running twice.
 #[test]
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -65,6 +65,8 @@
     Write(String),
     /// Writes them and closes.
     WriteAndClose(String),
+    /// Writes them after some time.
+    WriteLater(String, Duration),
     /// Writes them and closes after some time.
     WriteAndCloseLater(String, Duration),
     /// Reads on and never answers.
@@ -113,6 +115,10 @@
                     let _ = stream.write_all(text.replace("ID", &id).as_bytes()).await;
                     return;
                 }
+                Act::WriteLater(text, later) => {
+                    tokio::time::sleep(later).await;
+                    let _ = stream.write_all(text.replace("ID", &id).as_bytes()).await;
+                }
                 Act::WriteAndCloseLater(text, later) => {
                     let _ = stream.write_all(text.replace("ID", &id).as_bytes()).await;
                     tokio::time::sleep(later).await;
