A call of which nothing has run does not begin late in a stop

Cause: whether a call may outlast the process was asked only when its head came. A body that came late, or a replica that refused late, led to an attempt that the end of the process cut off.

Change: it is asked again before each attempt, as long as no replica may have run the call; its caller hears that it has not run.

Measured: the two tests that failed pass, gateway/tests/stops.rs is 12 of 12; without the new check these two fail, as committed before.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -206,6 +206,9 @@
     /// Why there is no answer to read on.
     pub async fn attempt(&mut self, last_event: Option<&Bytes>) -> Result<Begun, Failure> {
         let now = clock::now();
+        if !self.touched {
+            self.shared.gateway.borrow().may_begin(now, &self.grant).map_err(Failure::Denied)?;
+        }
         let inquiries = self.shared.gateway.borrow_mut().inquiries(now, &self.ask, &self.grant);
         let standings = peers::standings(&self.shared, inquiries).await;
         let mut pick = self.pick(&standings).map_err(Failure::Denied)?;
