Failing test: a call that outlasts a planned stop is cut without an answer

At the end of the grace time the process ends under calls whose replica is still at work. Their callers see a connection that closes. One test of gateway/tests/stops.rs fails.

--- a/gateway/tests/stops.rs
+++ b/gateway/tests/stops.rs
@@ -224,6 +224,27 @@
     stopping.end();
 }
 
+/// A replica is still at work when the grace time is over. Its caller hears that the call may have
+/// run; a connection that just closes would not even tell that the call had arrived.
+#[test]
+fn a_call_that_outlasts_a_stop_is_answered() {
+    for path in ["/once/x", "/once-stream/x"] {
+        let process = Process::start(vec![Act::Silent], Duration::from_millis(2_500));
+        let mut caller = connect(process.address);
+        ask(&mut caller, path);
+        std::thread::sleep(PAUSE / 10);
+
+        let stopping = process.stop();
+        let mut answer = String::new();
+        let read = caller.read_to_string(&mut answer);
+
+        assert!(read.is_ok());
+        assert!(answer.starts_with("HTTP/1.1 502 "), "{answer}");
+        drop(caller);
+        assert_eq!(stopping.end(), 1);
+    }
+}
+
 /// Callers keep connections open for their next call. They see them closed once they had the time
 /// to learn of the stop, and the process does not wait for its grace time to be over.
 #[test]
