--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -1,10 +1,10 @@
 //! Replicas of all services: who is there, how loaded, and which one gets a call.
 
 mod choice;
+mod list;
 mod replica;
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use crate::arena::Arena;
 use crate::arena::Key;
@@ -13,7 +13,6 @@
 use crate::gateway::gossip::Sighting;
 use crate::gateway::ledger::Change;
 use crate::gateway::ledger::Notice;
-use crate::gateway::outage::Absence;
 use crate::incarnation::Digest;
 use crate::time::Span;
 use crate::time::Time;
@@ -21,6 +20,7 @@
 pub use self::choice::Claim;
 pub use self::choice::Need;
 pub use self::choice::Use;
+pub use self::list::Changes;
 use self::replica::FIRST_REST;
 pub use self::replica::Listing;
 pub use self::replica::Load;
@@ -33,19 +33,6 @@
 /// Weight of the newest first event in a replica's slowness.
 const SLOWNESS_WEIGHT: f64 = 0.15;
 
-/// What a list changed, by identity of the replica.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Changes {
-    /// Listed for the first time.
-    pub came: Vec<String>,
-    /// Another life is there than before.
-    pub replaced: Vec<String>,
-    /// Gets nothing new from now on.
-    pub closed: Vec<String>,
-    /// Not listed, and used all the same, as its lease may have lapsed in an outage of the store.
-    pub kept: Vec<String>,
-}
-
 /// All replicas.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -59,171 +46,9 @@
 }
 
 impl Fleet {
-    /// Takes the list of replicas in; returns what changed by it.
-    ///
-    /// With `keep_missing`, entries that are not listed stay as they are: after an outage of the
-    /// store entries are missing for a moment although their replicas live, and going by the list
-    /// alone would empty the fleet.
-    pub fn update(&mut self, now: Time, listings: Vec<Listing>, keep_missing: bool) -> Changes {
-        let mut came = Vec::new();
-        let mut replaced = Vec::new();
-        let mut closed = Vec::new();
-        let mut listed: BTreeMap<String, Key<Replica>> = BTreeMap::new();
-        for listing in listings {
-            let id = listing.incarnation.id.clone();
-            let known = self.by_id.get(&id).copied();
-            if listing.is_unreadable() {
-                // Nobody can say what has become of a replica whose entry is spoilt, so it gets
-                // nothing new; what was learnt of it is kept for its next readable entry.
-                if let Some(key) = known {
-                    closed.extend(self.close(key).then(|| id.clone()));
-                    listed.insert(id, key);
-                }
-                continue;
-            }
-            let key = match known {
-                Some(key) if self.is_same_life(key, &listing) => key,
-                Some(key) => {
-                    // Late events of the former life find nothing under its key.
-                    self.forget(&id, key);
-                    replaced.push(id.clone());
-                    self.insert(now, listing.clone())
-                }
-                None => {
-                    came.push(id.clone());
-                    self.insert(now, listing.clone())
-                }
-            };
-            if let Some(replica) = self.replicas.get_mut(key) {
-                if listing.leaving && !replica.closed {
-                    closed.push(id.clone());
-                }
-                // An entry that left and is listed again lives: its lease had lapsed.
-                replica.closed = listing.leaving;
-                replica.kept = false;
-                replica.listing = listing;
-            }
-            listed.insert(id, key);
-        }
-        let missing: Vec<(String, Key<Replica>)> = self
-            .by_id
-            .iter()
-            .filter(|(id, _)| !listed.contains_key(*id))
-            .map(|(i, k)| (i.clone(), *k))
-            .collect();
-        if keep_missing {
-            let kept = self.keep(&missing);
-            return Changes { came, replaced, closed, kept };
-        }
-        for (id, key) in missing {
-            closed.extend(self.close(key).then(|| id.clone()));
-            if self.replicas.get(key).is_some_and(|r| r.own == 0) {
-                self.forget(&id, key);
-            }
-        }
-        Changes { came, replaced, closed, kept: Vec::new() }
-    }
-
-    /// Whether an entry is of the life that is known.
-    ///
-    /// Only equality counts, not which start is the greater: the list is the newest, and a clock
-    /// that was set back would pin the dead life.
-    fn is_same_life(&self, key: Key<Replica>, listing: &Listing) -> bool {
-        self.replicas.get(key).is_some_and(|replica| {
-            let known = &replica.listing;
-            known.incarnation == listing.incarnation
-                && known.service == listing.service
-                && known.address == listing.address
-        })
-    }
-
-    /// Closes a replica; `false` if it was closed or is unknown.
-    fn close(&mut self, key: Key<Replica>) -> bool {
-        let Some(replica) = self.replicas.get_mut(key) else {
-            return false;
-        };
-        replica.kept = false;
-        !std::mem::replace(&mut replica.closed, true)
-    }
-
-    /// How many of the replicas in use are not among `listings`, against those that are. One whose
-    /// entry is unreadable is among them.
-    pub fn absence(&self, listings: &[Listing]) -> Absence {
-        let listed: BTreeSet<&str> = listings.iter().map(|l| l.incarnation.id.as_str()).collect();
-        let mut services: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
-        for listing in listings {
-            services.entry(self.service_of(listing)).or_default().0 += 1;
-        }
-        let mut newly = 0;
-        let in_use = self.replicas.iter().map(|(_, r)| r).filter(|r| !r.closed);
-        for replica in in_use.filter(|r| !listed.contains(r.listing.incarnation.id.as_str())) {
-            services.entry(&replica.listing.service).or_default().1 += 1;
-            newly += usize::from(!replica.kept);
-        }
-        Absence {
-            most_at_once: newly > listings.len(),
-            most_of_a_service: services.values().any(|(listed, missing)| missing > listed),
-        }
-    }
-
-    /// The service that an entry names, or that its replica was known for if it is unreadable.
-    fn service_of<'a>(&'a self, listing: &'a Listing) -> &'a str {
-        if !listing.is_unreadable() {
-            return &listing.service;
-        }
-        let known = self.by_id.get(&listing.incarnation.id).and_then(|key| self.replicas.get(*key));
-        known.map_or("", |replica| &replica.listing.service)
-    }
-
-    fn keep(&mut self, missing: &[(String, Key<Replica>)]) -> Vec<String> {
-        let mut kept = Vec::new();
-        for (id, key) in missing {
-            if let Some(replica) = self.replicas.get_mut(*key)
-                && !replica.closed
-            {
-                replica.kept = true;
-                kept.push(id.clone());
-            }
-        }
-        kept
-    }
-
-    /// Closes the replicas that were kept although their entries are missing; returns their ids.
-    pub fn close_kept(&mut self) -> Vec<String> {
-        let mut closed = Vec::new();
-        for (id, key) in &self.by_id {
-            if let Some(replica) = self.replicas.get_mut(*key)
-                && replica.kept
-            {
-                replica.kept = false;
-                replica.closed = true;
-                closed.push(id.clone());
-            }
-        }
-        closed
-    }
-
-    fn insert(&mut self, now: Time, listing: Listing) -> Key<Replica> {
-        let id = listing.incarnation.id.clone();
-        let service = listing.service.clone();
-        let key = self.replicas.insert(Replica::new(listing, now));
-        self.by_id.insert(id, key);
-        if let Some(replica) = self.replicas.get(key) {
-            self.by_digest.insert(replica.digest(), key);
-        }
-        self.by_service.entry(service).or_default().push(key);
-        key
-    }
-
-    fn forget(&mut self, id: &str, key: Key<Replica>) {
-        self.by_id.remove(id);
-        let Some(replica) = self.replicas.remove(key) else {
-            return;
-        };
-        self.by_digest.remove(&replica.digest());
-        if let Some(keys) = self.by_service.get_mut(&replica.listing.service) {
-            keys.retain(|k| *k != key);
-        }
+    /// A replica.
+    pub fn get(&self, key: Key<Replica>) -> Option<&Replica> {
+        self.replicas.get(key)
     }
 
     /// Whether a run is listed.
@@ -231,11 +56,6 @@
         self.by_digest.contains_key(&run)
     }
 
-    /// A replica.
-    pub fn get(&self, key: Key<Replica>) -> Option<&Replica> {
-        self.replicas.get(key)
-    }
-
     /// All replicas.
     pub fn iter(&self) -> impl Iterator<Item = &Replica> {
         self.replicas.iter().map(|(_, r)| r)
