--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -256,7 +256,7 @@
     }
 
     /// Begins to leave: no new callers are sent here. All callers know of it after `learned`, and
-    /// the process ends after `grace`.
+    /// calls end after `grace`.
     pub fn stop(&mut self, now: Time, learned: Span, grace: Span) {
         self.stop = Some(Stop { learned: now + learned, end: now + grace });
     }
@@ -266,6 +266,16 @@
         self.stop.is_some()
     }
 
+    /// Whether the gateway is leaving and all callers had the time to learn of it.
+    pub fn is_closing(&self, now: Time) -> bool {
+        self.stop.is_some_and(|stop| now > stop.learned)
+    }
+
+    /// Whether the gateway is leaving and calls that have no answer yet are to get one now.
+    pub fn is_ending(&self, now: Time) -> bool {
+        self.stop.is_some_and(|stop| now >= stop.end)
+    }
+
     /// Whether callers may be sent here.
     pub fn is_open(&self, now: Time) -> bool {
         self.stop.is_none() && self.config.is_some() && self.freshness.is_current(now)
@@ -314,11 +324,7 @@
     /// The refusal to answer with.
     pub fn admit(&mut self, now: Time, ask: &Ask) -> Result<Grant, Refusal> {
         let grant = self.resolve(now, now, ask)?;
-        // Whoever comes this late could have known of the stop; a call that may outlast the
-        // process would be cut in the middle of its answer, so it is better off elsewhere.
-        if self.stop.is_some_and(|stop| now > stop.learned && grant.deadline > stop.end) {
-            return Err(Refusal::not_run(Reason::Stopping, ELSEWHERE));
-        }
+        self.may_begin(now, &grant)?;
         let rules = self.settings.budget;
         let began = self.began;
         let budget = self.budgets.entry(grant.service.clone());
@@ -326,6 +332,21 @@
         Ok(grant)
     }
 
+    /// Looks whether a call of which nothing has run may still be sent to a replica.
+    ///
+    /// Once all callers had the time to learn of a stop, a call that may outlast the process would
+    /// be cut in the middle of its answer. While nothing of it has run, it is better off elsewhere.
+    ///
+    /// # Errors
+    ///
+    /// The refusal to answer with.
+    pub fn may_begin(&self, now: Time, grant: &Grant) -> Result<(), Refusal> {
+        if self.stop.is_some_and(|stop| now > stop.learned && grant.deadline > stop.end) {
+            return Err(Refusal::not_run(Reason::Stopping, ELSEWHERE));
+        }
+        Ok(())
+    }
+
     fn resolve(&self, now: Time, arrived: Time, ask: &Ask) -> Result<Grant, Refusal> {
         let Some(config) = &self.config else {
             return Err(Refusal::not_run(Reason::NoConfiguration, ELSEWHERE));
--- a/gateway/tests/decoders.rs
+++ b/gateway/tests/decoders.rs
@@ -4,11 +4,17 @@
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use laburnumwheel_core::gateway::delta::Delta;
 use laburnumwheel_core::gateway::directory::Entry;
 use laburnumwheel_core::gateway::directory::Heartbeat;
+use laburnumwheel_core::gateway::fleet::Listing;
 use laburnumwheel_core::gateway::gossip::Demand;
 use laburnumwheel_core::gateway::gossip::Sighting;
+use laburnumwheel_core::gateway::view::Base;
+use laburnumwheel_core::gateway::view::Known;
+use laburnumwheel_core::gateway::view::View;
 use laburnumwheel_core::incarnation::Digest;
+use laburnumwheel_core::incarnation::Incarnation;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_gateway::channel;
 use laburnumwheel_gateway::dialect::own;
@@ -43,6 +49,20 @@
     postcard::to_stdvec(&Message::Heartbeat(Box::new(heartbeat))).unwrap()
 }
 
+fn view() -> Vec<u8> {
+    let listing = |id: &str| Listing {
+        incarnation: Incarnation::of(id, 1_764_700_000_000),
+        service: "s".to_owned(),
+        address: "10.0.0.3:1".to_owned(),
+        domain: "mixco".to_owned(),
+        slots: 6,
+        leaving: false,
+    };
+    let replicas = ["i-1", "i-2", "i-3"].map(listing).to_vec();
+    let view = View { config: None, replicas, gateways: vec![entry()] };
+    Delta::between(Base::default(), &Known::new(view, None)).encode().unwrap()
+}
+
 /// Bytes with some of them changed, and cut.
 fn spoilt(mut bytes: Vec<u8>, changes: &[(usize, u8)], length: usize) -> Vec<u8> {
     for (at, byte) in changes {
@@ -74,6 +94,18 @@
         }
     }
 
+    #[test]
+    fn a_spoilt_view_is_decoded_or_refused(
+        changes in proptest::collection::vec((any::<usize>(), any::<u8>()), 0..6),
+        length in 0usize..300,
+    ) {
+        let bytes = spoilt(view(), &changes, length);
+
+        if let Ok(known) = Delta::decode(&bytes).and_then(|delta| delta.apply(None)) {
+            prop_assert!(known.view.replicas.len() + known.view.gateways.len() <= bytes.len());
+        }
+    }
+
     /// Every value of a header that HTTP lets through; the others are read all the same.
     #[test]
     fn the_head_of_any_answer_is_read(
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -43,6 +43,8 @@
 use tokio::net::TcpStream;
 
 pub const KEY: &str = "secret-key";
+/// Time for callers to learn of a stop, short so that tests are.
+const LEARN_TIME: Duration = Duration::from_millis(200);
 
 /// What a replica was sent.
 #[derive(Clone, Debug, Default)]
@@ -69,6 +71,10 @@
     Write(String),
     /// Writes them and closes.
     WriteAndClose(String),
+    /// Writes them after some time.
+    WriteLater(String, Duration),
+    /// Writes them and closes after some time.
+    WriteAndCloseLater(String, Duration),
     /// Reads on and never answers.
     Silent,
 }
@@ -115,6 +121,15 @@
                     let _ = stream.write_all(text.replace("ID", &id).as_bytes()).await;
                     return;
                 }
+                Act::WriteLater(text, later) => {
+                    tokio::time::sleep(later).await;
+                    let _ = stream.write_all(text.replace("ID", &id).as_bytes()).await;
+                }
+                Act::WriteAndCloseLater(text, later) => {
+                    let _ = stream.write_all(text.replace("ID", &id).as_bytes()).await;
+                    tokio::time::sleep(later).await;
+                    return;
+                }
                 Act::Silent => {
                     // Ends when the gateway closes the connection.
                     let _ = stream.read(&mut [0; 16]).await;
@@ -282,15 +297,25 @@
 async fn started(settings: Settings, store: Store, peers: SocketAddr) -> Running {
     let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
     let builder = Builder::new(settings, own::dialect(), store, any, peers);
-    let running = builder.learn_time(Duration::from_millis(200)).start().await.unwrap();
+    taken_up(builder.learn_time(LEARN_TIME)).await
+}
+
+async fn taken_up(builder: Builder) -> Running {
+    let running = builder.start().await.unwrap();
     until("a configuration", || running.shared.gateway.borrow().version() > 0).await;
     running
 }
 
+/// A gateway that is not started yet.
+pub fn builder(held: &Held) -> Builder {
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    Builder::new(settings("one", any), own::dialect(), held_store(held), any, any)
+        .learn_time(LEARN_TIME)
+}
+
 /// Starts a gateway that has taken up what the store holds.
 pub async fn gateway(held: &Held) -> Running {
-    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-    started(settings("one", any), held_store(held), any).await
+    taken_up(builder(held)).await
 }
 
 /// Starts gateways that know one another through the store.
