--- a/core/src/gateway/ledger.rs
+++ b/core/src/gateway/ledger.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::incarnation::Digest;
 use crate::time::Span;
 use crate::time::Time;
 
@@ -30,6 +31,12 @@
 const INTERVAL_FROM_MS: f64 = 15.0;
 const INTERVAL_TO_MS: f64 = 250.0;
 
+/// Longest time to read one prompt that is believed, in milliseconds: many times that of the longest
+/// prompts, which take under a second.
+const MOST_UNREAD_MS: f64 = 10_000.0;
+/// Largest number of a standing that is believed, in milliseconds: longer than any call lasts.
+const MOST_MS: f32 = 1e6;
+
 /// What happened to a call at an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Change {
@@ -44,8 +51,8 @@
 /// One change, as it is told to the engine's keeper.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Notice {
-    /// Short hash of the engine's identity.
-    pub engine: u32,
+    /// Run of the engine.
+    pub engine: Digest,
     /// The call: its gateway's short hash in the upper half, and a number of that gateway's.
     pub call: u64,
     /// What happened.
@@ -55,8 +62,8 @@
 /// What a keeper knows of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Standing {
-    /// Short hash of the engine's identity.
-    pub engine: u32,
+    /// Run of the engine.
+    pub engine: Digest,
     /// Calls there, running and waiting.
     pub calls: u16,
     /// Time to read all prompts there that are not read yet, in milliseconds.
@@ -65,6 +72,15 @@
     pub interval_ms: f32,
 }
 
+impl Standing {
+    /// Whether its numbers can be those of an engine. A single one that is no number would make
+    /// every comparison of costs false.
+    pub fn is_sound(&self) -> bool {
+        let possible = 0.0..=MOST_MS;
+        possible.contains(&self.unread_ms) && possible.contains(&self.interval_ms)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     at: Time,
@@ -83,11 +99,11 @@
 /// All engines that this gateway keeps, or has kept lately.
 #[derive(Debug, Default)]
 pub struct Ledger {
-    engines: BTreeMap<u32, Engine>,
+    engines: BTreeMap<Digest, Engine>,
 }
 
 impl Ledger {
-    fn engine(&mut self, now: Time, engine: u32) -> &mut Engine {
+    fn engine(&mut self, now: Time, engine: Digest) -> &mut Engine {
         self.engines.entry(engine).or_insert_with(|| Engine {
             since: now,
             entries: BTreeMap::new(),
@@ -101,7 +117,8 @@
         let engine = self.engine(now, notice.engine);
         match notice.change {
             Change::Sent(ms) => {
-                let entry = Entry { at: now, unread_ms: f64::from(ms).clamp(0.0, 10_000.0) };
+                let ms = if ms.is_nan() { 0.0 } else { f64::from(ms) };
+                let entry = Entry { at: now, unread_ms: ms.clamp(0.0, MOST_UNREAD_MS) };
                 engine.entries.insert(notice.call, entry);
             }
             Change::Read => {
@@ -114,7 +131,7 @@
     }
 
     /// What is known of an engine; `None` while too little is.
-    pub fn standing(&mut self, now: Time, engine: u32) -> Option<Standing> {
+    pub fn standing(&mut self, now: Time, engine: Digest) -> Option<Standing> {
         let kept = self.engine(now, engine);
         kept.entries.retain(|_, entry| now.since(entry.at) < LONGEST);
         let settled = now.since(kept.since) >= SETTLED;
@@ -134,7 +151,7 @@
     }
 
     /// Forgets engines that are not `kept` by this gateway any more.
-    pub fn release(&mut self, mut kept: impl FnMut(u32) -> bool) {
+    pub fn release(&mut self, mut kept: impl FnMut(Digest) -> bool) {
         self.engines.retain(|engine, _| kept(*engine));
     }
 }
--- a/core/src/gateway/view.rs
+++ b/core/src/gateway/view.rs
@@ -66,11 +66,11 @@
     const KIND: u8 = 1;
 
     fn key(&self) -> String {
-        self.id.clone()
+        self.incarnation.id.clone()
     }
 
     fn order(&self, other: &Self) -> Ordering {
-        self.id.cmp(&other.id)
+        self.incarnation.id.cmp(&other.incarnation.id)
     }
 }
 
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -9,6 +9,8 @@
 mod ledger;
 mod loads;
 mod outage;
+mod restart;
 mod routes;
 mod stop;
+mod strays;
 mod support;
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -127,6 +127,7 @@
             metrics: Metrics::default(),
             views: RefCell::default(),
             deltas: RefCell::default(),
+            flaws: RefCell::default(),
             questions: RefCell::default(),
             lease: Cell::new(None),
             connections: Cell::new(0),
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -13,6 +13,7 @@
 
 use crate::channel::Pool;
 use crate::dialect::Dialect;
+use crate::flaw::Told;
 use crate::log::Line;
 use crate::log::Log;
 use crate::metrics::Metrics;
@@ -33,6 +34,8 @@
     pub views: RefCell<History>,
     /// Differences between views in encoded form.
     pub deltas: RefCell<Deltas>,
+    /// Flawed entries of the store that have been logged.
+    pub flaws: RefCell<Told>,
     /// Questions to other gateways that wait for an answer.
     pub questions: RefCell<Questions>,
     /// Datagrams between gateways.
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -4,6 +4,11 @@
 use std::pin::Pin;
 use std::time::Duration;
 
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
 use laburnumwheel_core::gateway::directory::Entry;
 use laburnumwheel_core::gateway::view::Known;
 use laburnumwheel_core::rendezvous;
@@ -13,6 +18,10 @@
 use rand::seq::SliceRandom;
 
 use crate::clock;
+use crate::flaw;
+use crate::flaw::Flaw;
+use crate::flaw::Kind;
+use crate::flaw::Subject;
 use crate::log::Line;
 use crate::peers;
 use crate::shared::Shared;
@@ -35,6 +44,9 @@
 /// Longest wait for a whole read, which may take many calls, and for a whole view on a narrow link:
 /// its proof ages from its beginning, and an older one would not be worth having.
 pub(crate) const WHOLE_READ: Duration = Duration::from_millis(3_500);
+/// Largest answer that is read, in bytes: several times a view of 10,000 replicas and as many routes
+/// and organisations, and a fifth of a small host's memory.
+const LARGEST: usize = 16 << 20;
 /// Views that a reader remembers, to say what has changed since: those of four seconds if each read
 /// finds a change, and more than any gateway lags behind that has its proofs from there.
 const REMEMBERED: usize = 8;
@@ -43,6 +55,23 @@
 /// Time from one renewal to the next.
 const RENEWAL: Duration = Duration::from_millis(1_300);
 
+/// What a read of the store found.
+#[derive(Clone, Debug, Default)]
+pub struct Reading {
+    /// Everything that could be used.
+    pub view: View,
+    /// Entries that name nothing to use. Whoever reads the store tells of them; they are not handed
+    /// on.
+    pub flaws: Vec<Flaw>,
+}
+
+impl Reading {
+    /// Whether the configuration that the store holds could be read, or there is none.
+    fn has_readable_config(&self) -> bool {
+        self.flaws.iter().all(|f| f.subject != Subject::Configuration)
+    }
+}
+
 /// Why a call of the store failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -69,7 +98,7 @@
 /// The store's calls, as one platform makes them.
 pub struct Store {
     /// Reads everything, as of a moment after the call; bounds each call that it makes for it.
-    pub read: Box<dyn FnMut() -> Reply<View>>,
+    pub read: Box<dyn FnMut() -> Reply<Reading>>,
     /// Writes the gateway's entry under a new lease of this length; returns the lease.
     pub announce: Box<dyn FnMut(Entry, Duration) -> Reply<u64>>,
     /// Renews a lease.
@@ -87,8 +116,29 @@
     tokio::time::timeout(PATIENCE, call).await.unwrap_or(Err(Error::Silent))
 }
 
+/// Reads the body of an answer, of which each part must come within the time that one call may take.
+///
+/// Bounded as a whole, a long answer over a narrow link was taken for a store that does not answer,
+/// at every gateway and for as long as the answer stayed long.
+///
+/// # Errors
+///
+/// [`Error::Silent`] if nothing more comes, or that the answer broke off or is too large.
+pub async fn collect(body: Incoming) -> Result<Bytes, Error> {
+    let mut body = Limited::new(body, LARGEST);
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = bounded(async { Ok(body.frame().await) }).await?;
+        match frame {
+            Some(Ok(frame)) => bytes.extend(frame.into_data()),
+            Some(Err(e)) => return Err(Error::Unreachable(e.to_string())),
+            None => return Ok(bytes.freeze()),
+        }
+    }
+}
+
 /// Keeps up with the store for ever: a reader by reading, any other gateway by asking a reader.
-pub async fn follow(shared: Shared, mut read: Box<dyn FnMut() -> Reply<View>>) {
+pub async fn follow(shared: Shared, mut read: Box<dyn FnMut() -> Reply<Reading>>) {
     let mut sound = true;
     loop {
         let (readers, is_reader) = shared.gateway.borrow().readers(clock::now());
@@ -101,13 +151,12 @@
         let result = whole.unwrap_or(Err(Error::Silent));
         shared.metrics.store_call("read", result.is_ok());
         match result {
-            Ok(view) => {
-                let known = Known::new(view, shared.views.borrow().newest());
+            Ok(reading) => {
                 if !sound {
                     shared.log(Line::new("store_regained"));
                 }
                 sound = true;
-                take(&shared, sent, known, Source::Store);
+                take_reading(&shared, sent, reading);
                 tokio::time::sleep(jittered(&shared, PERIOD)).await;
             }
             Err(e) => {
@@ -170,7 +219,7 @@
         shared.metrics.count("questions_total", format!("outcome=\"{outcome}\""));
         match fetched {
             Ok((sent, known)) => {
-                take(shared, sent, known, Source::Peer);
+                take(shared, sent, known, Source::Peer, true);
                 return true;
             }
             Err(e) => {
@@ -183,14 +232,46 @@
 }
 
 /// Where a view was taken from.
-#[derive(Clone, Copy, Debug, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 #[display(rename_all = "snake_case")]
 enum Source {
     Store,
     Peer,
 }
 
-fn take(shared: &Shared, sent: Time, known: Known, from: Source) {
+/// Replicas of services that the configuration doesn't name; no call goes there.
+fn of_unknown_services(view: &View) -> Vec<Flaw> {
+    let Some(config) = &view.config else {
+        return Vec::new();
+    };
+    let strays = view.replicas.iter().filter(|listing| !listing.is_unreadable());
+    strays
+        .filter(|listing| config.service(&listing.service).is_none())
+        .map(|listing| Flaw {
+            subject: Subject::Replica,
+            key: listing.incarnation.id.clone(),
+            kind: Kind::Service,
+        })
+        .collect()
+}
+
+/// Takes in what a read of the store found.
+fn take_reading(shared: &Shared, sent: Time, mut reading: Reading) {
+    // A version that can't be read may be the one that takes a key away. The last one that could
+    // be read stays in force, and its proof of freshness ages as if the store were out of reach:
+    // no key is honoured for longer than the bound on revocation.
+    let readable = reading.has_readable_config();
+    if !readable {
+        reading.view.config = shared.gateway.borrow().config().cloned();
+    }
+    reading.flaws.extend(of_unknown_services(&reading.view));
+    flaw::tell(shared, &shared.flaws, &reading.flaws);
+    let known = Known::new(reading.view, shared.views.borrow().newest());
+    take(shared, sent, known, Source::Store, readable);
+}
+
+/// Takes a view in; `proves` if it shows which configuration is the newest.
+fn take(shared: &Shared, sent: Time, known: Known, from: Source, proves: bool) {
     // A reader that lags must not bring a replica back that is known to have left.
     if shared.gateway.borrow().proved().is_some_and(|proved| sent < proved) {
         shared.metrics.count("views_total", format!("from=\"{from}\",taken=\"too_old\""));
@@ -200,9 +281,10 @@
     let now = clock::now();
     let mut gateway = shared.gateway.borrow_mut();
     let before = gateway.version();
-    let newer = gateway.learn(sent, known.view.config.clone());
+    let newer = proves && gateway.learn(sent, known.view.config.clone());
     let changes = gateway.list(sent, now, known.view.replicas.clone(), known.view.gateways.clone());
     let version = gateway.version();
+    shared.pool.retain(|replica| gateway.fleet().get(replica).is_some());
     // Whoever does not read the store is seldom asked what has changed; views take memory.
     let remembered = if gateway.readers(now).1 { REMEMBERED } else { 1 };
     drop(gateway);
@@ -217,6 +299,9 @@
     for id in changes.came {
         shared.log(line("replica_listed").with("replica", id));
     }
+    for id in changes.replaced {
+        shared.log(line("replica_replaced").with("replica", id));
+    }
     for id in changes.closed {
         shared.log(line("replica_closed").with("replica", id));
     }
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -26,6 +26,7 @@
 use laburnumwheel_core::gateway::config::Target;
 use laburnumwheel_core::gateway::directory::Entry;
 use laburnumwheel_core::gateway::fleet::Listing;
+use laburnumwheel_core::incarnation::Incarnation;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_gateway::channel;
 use laburnumwheel_gateway::channel::Channel;
@@ -33,6 +34,7 @@
 use laburnumwheel_gateway::gateway::Builder;
 use laburnumwheel_gateway::gateway::Running;
 use laburnumwheel_gateway::store;
+use laburnumwheel_gateway::store::Reading;
 use laburnumwheel_gateway::store::Store;
 use laburnumwheel_gateway::store::View;
 use tokio::io::AsyncReadExt;
@@ -213,7 +215,7 @@
 
 pub fn listing(id: &str, address: SocketAddr) -> Listing {
     Listing {
-        id: id.to_owned(),
+        incarnation: Incarnation::unstated(id),
         service: "service".to_owned(),
         address: address.to_string(),
         domain: "mixco".to_owned(),
@@ -237,7 +239,10 @@
     Store {
         read: Box::new(move || {
             let view = held.borrow().clone();
-            Box::pin(async move { view.ok_or_else(out) })
+            Box::pin(async move {
+                let view = view.ok_or_else(out)?;
+                Ok(Reading { view, flaws: Vec::new() })
+            })
         }),
         announce: Box::new(|_, _| Box::pin(async { Ok(1) })),
         renew: Box::new(|_| Box::pin(async { Ok(()) })),
