Calls that outlast a planned stop are answered before the process ends

Cause: at the end of the grace time the process ended under calls whose replica was still at work; their callers saw a connection that closes, which tells nothing.

Change: 200 ms before, calls of which no answer has begun are ended as any other failed call is: 502 if a replica may have run them, 503 if none has. Streams that have begun are relayed to the last moment. No attempt begins after that.

That a begun stream is left alone has no test, as it would have to tell two moments 200 ms apart.

--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -253,7 +253,7 @@
     }
 
     /// Begins to leave: no new callers are sent here. All callers know of it after `learned`, and
-    /// the process ends after `grace`.
+    /// calls end after `grace`.
     pub fn stop(&mut self, now: Time, learned: Span, grace: Span) {
         self.stop = Some(Stop { learned: now + learned, end: now + grace });
     }
@@ -268,6 +268,11 @@
         self.stop.is_some_and(|stop| now > stop.learned)
     }
 
+    /// Whether the gateway is leaving and calls that have no answer yet are to get one now.
+    pub fn is_ending(&self, now: Time) -> bool {
+        self.stop.is_some_and(|stop| now >= stop.end)
+    }
+
     /// Whether callers may be sent here.
     pub fn is_open(&self, now: Time) -> bool {
         self.stop.is_none() && self.config.is_some() && self.freshness.is_current(now)
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -64,6 +64,8 @@
     pub grant: Grant,
     /// A replica may have run it, or may still.
     pub touched: bool,
+    /// The head of an answer is on its way to the caller.
+    pub answered: bool,
 }
 
 /// Why an attempt brought no answer.
@@ -86,6 +88,8 @@
     Silent,
     /// The time is over.
     TimedOut,
+    /// The process ends.
+    Stopped,
 }
 
 impl Fault {
@@ -100,7 +104,7 @@
             Fault::Refused => Outcome::Refused,
             Fault::Replaced => Outcome::Replaced,
             Fault::Status | Fault::Broken | Fault::Misattributed | Fault::Silent => Outcome::Failed,
-            Fault::TimedOut => Outcome::Cancelled,
+            Fault::TimedOut | Fault::Stopped => Outcome::Cancelled,
         }
     }
 }
@@ -384,12 +388,13 @@
         Failure::Fault(fault, None)
     }
 
-    /// Waits for something of a replica, until the time is over, or the replica has been silent
+    /// Waits for something of a replica, until the time is over, or the process ends and the caller
+    /// has no answer yet, or the replica has been silent
     /// for so long that the call is better off elsewhere and may go there.
     ///
     /// # Errors
     ///
-    /// [`Fault::TimedOut`] or [`Fault::Silent`].
+    /// [`Fault::TimedOut`], [`Fault::Stopped`] or [`Fault::Silent`].
     pub async fn listen<T>(
         &self,
         in_flight: &InFlight,
@@ -402,6 +407,11 @@
             if now >= self.grant.deadline {
                 return Err(Fault::TimedOut);
             }
+            // Cut off with the process, the caller would not even hear that its call had arrived.
+            // An answer that has begun can only be broken off, so it is read to the last moment.
+            if !self.answered && self.shared.gateway.borrow().is_ending(now) {
+                return Err(Fault::Stopped);
+            }
             let left = self.grant.deadline.since(now);
             let mut wait = left;
             if movable {
@@ -416,8 +426,11 @@
                 }
             }
             let wait = clock::duration(wait) + Duration::from_millis(1);
-            if let Ok(value) = tokio::time::timeout(wait, &mut future).await {
-                return Ok(value);
+            tokio::select! {
+                biased;
+                value = &mut future => return Ok(value),
+                () = tokio::time::sleep(wait) => {}
+                () = self.shared.calls_ending.notified() => {}
             }
         }
     }
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -180,8 +180,17 @@
     let (method, uri) = (head.method, head.uri);
     let uri = uri.path_and_query().map_or(uri.clone(), |p| p.clone().into());
     let shared = shared.clone();
-    let call =
-        Call { shared, ask, method, uri, headers: head.headers, body, grant, touched: false };
+    let call = Call {
+        shared,
+        ask,
+        method,
+        uri,
+        headers: head.headers,
+        body,
+        grant,
+        touched: false,
+        answered: false,
+    };
     run(call, ending).await
 }
 
@@ -220,7 +229,8 @@
         return false;
     };
     let now = clock::now();
-    if *fault == Fault::TimedOut || now >= call.grant.deadline {
+    let over = now >= call.grant.deadline || call.shared.gateway.borrow().is_ending(now);
+    if over || matches!(fault, Fault::TimedOut | Fault::Stopped) {
         return false;
     }
     match fault {
@@ -246,6 +256,7 @@
         }
         Failure::Fault(fault, _) if call.touched => Refusal::unknown(match fault {
             Fault::TimedOut => Reason::TimedOut,
+            Fault::Stopped => Reason::Stopping,
             _ => Reason::ReplicaFailed,
         }),
         Failure::Fault(Fault::Refused, _) => {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -39,6 +39,10 @@
 /// Kept from the end of the grace time, to exit by itself.
 const RESERVE: Duration = Duration::from_millis(600);
 
+/// Before the process ends, time for the answers to calls that have none: twice the period of
+/// looking, so that they are on their way to callers in any failure domain.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
+
 /// Answers a request that is not relayed.
 pub type Handler = fn(&Shared, &Request<Incoming>) -> Response<Answer>;
 
@@ -130,6 +134,7 @@
             lease: Cell::new(None),
             connections: Cell::new(0),
             connections_closing: Notify::new(),
+            calls_ending: Notify::new(),
             calls: Cell::new(0),
             rng: RefCell::new(SmallRng::seed_from_u64(self.settings.seed)),
             lines_waiting: Notify::new(),
@@ -209,11 +214,11 @@
     /// The end is that of the last connection, and not of the last call: a call is over when its
     /// answer is handed to its connection, and a process that ended then would cut off what a
     /// caller on a slow link has yet to read. Whoever does not read is cut off at the end of the
-    /// grace time.
+    /// grace time; calls that have no answer by then get one that tells whether they may have run.
     pub async fn stop(self) {
         let shared = self.shared;
         let began = clock::now();
-        let end = self.grace.saturating_sub(RESERVE);
+        let end = self.grace.saturating_sub(RESERVE + LAST_ANSWERS);
         let (learned, end) = (clock::span(self.learn_time), clock::span(end));
         shared.gateway.borrow_mut().stop(began, learned, end);
         shared.log(Line::new("stopping").with("calls", shared.calls.get()));
@@ -226,6 +231,9 @@
             if past > self.learn_time {
                 shared.connections_closing.notify_waiters();
             }
+            if shared.gateway.borrow().is_ending(clock::now()) {
+                shared.calls_ending.notify_waiters();
+            }
             let done = shared.connections.get() == 0 && past > self.learn_time / 2;
             if done || past + RESERVE > self.grace {
                 break;
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -48,6 +48,7 @@
         let mut begun = Some(begun);
         match step(&mut call, &mut begun, &mut splitter).await {
             Ok(Step::Events(events)) => {
+                call.answered = true;
                 let ready = Some(events);
                 Ok((head, Relay { call, begun, splitter, ready, ending }))
             }
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -42,6 +42,8 @@
     pub connections: Cell<usize>,
     /// Wakes the connections of callers when they are to be closed.
     pub connections_closing: Notify,
+    /// Wakes calls that are to be answered because the process ends.
+    pub calls_ending: Notify,
     /// Calls in progress.
     pub calls: Cell<usize>,
     /// Lines on their way out.
