--- a/core/tests/gateway/fleet.rs
+++ b/core/tests/gateway/fleet.rs
@@ -2,6 +2,7 @@
 
 use laburnumwheel_core::gateway::Gateway;
 use laburnumwheel_core::gateway::directory::Heartbeat;
+use laburnumwheel_core::gateway::fleet::Listing;
 use laburnumwheel_core::gateway::fleet::Outcome;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::time::Span;
@@ -37,7 +38,7 @@
     let mut leaving = listings(2);
     leaving[0].leaving = true;
 
-    let changes = gateway.list(START, leaving, vec![]);
+    let changes = gateway.list(START, START, leaving, vec![]);
 
     assert_eq!(changes.closed, ["engine-0"]);
     assert_eq!(chosen(&mut gateway, START).as_deref(), Some("engine-1"));
@@ -48,11 +49,52 @@
 fn a_replica_whose_entry_is_gone_gets_nothing_new() {
     let mut gateway = gateway(2);
 
-    gateway.list(START + Span::millis(600), vec![listing("engine-1")], vec![]);
+    gateway.list(
+        START + Span::millis(600),
+        START + Span::millis(600),
+        vec![listing("engine-1")],
+        vec![],
+    );
 
     assert_eq!(chosen(&mut gateway, START).as_deref(), Some("engine-1"));
 }
 
+/// The same, with a link so full that the reads themselves lie 2.6 s apart: only what the others'
+/// heartbeats told of tells that the store was there.
+#[test]
+fn reads_that_lie_far_apart_are_no_outage_while_others_read() {
+    let mut gateway = gateway(2);
+    for ms in (500..=2_500).step_by(500) {
+        let now = START + Span::millis(ms);
+        gateway.hear(now, &heartbeat("two", Span::millis(200)));
+    }
+    let sent = START + Span::millis(2_600);
+    gateway.learn(sent, None);
+    let now = sent + Span::millis(950);
+
+    let changes =
+        gateway.list(sent, now, vec![listing("engine-1")], vec![entry("one"), entry("two")]);
+
+    assert_eq!(changes.closed, ["engine-0"]);
+    assert_eq!(chosen(&mut gateway, now).as_deref(), Some("engine-1"));
+}
+
+/// The store comes back after an outage, and another gateway reads it first. Its heartbeat tells of
+/// a young proof before this gateway's own list comes, and that list lacks replicas that live.
+#[test]
+fn an_outage_counts_as_one_also_for_those_who_hear_first_that_it_is_over() {
+    let mut gateway = gateway(2);
+    let back = START + Span::secs(4);
+    gateway.hear(back, &heartbeat("two", Span(0)));
+    let now = back + Span::millis(500);
+    gateway.learn(now, None);
+
+    let changes = gateway.list(now, now, vec![], vec![entry("one"), entry("two")]);
+
+    assert_eq!(changes.kept, ["engine-0", "engine-1"]);
+    assert!(chosen(&mut gateway, now).is_some());
+}
+
 /// Callers get answers from a replica that has left seconds before. Its entry goes while this
 /// gateway's link is full, so that its list comes 2.6 s after the last one; it takes that for an
 /// outage of the store and goes on using what is missing. Heartbeats told it all the while that
@@ -65,9 +107,11 @@
         gateway.hear(now, &heartbeat("two", Span::millis(200)));
     }
     let now = START + Span::millis(2_600);
-    gateway.learn(START + Span::millis(1_700), None);
+    let sent = START + Span::millis(1_700);
+    gateway.learn(sent, None);
 
-    let changes = gateway.list(now, vec![listing("engine-1")], vec![entry("one"), entry("two")]);
+    let changes =
+        gateway.list(sent, now, vec![listing("engine-1")], vec![entry("one"), entry("two")]);
 
     assert_eq!(changes.closed, ["engine-0"]);
     assert_eq!(chosen(&mut gateway, now).as_deref(), Some("engine-1"));
@@ -81,15 +125,51 @@
     let back = START + Span::secs(4);
     gateway.learn(back, None);
 
-    gateway.list(back, vec![], vec![]);
+    gateway.list(back, back, vec![], vec![]);
     let at_once = chosen(&mut gateway, back);
-    gateway.list(back + Span::millis(2_300), vec![listing("engine-2")], vec![]);
+    gateway.list(
+        back + Span::millis(2_300),
+        back + Span::millis(2_300),
+        vec![listing("engine-2")],
+        vec![],
+    );
     let later = chosen(&mut gateway, back + Span::millis(2_300));
 
     assert!(at_once.is_some());
     assert_eq!(later.as_deref(), Some("engine-2"));
 }
 
+/// Calls go on to a replica whose entry another writer has spoilt. After an outage of the store,
+/// what is missing is used on for a moment; an entry that is there and says nothing is not missing.
+#[test]
+fn a_replica_whose_entry_is_unreadable_gets_nothing_also_after_an_outage() {
+    let mut gateway = gateway(3);
+    let back = START + Span::secs(4);
+    gateway.learn(back, None);
+
+    let changes = gateway.list(back, back, vec![Listing::unreadable("engine-0")], vec![]);
+    let used = gateway.fleet().usable(back, "engines");
+    let whole = back + Span::millis(500);
+    gateway.list(whole, whole, listings(3), vec![]);
+
+    assert_eq!(changes.closed, ["engine-0"]);
+    assert_eq!(changes.kept, ["engine-1", "engine-2"]);
+    assert_eq!(used, 2);
+    assert_eq!(gateway.fleet().usable(whole, "engines"), 3);
+}
+
+#[test]
+fn an_unreadable_entry_of_an_unknown_replica_names_none() {
+    let mut gateway = gateway(1);
+    let mut listed = listings(1);
+    listed.push(Listing::unreadable("stray"));
+
+    let changes = gateway.list(START, START, listed, vec![]);
+
+    assert!(changes.came.is_empty() && changes.closed.is_empty());
+    assert_eq!(gateway.fleet().iter().count(), 1);
+}
+
 /// An address is given to a replica of another service. The first call finds out; no further one
 /// goes there until the list names the address anew.
 #[test]
@@ -139,7 +219,7 @@
 fn gateways_list_one_another_without_themselves() {
     let mut gateway = gateway(1);
 
-    gateway.list(START, listings(1), vec![entry("one"), entry("two")]);
+    gateway.list(START, START, listings(1), vec![entry("one"), entry("two")]);
 
     assert_eq!(gateway.peers(), ["two:2"]);
 }
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -1,12 +1,16 @@
 //! Tests of the gateway's decisions, in virtual time and without a network.
 
 mod budget;
+mod delta;
 mod directory;
 mod events;
 mod fleet;
 mod freshness;
 mod ledger;
 mod loads;
+mod outage;
+mod restart;
 mod routes;
 mod stop;
+mod strays;
 mod support;
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -7,6 +7,8 @@
 use laburnumwheel_core::gateway::directory::Heartbeat;
 use laburnumwheel_core::gateway::ledger::Notice;
 use laburnumwheel_core::gateway::ledger::Standing;
+use laburnumwheel_core::gateway::view;
+use laburnumwheel_core::incarnation::Digest;
 use rand::Rng;
 use rand::seq::SliceRandom;
 use serde::Deserialize;
@@ -32,7 +34,7 @@
 
 /// A datagram between gateways.
 #[derive(Debug, Serialize, Deserialize)]
-enum Message {
+pub enum Message {
     /// The sender lives.
     Heartbeat(Box<Heartbeat>),
     /// Has anything changed?
@@ -40,13 +42,22 @@
     /// What the sender knows.
     Proof(Proof),
     /// How are these engines, which you keep?
-    Inquiry(u64, Vec<u32>),
+    Inquiry(u64, Vec<Digest>),
     /// How they are.
     Standings(u64, Vec<Standing>),
     /// What happened at engines that you keep.
     Notices(Vec<Notice>),
 }
 
+/// Decodes a datagram; whatever its bytes, it takes no more memory than a few times its length.
+///
+/// # Errors
+///
+/// What can't be understood.
+pub fn decode(bytes: &[u8]) -> Result<Message, postcard::Error> {
+    postcard::from_bytes(bytes)
+}
+
 /// Answers that are waited for, by question.
 #[derive(Debug, Default)]
 pub struct Questions {
@@ -60,7 +71,7 @@
     /// The question.
     pub question: u64,
     /// Digest of everything that the store held.
-    pub digest: u64,
+    pub digest: view::Digest,
     /// Age of the read that saw it, in microseconds.
     pub age: u64,
 }
@@ -85,14 +96,14 @@
 /// An answer that takes longer than it is worth is done without.
 pub async fn standings(
     shared: &Shared,
-    inquiries: BTreeMap<Option<String>, Vec<u32>>,
+    inquiries: BTreeMap<Option<String>, Vec<Digest>>,
 ) -> Vec<Standing> {
     let asked = inquiries.iter().map(|(keeper, engines)| inquire(shared, keeper, engines));
     let answers = futures_util::future::join_all(asked).await;
     answers.into_iter().flatten().collect()
 }
 
-async fn inquire(shared: &Shared, keeper: &Option<String>, engines: &[u32]) -> Vec<Standing> {
+async fn inquire(shared: &Shared, keeper: &Option<String>, engines: &[Digest]) -> Vec<Standing> {
     let Some(keeper) = keeper else {
         return shared.gateway.borrow_mut().standings(clock::now(), engines);
     };
@@ -136,7 +147,7 @@
 
 async fn reply(shared: &Shared, from: SocketAddr, question: u64) {
     let age = shared.gateway.borrow().proof_age(clock::now());
-    let digest = shared.view.borrow().as_ref().map(|known| known.digest);
+    let digest = shared.views.borrow().newest().map(|known| known.digest);
     if let (Some(age), Some(digest)) = (age, digest) {
         let proof = Proof { question, digest, age: age.0 };
         post(&shared.socket, from, &Message::Proof(proof)).await;
@@ -178,7 +189,7 @@
                 continue;
             }
         };
-        match postcard::from_bytes::<Message>(&bytes[..n]) {
+        match decode(&bytes[..n]) {
             Ok(Message::Heartbeat(heartbeat)) => {
                 shared.gateway.borrow_mut().hear(clock::now(), &heartbeat);
             }
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -2,25 +2,32 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::time::Duration;
 
-use laburnumwheel_core::gateway::config::Config;
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
 use laburnumwheel_core::gateway::directory::Entry;
-use laburnumwheel_core::gateway::fleet::Listing;
+use laburnumwheel_core::gateway::view::Known;
+use laburnumwheel_core::rendezvous;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 use rand::Rng;
 use rand::seq::SliceRandom;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::clock;
+use crate::flaw;
+use crate::flaw::Flaw;
+use crate::flaw::Kind;
+use crate::flaw::Subject;
 use crate::log::Line;
 use crate::peers;
 use crate::shared::Shared;
 use crate::view;
-use crate::view::Known;
+
+pub use laburnumwheel_core::gateway::view::View;
 
 /// Time from one read to the next, and from one question to the next: both, and a lost answer, fit
 /// into two seconds, the shortest bound on taking up a change.
@@ -33,24 +40,36 @@
 /// Time to the next try after a failed one; calls that are refused cost as much as others.
 const AGAIN: Duration = Duration::from_millis(300);
 /// Longest wait for one call: many times the usual few milliseconds.
-const PATIENCE: Duration = Duration::from_millis(900);
-/// Longest wait for a whole read, which may take many calls: its proof ages from its beginning, and
-/// an older one would not be worth having.
-const WHOLE_READ: Duration = Duration::from_millis(3_500);
+pub(crate) const PATIENCE: Duration = Duration::from_millis(900);
+/// Longest wait for a whole read, which may take many calls, and for a whole view on a narrow link:
+/// its proof ages from its beginning, and an older one would not be worth having.
+pub(crate) const WHOLE_READ: Duration = Duration::from_millis(3_500);
+/// Largest answer that is read, in bytes: several times a view of 10,000 replicas and as many routes
+/// and organisations, and a fifth of a small host's memory.
+const LARGEST: usize = 16 << 20;
+/// Views that a reader remembers, to say what has changed since: those of four seconds if each read
+/// finds a change, and more than any gateway lags behind that has its proofs from there.
+const REMEMBERED: usize = 8;
 /// Life of the gateway's entry without renewal.
 const LEASE: Duration = Duration::from_secs(4);
 /// Time from one renewal to the next.
 const RENEWAL: Duration = Duration::from_millis(1_300);
 
-/// Everything the store holds for a gateway, read at one moment.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct View {
-    /// Newest configuration; `None` if none was ever written.
-    pub config: Option<Arc<Config>>,
-    /// Replicas of all services.
-    pub replicas: Vec<Listing>,
-    /// Gateways.
-    pub gateways: Vec<Entry>,
+/// What a read of the store found.
+#[derive(Clone, Debug, Default)]
+pub struct Reading {
+    /// Everything that could be used.
+    pub view: View,
+    /// Entries that name nothing to use. Whoever reads the store tells of them; they are not handed
+    /// on.
+    pub flaws: Vec<Flaw>,
+}
+
+impl Reading {
+    /// Whether the configuration that the store holds could be read, or there is none.
+    fn has_readable_config(&self) -> bool {
+        self.flaws.iter().all(|f| f.subject != Subject::Configuration)
+    }
 }
 
 /// Why a call of the store failed.
@@ -79,7 +98,7 @@
 /// The store's calls, as one platform makes them.
 pub struct Store {
     /// Reads everything, as of a moment after the call; bounds each call that it makes for it.
-    pub read: Box<dyn FnMut() -> Reply<View>>,
+    pub read: Box<dyn FnMut() -> Reply<Reading>>,
     /// Writes the gateway's entry under a new lease of this length; returns the lease.
     pub announce: Box<dyn FnMut(Entry, Duration) -> Reply<u64>>,
     /// Renews a lease.
@@ -97,8 +116,29 @@
     tokio::time::timeout(PATIENCE, call).await.unwrap_or(Err(Error::Silent))
 }
 
+/// Reads the body of an answer, of which each part must come within the time that one call may take.
+///
+/// Bounded as a whole, a long answer over a narrow link was taken for a store that does not answer,
+/// at every gateway and for as long as the answer stayed long.
+///
+/// # Errors
+///
+/// [`Error::Silent`] if nothing more comes, or that the answer broke off or is too large.
+pub async fn collect(body: Incoming) -> Result<Bytes, Error> {
+    let mut body = Limited::new(body, LARGEST);
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = bounded(async { Ok(body.frame().await) }).await?;
+        match frame {
+            Some(Ok(frame)) => bytes.extend(frame.into_data()),
+            Some(Err(e)) => return Err(Error::Unreachable(e.to_string())),
+            None => return Ok(bytes.freeze()),
+        }
+    }
+}
+
 /// Keeps up with the store for ever: a reader by reading, any other gateway by asking a reader.
-pub async fn follow(shared: Shared, mut read: Box<dyn FnMut() -> Reply<View>>) {
+pub async fn follow(shared: Shared, mut read: Box<dyn FnMut() -> Reply<Reading>>) {
     let mut sound = true;
     loop {
         let (readers, is_reader) = shared.gateway.borrow().readers(clock::now());
@@ -111,12 +151,12 @@
         let result = whole.unwrap_or(Err(Error::Silent));
         shared.metrics.store_call("read", result.is_ok());
         match result {
-            Ok(view) => {
+            Ok(reading) => {
                 if !sound {
                     shared.log(Line::new("store_regained"));
                 }
                 sound = true;
-                take(&shared, sent, view, Source::Store);
+                take_reading(&shared, sent, reading);
                 tokio::time::sleep(jittered(&shared, PERIOD)).await;
             }
             Err(e) => {
@@ -132,13 +172,27 @@
     }
 }
 
-/// Asks readers, in random order, whether anything has changed, and takes over what has.
+/// The readers in the order in which this gateway asks them: always the same one first, as long as it
+/// lives, and the others at random.
+///
+/// Readers read at different moments, so when much changes each sees states that others do not. One
+/// that does not know the asker's state can't say what has changed since, and hands on whole lists.
+fn order(shared: &Shared, readers: &[String]) -> Vec<String> {
+    let own = rendezvous::hash(&[shared.gateway.borrow().name().as_bytes()]);
+    let score = |reader: &String| rendezvous::score(own, rendezvous::hash(&[reader.as_bytes()]));
+    let mut readers = readers.to_vec();
+    readers.sort_by_key(|reader| std::cmp::Reverse(score(reader)));
+    if let Some((_, others)) = readers.split_first_mut() {
+        others.shuffle(&mut *shared.rng.borrow_mut());
+    }
+    readers
+}
+
+/// Asks readers whether anything has changed, and takes over what has.
 ///
 /// `false` if none of them could say: then the store must be read after all.
 async fn asked(shared: &Shared, readers: &[String]) -> bool {
-    let mut readers = readers.to_vec();
-    readers.shuffle(&mut *shared.rng.borrow_mut());
-    for reader in readers.iter().take(READERS_ASKED) {
+    for reader in order(shared, readers).iter().take(READERS_ASKED) {
         let Ok(address) = reader.parse() else {
             continue;
         };
@@ -151,50 +205,90 @@
             shared.metrics.count("questions_total", "outcome=\"too_old\"".to_owned());
             continue;
         }
-        let digest = shared.view.borrow().as_ref().map(|known| known.digest);
+        let digest = shared.views.borrow().newest().map(|known| known.digest);
         if digest == Some(proof.digest) {
             shared.metrics.count("questions_total", "outcome=\"same\"".to_owned());
-            shared.gateway.borrow_mut().confirm_view(clock::now(), at - Span(proof.age));
+            let closed = shared.gateway.borrow_mut().confirm_view(at - Span(proof.age));
+            for id in closed {
+                shared.log(Line::new("replica_closed").with("replica", id).with("from", "proof"));
+            }
             return true;
         }
-        let fetched = tokio::time::timeout(PATIENCE, view::fetch(shared, reader)).await;
-        let outcome = if matches!(fetched, Ok(Ok(_))) { "fetched" } else { "not_fetched" };
+        let fetched = view::fetch(shared, reader).await;
+        let outcome = if fetched.is_ok() { "fetched" } else { "not_fetched" };
         shared.metrics.count("questions_total", format!("outcome=\"{outcome}\""));
-        if let Ok(Ok((sent, view))) = fetched {
-            take(shared, sent, view, Source::Peer);
-            return true;
+        match fetched {
+            Ok((sent, known)) => {
+                take(shared, sent, known, Source::Peer, true);
+                return true;
+            }
+            Err(e) => {
+                let line = Line::new("view_not_fetched").with("reader", reader);
+                shared.log(line.with("error", e));
+            }
         }
     }
     false
 }
 
 /// Where a view was taken from.
-#[derive(Clone, Copy, Debug, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 #[display(rename_all = "snake_case")]
 enum Source {
     Store,
     Peer,
 }
 
-fn take(shared: &Shared, sent: Time, view: View, from: Source) {
+/// Replicas of services that the configuration doesn't name; no call goes there.
+fn of_unknown_services(view: &View) -> Vec<Flaw> {
+    let Some(config) = &view.config else {
+        return Vec::new();
+    };
+    let strays = view.replicas.iter().filter(|listing| !listing.is_unreadable());
+    strays
+        .filter(|listing| config.service(&listing.service).is_none())
+        .map(|listing| Flaw {
+            subject: Subject::Replica,
+            key: listing.incarnation.id.clone(),
+            kind: Kind::Service,
+        })
+        .collect()
+}
+
+/// Takes in what a read of the store found.
+fn take_reading(shared: &Shared, sent: Time, mut reading: Reading) {
+    // A version that can't be read may be the one that takes a key away. The last one that could
+    // be read stays in force, and its proof of freshness ages as if the store were out of reach:
+    // no key is honoured for longer than the bound on revocation.
+    let readable = reading.has_readable_config();
+    if !readable {
+        reading.view.config = shared.gateway.borrow().config().cloned();
+    }
+    reading.flaws.extend(of_unknown_services(&reading.view));
+    flaw::tell(shared, &shared.flaws, &reading.flaws);
+    let known = Known::new(reading.view, shared.views.borrow().newest());
+    take(shared, sent, known, Source::Store, readable);
+}
+
+/// Takes a view in; `proves` if it shows which configuration is the newest.
+fn take(shared: &Shared, sent: Time, known: Known, from: Source, proves: bool) {
     // A reader that lags must not bring a replica back that is known to have left.
     if shared.gateway.borrow().proved().is_some_and(|proved| sent < proved) {
         shared.metrics.count("views_total", format!("from=\"{from}\",taken=\"too_old\""));
         return;
     }
     shared.metrics.count("views_total", format!("from=\"{from}\",taken=\"yes\""));
-    let known = Known::new(view);
     let now = clock::now();
-    let same = shared.view.borrow().as_ref().is_some_and(|k| k.digest == known.digest);
     let mut gateway = shared.gateway.borrow_mut();
     let before = gateway.version();
-    let newer = gateway.learn(sent, known.view.config.clone());
-    let changes = gateway.list(now, known.view.replicas.clone(), known.view.gateways.clone());
+    let newer = proves && gateway.learn(sent, known.view.config.clone());
+    let changes = gateway.list(sent, now, known.view.replicas.clone(), known.view.gateways.clone());
     let version = gateway.version();
+    shared.pool.retain(|replica| gateway.fleet().get(replica).is_some());
+    // Whoever does not read the store is seldom asked what has changed; views take memory.
+    let remembered = if gateway.readers(now).1 { REMEMBERED } else { 1 };
     drop(gateway);
-    if !same {
-        *shared.view.borrow_mut() = Some(known);
-    }
+    shared.views.borrow_mut().push(known, remembered);
     let read_ms = now.since(sent).as_millis();
     let line = |event| {
         Line::new(event).with("version", version).with("from", from).with("read_ms", read_ms)
@@ -205,6 +299,9 @@
     for id in changes.came {
         shared.log(line("replica_listed").with("replica", id));
     }
+    for id in changes.replaced {
+        shared.log(line("replica_replaced").with("replica", id));
+    }
     for id in changes.closed {
         shared.log(line("replica_closed").with("replica", id));
     }
--- a/gateway/tests/stops.rs
+++ b/gateway/tests/stops.rs
@@ -29,6 +29,7 @@
 use crate::support::events;
 use crate::support::not_run;
 use crate::support::run;
+use crate::support::until;
 use crate::support::view;
 use crate::support::whole;
 
@@ -60,9 +61,8 @@
             run(async move {
                 let replica = Replica::start(script).await;
                 let running = builder(&patient(&replica)).grace(grace).start().await.unwrap();
-                while running.shared.gateway.borrow().version() == 0 {
-                    tokio::time::sleep(Duration::from_millis(5)).await;
-                }
+                let version = || running.shared.gateway.borrow().version();
+                until("a configuration", || version() > 0).await;
                 starts.send(running.callers).unwrap();
                 told.await.unwrap();
                 running.stop().await;
