--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -43,6 +43,8 @@
 use tokio::net::TcpStream;
 
 pub const KEY: &str = "secret-key";
+/// Time for callers to learn of a stop, short so that tests are.
+const LEARN_TIME: Duration = Duration::from_millis(200);
 
 /// What a replica was sent.
 #[derive(Clone, Debug, Default)]
@@ -292,14 +294,14 @@
     }
 }
 
-fn unstarted(settings: Settings, store: Store, peers: SocketAddr) -> Builder {
+async fn started(settings: Settings, store: Store, peers: SocketAddr) -> Running {
     let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
     let builder = Builder::new(settings, own::dialect(), store, any, peers);
-    builder.learn_time(Duration::from_millis(200))
+    taken_up(builder.learn_time(LEARN_TIME)).await
 }
 
-async fn started(settings: Settings, store: Store, peers: SocketAddr) -> Running {
-    let running = unstarted(settings, store, peers).start().await.unwrap();
+async fn taken_up(builder: Builder) -> Running {
+    let running = builder.start().await.unwrap();
     until("a configuration", || running.shared.gateway.borrow().version() > 0).await;
     running
 }
@@ -307,13 +309,13 @@
 /// A gateway that is not started yet.
 pub fn builder(held: &Held) -> Builder {
     let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-    unstarted(settings("one", any), held_store(held), any)
+    Builder::new(settings("one", any), own::dialect(), held_store(held), any, any)
+        .learn_time(LEARN_TIME)
 }
 
 /// Starts a gateway that has taken up what the store holds.
 pub async fn gateway(held: &Held) -> Running {
-    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-    started(settings("one", any), held_store(held), any).await
+    taken_up(builder(held)).await
 }
 
 /// Starts gateways that know one another through the store.
