--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -146,12 +146,13 @@
         !std::mem::replace(&mut replica.closed, true)
     }
 
-    /// How many of the replicas in use are not among `listings`, against those that are.
+    /// How many of the replicas in use are not among `listings`, against those that are. One whose
+    /// entry is unreadable is among them.
     pub fn absence(&self, listings: &[Listing]) -> Absence {
         let listed: BTreeSet<&str> = listings.iter().map(|l| l.incarnation.id.as_str()).collect();
         let mut services: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
         for listing in listings {
-            services.entry(&listing.service).or_default().0 += 1;
+            services.entry(self.service_of(listing)).or_default().0 += 1;
         }
         let mut newly = 0;
         let in_use = self.replicas.iter().map(|(_, r)| r).filter(|r| !r.closed);
@@ -165,6 +166,15 @@
         }
     }
 
+    /// The service that an entry names, or that its replica was known for if it is unreadable.
+    fn service_of<'a>(&'a self, listing: &'a Listing) -> &'a str {
+        if !listing.is_unreadable() {
+            return &listing.service;
+        }
+        let known = self.by_id.get(&listing.incarnation.id).and_then(|key| self.replicas.get(*key));
+        known.map_or("", |replica| &replica.listing.service)
+    }
+
     fn keep(&mut self, missing: &[(String, Key<Replica>)]) -> Vec<String> {
         let mut kept = Vec::new();
         for (id, key) in missing {
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions, in virtual time and without a network.
 
 mod budget;
+mod delta;
 mod directory;
 mod events;
 mod fleet;
@@ -11,4 +12,5 @@
 mod restart;
 mod routes;
 mod stop;
+mod strays;
 mod support;
