--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -46,6 +46,10 @@
     pub lease: Cell<Option<u64>>,
     /// Open connections of callers.
     pub connections: Cell<usize>,
+    /// Wakes the connections of callers when they are to be closed.
+    pub connections_closing: Notify,
+    /// Wakes calls that are to be answered because the process ends.
+    pub calls_ending: Notify,
     /// Calls in progress.
     pub calls: Cell<usize>,
     /// Lines on their way out.
