--- a/gateway/tests/views.rs
+++ b/gateway/tests/views.rs
@@ -40,6 +40,8 @@
 /// Changes in a row, and the pause between them: a fraction of the time from one read to the next.
 const CHANGES: usize = 20;
 const PAUSE: Duration = Duration::from_millis(150);
+/// Pause between parts of a slow answer: four of them are longer than one call may take, each is not.
+const SLOW: Duration = Duration::from_millis(400);
 
 fn route(i: usize) -> Route {
     Route {
@@ -178,8 +180,30 @@
     });
 }
 
+/// A gateway behind a narrow link has just started, and a whole view takes longer than one call may.
+/// Bounded like a call it never came to its end, and the gateway asked for it again and again.
+#[test]
+fn a_whole_view_may_take_longer_than_a_call() {
+    run(async {
+        let held: Held = Rc::new(RefCell::new(Some(view(1, 2))));
+        let all = gateways(&held, 1).await;
+        let new = Known::new(view(1, ROUTES), None);
+        let whole = Delta::between(Base::default(), &new).encode().unwrap();
+        let reader = reader_at([whole, Vec::new()], SLOW).await;
+
+        let fetched = fetch(&all[0].shared, &reader.to_string()).await.unwrap().1;
+
+        assert_eq!(fetched, new);
+    });
+}
+
 /// A reader that answers each request with the next of these differences.
 async fn reader(deltas: [Vec<u8>; 2]) -> SocketAddr {
+    reader_at(deltas, Duration::ZERO).await
+}
+
+/// The same with a pause before each quarter of an answer.
+async fn reader_at(deltas: [Vec<u8>; 2], pause: Duration) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::task::spawn_local(async move {
@@ -189,7 +213,10 @@
             let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", delta.len() + 8);
             stream.write_all(head.as_bytes()).await.unwrap();
             stream.write_all(&[0; 8]).await.unwrap();
-            stream.write_all(&delta).await.unwrap();
+            for part in delta.chunks(delta.len().div_ceil(4).max(1)) {
+                tokio::time::sleep(pause).await;
+                stream.write_all(part).await.unwrap();
+            }
         }
     });
     address
