Failing test: a reader that the store turns away asks nobody

What a user sees: one gateway of many refuses all callers seconds after the store began to turn it away, though its peers know everything.

--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A gateway on loopback before replicas that misbehave as told.
 #![allow(dead_code)]
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -320,16 +321,33 @@
 
 /// Starts gateways that know one another through the store.
 pub async fn gateways(held: &Held, count: u64) -> Vec<Running> {
+    gateways_before((0..count).map(|_| listing_store(held)).collect()).await
+}
+
+/// The same, each with a store of its own to ask.
+pub async fn gateways_before(stores: Vec<Store>) -> Vec<Running> {
     let mut all = Vec::new();
-    for i in 0..count {
+    for (i, store) in (0..).zip(stores) {
         let peers = SocketAddr::from(([127, 0, 0, 1], port()));
         let mut settings = settings(&format!("gateway-{i}"), peers);
         settings.seed = i;
-        all.push(started(settings, listing_store(held), peers).await);
+        all.push(started(settings, store, peers).await);
     }
     all
 }
 
+/// A store that also lists the gateways that announce themselves, and refuses reads while `away`.
+pub fn store_that_turns_away(held: &Held, away: &Rc<Cell<bool>>) -> Store {
+    let mut store = listing_store(held);
+    let away = Rc::clone(away);
+    let mut read = std::mem::replace(&mut store.read, Box::new(|| unreachable!()));
+    store.read = Box::new(move || match away.get() {
+        true => Box::pin(async { Err(store::Error::Refused(429)) }),
+        false => read(),
+    });
+    store
+}
+
 /// A port below those that the system gives to outgoing connections, free for datagrams and for
 /// connections; no other test of this process gets it.
 fn port() -> u16 {
--- a/gateway/tests/views.rs
+++ b/gateway/tests/views.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,8 +27,10 @@
 use crate::support::config;
 use crate::support::counted;
 use crate::support::gateways;
+use crate::support::gateways_before;
 use crate::support::listing;
 use crate::support::run;
+use crate::support::store_that_turns_away;
 use crate::support::until;
 
 const GATEWAYS: u64 = 6;
@@ -94,6 +97,30 @@
     all.iter().map(|g| counted(g, "view_bytes_total")).sum()
 }
 
+/// One gateway refuses all callers seconds after the store has begun to turn it away, though its
+/// peers know everything. As one of the readers it only went on asking the store.
+#[test]
+fn a_reader_that_the_store_turns_away_follows_its_peers() {
+    run(async {
+        let held: Held = Rc::new(RefCell::new(Some(view(1, 2))));
+        let away = Rc::new(Cell::new(false));
+        let stays = Rc::new(Cell::new(false));
+        let stores = [&away, &stays, &stays].map(|switch| store_that_turns_away(&held, switch));
+        let all = gateways_before(stores.into_iter().collect()).await;
+        until("all know each other", || {
+            all.iter().all(|g| g.shared.gateway.borrow().sharers() == READERS)
+        })
+        .await;
+        away.set(true);
+
+        held.borrow_mut().as_mut().unwrap().replicas.remove(7);
+        until("gone everywhere", || all.iter().all(|g| open(g) == REPLICAS - 1)).await;
+
+        assert!(is_reader(&all[0]));
+        assert!(counted(&all[0], "call=\"read\",sound=\"false\"") > 0);
+    });
+}
+
 /// Replicas leave every half second. Each time all gateways fetch everything again, a thousand routes
 /// and hundreds of replicas, from a few readers on narrow links; lists come seconds apart, and calls
 /// go to replicas that have left.
