A reader that the store turns away follows its peers

Change: after a failed read a reader asks the other readers, as any gateway does, and goes on trying the store. No call of the store more than before; with the store out for all, two datagrams a try. Before: a_reader_that_the_store_turns_away_follows_its_peers failed; now it passes, with all tests of the gateway.

--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -166,7 +166,12 @@
                     shared.log(line.with("proof_age_ms", age.map_or(-1, |a| a.as_millis() as i64)));
                 }
                 sound = false;
-                tokio::time::sleep(jittered(&shared, AGAIN)).await;
+                // The store may turn this gateway away alone. Its peers still take it for a reader,
+                // so it goes on trying, and lives by what another reader knows: otherwise its proof
+                // would age out, and it would refuse its callers while the others serve theirs.
+                let followed = is_reader && asked(&shared, &readers).await;
+                let pause = if followed { ASKING } else { AGAIN };
+                tokio::time::sleep(jittered(&shared, pause)).await;
             }
         }
     }
