--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -6,14 +6,14 @@
 //! answer is dialled anew before it is suspected, and suspected before it is dead; only its owner
 //! can clear it, with a higher version of its record.
 
+mod judge;
+mod record;
+
 use std::collections::BTreeMap;
 
-use derive_more::Display;
 use rand::Rng;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::action::Action;
 use crate::action::Line;
@@ -23,6 +23,11 @@
 use crate::time::Span;
 use crate::time::Time;
 
+pub use self::record::Record;
+pub use self::record::State;
+pub use self::record::Verdict;
+pub use self::record::home;
+
 /// Time between two rounds of probes.
 pub const PROBE: Span = Span::secs(1);
 /// A probe without an answer for this long is repeated over a new connection.
@@ -33,12 +38,8 @@
 pub const DEAD_AFTER: Span = Span::millis(2_500);
 /// Time after which a router that left or died is forgotten.
 pub const FORGET_AFTER: Span = Span::secs(7_200);
-/// A tick that comes this long after the last one tells that this router stood still: many times
-/// the driver's 10 ms, and well below the time after which a probe is judged.
-const FROZEN: Span = Span::millis(300);
 const RING: usize = 2;
 const FANOUT: usize = 4;
-const HELPERS: usize = 2;
 const RIDES: u32 = 6;
 const RECORDS_PER_PROBE: usize = 8;
 const DEAD_PROBE: Span = Span::secs(5);
@@ -46,83 +47,6 @@
 const MAX_RELAYS: usize = 256;
 const REPAIR_EVERY: Span = Span::secs(5);
 
-/// What a router says of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Display)]
-#[display(rename_all = "lowercase")]
-pub enum State {
-    /// Not ready for callers.
-    Joining,
-    /// Takes callers.
-    Serving,
-    /// Serves on, but callers are no longer sent to it.
-    Leaving,
-    /// Has exited by plan.
-    Left,
-}
-
-/// What other routers say of a router, by rising weight.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Display)]
-#[display(rename_all = "lowercase")]
-pub enum Verdict {
-    /// It answers.
-    Alive,
-    /// It does not answer some router.
-    Suspect,
-    /// It has not answered or objected.
-    Dead,
-}
-
-/// A router's record, written by itself, with the verdict of others.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Record {
-    /// Name, unique among the routers.
-    pub name: String,
-    /// Number of this run of the process; a later run has a higher one.
-    pub incarnation: u64,
-    /// Version of this record within the incarnation.
-    pub version: u64,
-    /// State by its own word.
-    pub state: State,
-    /// Verdict of others on this version.
-    pub verdict: Verdict,
-    /// Failure domain it runs in.
-    pub failure_domain: String,
-    /// Address for callers.
-    pub caller_address: String,
-    /// Address for peers.
-    pub peer_address: String,
-    /// Epoch of its idempotency keys.
-    pub epoch: u32,
-    /// Homes of other incarnations whose keys it has taken over.
-    pub adopted: Vec<String>,
-}
-
-impl Record {
-    fn rank(&self) -> (u64, u64, Verdict) {
-        (self.incarnation, self.version, self.verdict)
-    }
-
-    /// Base of the idempotency keys whose home is this incarnation.
-    pub fn home(&self) -> String {
-        home(&self.name, self.incarnation)
-    }
-
-    /// Whether callers may be sent to it.
-    pub fn takes_callers(&self) -> bool {
-        self.state == State::Serving && self.verdict == Verdict::Alive
-    }
-
-    /// Whether it takes part at all.
-    pub fn is_live(&self) -> bool {
-        self.verdict != Verdict::Dead && self.state != State::Left
-    }
-}
-
-/// Base of the idempotency keys whose home is this incarnation of a router.
-pub fn home(name: &str, incarnation: u64) -> String {
-    format!("{name}.{incarnation:x}")
-}
-
 #[derive(Debug)]
 struct Member {
     record: Record,
@@ -415,92 +339,6 @@
         self.probes.insert(sequence, Probe { name, sent: now, redialled: false });
     }
 
-    /// Moves deadlines of peers by the time for which this router itself was frozen or starved:
-    /// their answers lie unread in its sockets, and judged by the clock they would be suspected,
-    /// or dead, for everyone.
-    fn excuse(&mut self, now: Time) {
-        let gap = now.since(self.last_tick);
-        self.last_tick = now;
-        if gap < FROZEN {
-            return;
-        }
-        for probe in self.probes.values_mut() {
-            probe.sent = probe.sent + gap;
-        }
-        for member in self.others.values_mut() {
-            if member.record.verdict == Verdict::Suspect {
-                member.since = member.since + gap;
-            }
-        }
-    }
-
-    fn judge(&mut self, now: Time, rng: &mut SmallRng, out: &mut Vec<Action>) {
-        let late = self.probes.iter().filter(|(_, p)| now.since(p.sent) >= REDIAL_AFTER);
-        let late: Vec<(u64, Probe)> = late.map(|(s, p)| (*s, p.clone())).collect();
-        let mut news = Vec::new();
-        for (sequence, probe) in late {
-            let Some(member) = self.others.get(&probe.name) else {
-                self.probes.remove(&sequence);
-                continue;
-            };
-            if now.since(probe.sent) >= SUSPECT_AFTER {
-                self.probes.remove(&sequence);
-                if member.record.verdict == Verdict::Alive {
-                    news.extend(self.condemn(now, &probe.name, Verdict::Suspect, out));
-                }
-            } else if !probe.redialled {
-                self.try_again(sequence, rng, out);
-            }
-        }
-        let suspects = self
-            .others
-            .values()
-            .filter(|m| m.record.verdict == Verdict::Suspect && now.since(m.since) >= DEAD_AFTER);
-        let overdue: Vec<String> = suspects.map(|m| m.record.name.clone()).collect();
-        for name in overdue {
-            news.extend(self.condemn(now, &name, Verdict::Dead, out));
-        }
-        if !news.is_empty() {
-            let gossip = self.gossip_of(news);
-            self.send_news(rng, out, gossip);
-        }
-    }
-
-    /// A connection can go silent for good while new ones work, because something between the
-    /// ends lost track of it. The probe is repeated over a new connection, and by two others,
-    /// before its target is judged.
-    fn try_again(&mut self, sequence: u64, rng: &mut SmallRng, out: &mut Vec<Action>) {
-        let Some(probe) = self.probes.get_mut(&sequence) else {
-            return;
-        };
-        probe.redialled = true;
-        let name = probe.name.clone();
-        let gossip = self.gossip_for(&name);
-        let Some(member) = self.others.get(&name) else {
-            return;
-        };
-        let address = member.record.peer_address.clone();
-        out.push(Action::Redial(address.clone()));
-        let message = Message::Probe { sequence, anew: true, gossip };
-        out.push(Action::Send { address: address.clone(), message });
-        let helpers: Vec<&Record> = self.live().filter(|r| r.name != name).collect();
-        for helper in helpers.choose_multiple(rng, HELPERS) {
-            let message = Message::ProbeFor { sequence, address: address.clone() };
-            out.push(Action::Send { address: helper.peer_address.clone(), message });
-        }
-    }
-
-    fn condemn(
-        &mut self,
-        now: Time,
-        name: &str,
-        verdict: Verdict,
-        out: &mut Vec<Action>,
-    ) -> Option<Record> {
-        let record = Record { verdict, ..self.others.get(name)?.record.clone() };
-        self.learn_one(now, record, out)
-    }
-
     /// Takes a probe in and answers it.
     ///
     /// A connection can be silent one way only as well: the answer to a probe that was sent anew
