--- a/gateway/tests/views.rs
+++ b/gateway/tests/views.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,8 +27,10 @@
 use crate::support::config;
 use crate::support::counted;
 use crate::support::gateways;
+use crate::support::gateways_before;
 use crate::support::listing;
 use crate::support::run;
+use crate::support::store_that_turns_away;
 use crate::support::until;
 
 const GATEWAYS: u64 = 6;
@@ -40,6 +43,8 @@
 /// Changes in a row, and the pause between them: a fraction of the time from one read to the next.
 const CHANGES: usize = 20;
 const PAUSE: Duration = Duration::from_millis(150);
+/// Pause between parts of a slow answer: four of them are longer than one call may take, each is not.
+const SLOW: Duration = Duration::from_millis(400);
 
 fn route(i: usize) -> Route {
     Route {
@@ -92,6 +97,30 @@
     all.iter().map(|g| counted(g, "view_bytes_total")).sum()
 }
 
+/// One gateway refuses all callers seconds after the store has begun to turn it away, though its
+/// peers know everything. As one of the readers it only went on asking the store.
+#[test]
+fn a_reader_that_the_store_turns_away_follows_its_peers() {
+    run(async {
+        let held: Held = Rc::new(RefCell::new(Some(view(1, 2))));
+        let away = Rc::new(Cell::new(false));
+        let stays = Rc::new(Cell::new(false));
+        let stores = [&away, &stays, &stays].map(|switch| store_that_turns_away(&held, switch));
+        let all = gateways_before(stores.into_iter().collect()).await;
+        until("all know each other", || {
+            all.iter().all(|g| g.shared.gateway.borrow().sharers() == READERS)
+        })
+        .await;
+        away.set(true);
+
+        held.borrow_mut().as_mut().unwrap().replicas.remove(7);
+        until("gone everywhere", || all.iter().all(|g| open(g) == REPLICAS - 1)).await;
+
+        assert!(is_reader(&all[0]));
+        assert!(counted(&all[0], "call=\"read\",sound=\"false\"") > 0);
+    });
+}
+
 /// Replicas leave every half second. Each time all gateways fetch everything again, a thousand routes
 /// and hundreds of replicas, from a few readers on narrow links; lists come seconds apart, and calls
 /// go to replicas that have left.
@@ -178,8 +207,30 @@
     });
 }
 
+/// A gateway behind a narrow link has just started, and a whole view takes longer than one call may.
+/// Bounded like a call it never came to its end, and the gateway asked for it again and again.
+#[test]
+fn a_whole_view_may_take_longer_than_a_call() {
+    run(async {
+        let held: Held = Rc::new(RefCell::new(Some(view(1, 2))));
+        let all = gateways(&held, 1).await;
+        let new = Known::new(view(1, ROUTES), None);
+        let whole = Delta::between(Base::default(), &new).encode().unwrap();
+        let reader = reader_at([whole, Vec::new()], SLOW).await;
+
+        let fetched = fetch(&all[0].shared, &reader.to_string()).await.unwrap().1;
+
+        assert_eq!(fetched, new);
+    });
+}
+
 /// A reader that answers each request with the next of these differences.
 async fn reader(deltas: [Vec<u8>; 2]) -> SocketAddr {
+    reader_at(deltas, Duration::ZERO).await
+}
+
+/// The same with a pause before each quarter of an answer.
+async fn reader_at(deltas: [Vec<u8>; 2], pause: Duration) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::task::spawn_local(async move {
@@ -189,7 +240,10 @@
             let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", delta.len() + 8);
             stream.write_all(head.as_bytes()).await.unwrap();
             stream.write_all(&[0; 8]).await.unwrap();
-            stream.write_all(&delta).await.unwrap();
+            for part in delta.chunks(delta.len().div_ceil(4).max(1)) {
+                tokio::time::sleep(pause).await;
+                stream.write_all(part).await.unwrap();
+            }
         }
     });
     address
