A silent replica is given up only for another one that may go on

Cause: an attempt counted as silent was ended once the retry budget had a place; only then was it looked whether the call is still allowed (its key may have been taken away) and whether another replica is there. Where not, the caller's stream broke off in a mere pause, and the place in the budget was lost.

Ruled out: that the replica had ended; it wrote on until its connection was closed.

Change: before the budget is asked, the gateway looks whether the call may move: still allowed, and a replica usable that has not been tried.

--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -247,6 +247,12 @@
         keys.filter(|k| self.replicas.get(**k).is_some_and(|r| r.is_usable(now))).count()
     }
 
+    /// Whether a service has a replica that may get work at `now`, besides those in `tried`.
+    pub fn has_other(&self, now: Time, service: &str, tried: &[Key<Replica>]) -> bool {
+        let mut keys = self.by_service.get(service).into_iter().flatten();
+        keys.any(|k| !tried.contains(k) && self.replicas.get(*k).is_some_and(|r| r.is_usable(now)))
+    }
+
     /// Notes that an attempt is sent.
     pub fn sent(&mut self, now: Time, claim: &mut Claim, engine: bool, parts: &[Part]) {
         claim.sent = now;
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -490,6 +490,13 @@
         self.common.note(now, &ask.parts);
     }
 
+    /// Whether a call that a replica has may still be sent to another one, and one is there.
+    pub fn may_move(&self, now: Time, ask: &Ask, grant: &Grant) -> bool {
+        let mut renewed = grant.clone();
+        let allowed = self.confirm(now, ask, &mut renewed).is_ok();
+        allowed && self.fleet.has_other(now, &renewed.service, &grant.tried)
+    }
+
     /// Takes one further attempt out of the service's budget; `false` if there is none left.
     pub fn spend(&mut self, now: Time, service: &str) -> bool {
         let sharers = self.directory.sharers();
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -409,7 +409,12 @@
             if movable {
                 let silent_in = self.shared.gateway.borrow().silent_in(now, &in_flight.claim);
                 if silent_in.0 == 0 {
-                    if self.shared.gateway.borrow_mut().spend(now, &self.grant.service) {
+                    // Where nobody else may go on, giving a silent replica up would end an answer
+                    // that may still come: callers see a stream break off in a mere pause.
+                    let mut gateway = self.shared.gateway.borrow_mut();
+                    if gateway.may_move(now, &self.ask, &self.grant)
+                        && gateway.spend(now, &self.grant.service)
+                    {
                         return Err(Fault::Silent);
                     }
                     movable = false;
