--- a/core/src/gateway/fleet/list.rs
+++ b/core/src/gateway/fleet/list.rs
@@ -4,13 +4,12 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use crate::arena::Key;
-use crate::gateway::outage::Absence;
-use crate::time::Time;
-
 use super::Fleet;
 use super::Listing;
 use super::Replica;
+use crate::arena::Key;
+use crate::gateway::outage::Absence;
+use crate::time::Time;
 
 /// What a list changed, by identity of the replica.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -1,6 +1,7 @@
 //! One gateway: from a call's head to a replica, and everything it believes.
 
 mod keeper;
+mod stop;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -9,6 +10,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use self::stop::Stop;
 use super::ask::Ask;
 use super::budget;
 use super::budget::Budget;
@@ -140,15 +142,6 @@
     stop: Option<Stop>,
 }
 
-/// A planned stop in progress.
-#[derive(Clone, Copy, Debug)]
-struct Stop {
-    /// From when on all callers know of it.
-    learned: Time,
-    /// When the process ends, whatever is still in progress.
-    end: Time,
-}
-
 impl Gateway {
     /// A gateway that has just started.
     pub fn new(settings: Settings, now: Time) -> Gateway {
@@ -255,27 +248,6 @@
         self.directory.peers().map(str::to_owned).collect()
     }
 
-    /// Begins to leave: no new callers are sent here. All callers know of it after `learned`, and
-    /// calls end after `grace`.
-    pub fn stop(&mut self, now: Time, learned: Span, grace: Span) {
-        self.stop = Some(Stop { learned: now + learned, end: now + grace });
-    }
-
-    /// Whether the gateway is leaving.
-    pub fn is_stopping(&self) -> bool {
-        self.stop.is_some()
-    }
-
-    /// Whether the gateway is leaving and all callers had the time to learn of it.
-    pub fn is_closing(&self, now: Time) -> bool {
-        self.stop.is_some_and(|stop| now > stop.learned)
-    }
-
-    /// Whether the gateway is leaving and calls that have no answer yet are to get one now.
-    pub fn is_ending(&self, now: Time) -> bool {
-        self.stop.is_some_and(|stop| now >= stop.end)
-    }
-
     /// Whether callers may be sent here.
     pub fn is_open(&self, now: Time) -> bool {
         self.stop.is_none() && self.config.is_some() && self.freshness.is_current(now)
@@ -332,21 +304,6 @@
         Ok(grant)
     }
 
-    /// Looks whether a call of which nothing has run may still be sent to a replica.
-    ///
-    /// Once all callers had the time to learn of a stop, a call that may outlast the process would
-    /// be cut in the middle of its answer. While nothing of it has run, it is better off elsewhere.
-    ///
-    /// # Errors
-    ///
-    /// The refusal to answer with.
-    pub fn may_begin(&self, now: Time, grant: &Grant) -> Result<(), Refusal> {
-        if self.stop.is_some_and(|stop| now > stop.learned && grant.deadline > stop.end) {
-            return Err(Refusal::not_run(Reason::Stopping, ELSEWHERE));
-        }
-        Ok(())
-    }
-
     fn resolve(&self, now: Time, arrived: Time, ask: &Ask) -> Result<Grant, Refusal> {
         let Some(config) = &self.config else {
             return Err(Refusal::not_run(Reason::NoConfiguration, ELSEWHERE));
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -381,8 +381,8 @@
     }
 
     /// Waits for something of a replica, until the time is over, or the process ends and the caller
-    /// has no answer yet, or the replica has been silent
-    /// for so long that the call is better off elsewhere and may go there.
+    /// has no answer yet, or the replica has been silent for so long that the call is better off
+    /// elsewhere and may go there.
     ///
     /// # Errors
     ///
