Reading speed and pauses are learnt; the lane has room for its streams' own prompts

Cause: what a prompt costs, and which streams long prompts disturb, were figures of one generation of engines (110 tokens a millisecond, steps of 42 ms), and the engines set apart were counted by places alone. Engines of 64 places that read 62 tokens a millisecond ran out of reading long before places: the busiest got 4.3 times the mean, questions paused for more than they may, and calls in the middle rank found nothing. Change: a line through first events that found nothing unread gives the cost of a token, shared by heartbeats; gaps between events tell which streams would be late beside long prompts; the lane is as large as its streams' places or their prompts need, and reads as much as the rest in an overload.

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -13,6 +13,7 @@
 use crate::gateway::gossip::Demand;
 use crate::gateway::gossip::Demands;
 use crate::gateway::gossip::Sighting;
+use crate::gateway::pace;
 use crate::incarnation::Digest;
 use crate::rendezvous;
 use crate::time::Span;
@@ -49,7 +50,7 @@
 }
 
 /// What a heartbeat says besides who sent it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Heartbeat {
     /// The sender.
     pub entry: Entry,
@@ -57,6 +58,8 @@
     pub demands: Vec<Demand>,
     /// Loads of replicas.
     pub loads: Vec<Sighting>,
+    /// What prompts cost at the engines of services.
+    pub paces: Vec<pace::Sighting>,
     /// Version of its configuration.
     pub version: u64,
     /// Age of its proof that this version is the newest, in microseconds.
--- a/core/src/gateway/engine.rs
+++ b/core/src/gateway/engine.rs
@@ -1,7 +1,4 @@
-//! What a prompt costs a model engine, and what an engine has read before.
-//!
-//! Engines read prompts in chunks between the steps of running requests, so a prompt delays the
-//! tokens of all others there by about the time it takes to read what is not cached.
+//! What engines have read before and still have cached.
 
 use std::collections::BTreeMap;
 
@@ -9,10 +6,6 @@
 use crate::time::Span;
 use crate::time::Time;
 
-/// Prompt tokens that an engine reads in a millisecond, as operators of such engines publish it.
-pub const TOKENS_PER_MS: f64 = 110.0;
-/// Milliseconds per million token pairs of attention, from the same source.
-pub const MS_PER_MILLION_PAIRS: f64 = 0.325;
 /// How long a part is taken to stay cached after its last use. Engines evict the least recently
 /// used parts; at twice the usual load of long prompts a cache of 380,000 tokens turns over in
 /// about half a minute.
@@ -20,12 +13,6 @@
 /// Parts remembered per engine.
 const MOST_PARTS: usize = 2_048;
 
-/// Time to read `new` tokens behind `cached` ones, in milliseconds.
-pub fn reading_ms(cached: u64, new: u64) -> f64 {
-    let pairs = new as f64 * (cached as f64 + new as f64 / 2.0) / 1e6;
-    new as f64 / TOKENS_PER_MS + pairs * MS_PER_MILLION_PAIRS
-}
-
 /// Parts that one engine has read for this gateway, with the time of their last use.
 #[derive(Debug, Default)]
 pub struct Cache {
--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -30,6 +30,9 @@
 const LONGEST_REST: Span = Span::secs(3);
 /// Weight of the newest outcome in the failure rate.
 const OUTCOME_WEIGHT: f64 = 0.15;
+/// Times as slow as expected from which on a replica is taken for a straggler. Its gaps are not
+/// those of its service; at half of this, bursts make every engine a straggler.
+const STRAGGLER: f64 = 4.0;
 /// Weight of the newest first event in a replica's slowness.
 const SLOWNESS_WEIGHT: f64 = 0.15;
 
@@ -162,6 +165,12 @@
         self.replicas.iter().map(|(_, r)| r.sensitive).sum()
     }
 
+    /// Service of a replica, if it answers like its peers: a straggler says nothing about them.
+    pub fn service_of_usual(&self, key: Key<Replica>) -> Option<&str> {
+        let replica = self.replicas.get(key)?;
+        (replica.slowness < STRAGGLER).then_some(replica.listing.service.as_str())
+    }
+
     /// Time until a replica that has work counts as silent; zero if it is now, or unknown.
     pub fn silent_in(&self, now: Time, key: Key<Replica>) -> Span {
         self.replicas.get(key).map_or(Span(0), |r| r.silent_in(now))
@@ -173,6 +182,7 @@
             return;
         }
         claim.read = true;
+        claim.event = now;
         if self.is_engine(claim.replica) {
             self.tell_keeper(claim, Change::Read);
         }
--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -2,8 +2,9 @@
 
 use crate::arena::Key;
 use crate::gateway::ask::Part;
-use crate::gateway::engine;
 use crate::gateway::ledger::Standing;
+use crate::gateway::pace;
+use crate::gateway::pace::Pace;
 use crate::incarnation::Digest;
 use crate::rendezvous;
 use crate::time::Span;
@@ -31,9 +32,6 @@
 const AT_SECOND: f64 = 0.3;
 /// Engines whose keepers are asked for a call that may go to any engine.
 const ASKED: usize = 2;
-/// An engine reads prompts between the steps of its running requests, which takes this many times
-/// as long as reading alone: a chunk of 2,048 tokens takes 19 ms, the step with it 26.
-const READING_STRETCH: f64 = 1.4;
 /// Milliseconds that each running request adds to the first event of one that joins.
 const RUNNING_MS: f64 = 0.3;
 /// The same for a call that ranks last: most that run have prompts to be read before its own.
@@ -69,6 +67,10 @@
     pub last: bool,
     /// Tokens at the head of the prompt that every engine has cached.
     pub common: u64,
+    /// Longest pause of its stream that is on time.
+    pub pause: Span,
+    /// What prompts cost at the service's engines.
+    pub pace: Pace,
 }
 
 /// An attempt's claim on a replica.
@@ -76,6 +78,8 @@
 pub struct Claim {
     /// The replica.
     pub replica: Key<Replica>,
+    /// What there is to read of the prompt; see [`pace::work`].
+    pub work: f64,
     /// Time to read the prompt, in milliseconds.
     pub reading_ms: f64,
     /// Expected time to the first event or answer, in milliseconds.
@@ -94,9 +98,14 @@
     pub kept: bool,
     /// Number of the call in the keeper's ledger.
     pub(super) call: u64,
-    pub(super) sent: Time,
-    pub(super) read: bool,
-    pub(super) sensitive: bool,
+    pub(in crate::gateway) sent: Time,
+    pub(in crate::gateway) read: bool,
+    /// Nothing unread was known at the engine.
+    pub(in crate::gateway) alone: bool,
+    pub(in crate::gateway) pause: Span,
+    /// When the newest event came.
+    pub(in crate::gateway) event: Time,
+    pub(in crate::gateway) sensitive: bool,
 }
 
 impl Fleet {
@@ -176,10 +185,11 @@
         let eligible = eligible.filter(|(_, r)| !any || standing(r).is_some());
         let scored = eligible.map(|(key, replica)| {
             let standing = standing(replica);
-            let (reading_ms, expected_ms) = match need.engine {
+            let (work, expected_ms) = match need.engine {
                 Some(u) => engine_ms(now, need, &u, replica, Home::of(&homes, *key), standing),
                 None => (0.0, plain_ms(now, replica)),
             };
+            let reading_ms = need.engine.map_or(0.0, |u| u.pace.reading_ms(work));
             let load = standing.map_or(replica.running(now), |s| f64::from(s.calls));
             let reading_others = match need.engine {
                 Some(u) => READING_OTHERS * reading_ms * load.min(f64::from(u.slots)),
@@ -190,6 +200,7 @@
             let sensitive = need.engine.is_some_and(|u| u.sensitive);
             let claim = Claim {
                 replica: *key,
+                work,
                 reading_ms,
                 expected_ms,
                 load,
@@ -201,6 +212,9 @@
                 call: 0,
                 sent: now,
                 read: false,
+                alone: standing.is_some_and(|s| s.unread_ms <= 0.0),
+                pause: need.engine.map_or(Span(0), |u| u.pause),
+                event: now,
                 sensitive,
             };
             (expected_ms + reading_others + foreign + failing, claim)
@@ -269,7 +283,7 @@
     best.map(|(_, key)| key)
 }
 
-/// Time to read the prompt and expected time to the first event, in milliseconds.
+/// What there is to read of the prompt, and expected time to the first event in milliseconds.
 fn engine_ms(
     now: Time,
     need: &Need<'_>,
@@ -288,9 +302,10 @@
         }
         Home::None => known,
     };
-    let reading = engine::reading_ms(cached, total.saturating_sub(cached));
+    let work = pace::work(cached, total.saturating_sub(cached));
+    let reading = u.pace.reading_ms(work);
     if let Some(standing) = standing {
-        return (reading, kept_ms(u, reading, standing));
+        return (work, kept_ms(u, reading, standing));
     }
     let running = replica.running(now);
     let over = (running - f64::from(u.slots)).max(0.0);
@@ -298,7 +313,7 @@
     let ahead = if u.last { waiting } else { waiting * AHEAD_OF_URGENT };
     let queue = replica.reading_ms + WAITING_MS * ahead;
     let beside = if u.last { RUNNING_LAST_MS } else { RUNNING_MS };
-    (reading, reading + queue + beside * running)
+    (work, reading + queue + beside * running)
 }
 
 /// Expected time to the first event at an engine whose keeper was asked, in milliseconds: all
@@ -307,8 +322,7 @@
     let ahead = if u.last { 1.0 } else { AHEAD_OF_URGENT };
     let over = (f64::from(standing.calls) + 1.0 - f64::from(u.slots)).max(0.0);
     let place = over * f64::from(standing.interval_ms);
-    let unread = READING_STRETCH * f64::from(standing.unread_ms);
-    ahead * place.max(unread) + READING_STRETCH * reading_ms
+    ahead * place.max(f64::from(standing.unread_ms)) + reading_ms
 }
 
 fn plain_ms(now: Time, replica: &Replica) -> f64 {
--- /dev/null
+++ b/core/src/gateway/gaps.rs
@@ -0,0 +1,80 @@
+//! How long streams pause between events beside long prompts, as the answers of a service show.
+//!
+//! A stream whose pauses must be short needs engines without long prompts only where the pauses it
+//! would see are longer, which depends on the engines and on how much they read. So the gaps
+//! between events of all other streams are counted by their length, the older ones fading out.
+
+use crate::time::Span;
+
+/// Lengths that are told apart: steps of a quarter of a power of two from 4 ms to 4 s.
+const LENGTHS: usize = 40;
+const SHORTEST_MS: f64 = 4.0;
+const PER_DOUBLING: f64 = 4.0;
+/// Gaps after which the older ones count half: some seconds of a busy gateway.
+const HALF_LIFE: f64 = 2_000.0;
+/// Gaps from which on they are gone by; before, a prior decides.
+const ENOUGH: f64 = 500.0;
+/// Gaps longer than allowed that a stream has, from which on it is kept apart: one in ten streams
+/// is late then. Off by two, one in five or in twenty.
+const LATE: f64 = 0.1;
+/// Part of that below which streams that were kept apart are no longer.
+const STILL_LATE: f64 = 0.25;
+/// Milliseconds of a step beside a long prompt that are assumed until enough gaps were seen: a
+/// chunk of 2,048 tokens at 110 a millisecond, the step, and attention to 20,000 tokens.
+const PRIOR_STEP_MS: u64 = 42;
+
+/// Gaps between events of a service's streams.
+#[derive(Clone, Debug)]
+pub struct Gaps {
+    counts: [f64; LENGTHS],
+    total: f64,
+    /// Weight of the next gap; it grows instead of the older counts being cut.
+    next: f64,
+}
+
+impl Default for Gaps {
+    fn default() -> Gaps {
+        Gaps { counts: [0.0; LENGTHS], total: 0.0, next: 1.0 }
+    }
+}
+
+fn length(gap: Span) -> usize {
+    let ms = gap.as_secs_f64() * 1e3 / SHORTEST_MS;
+    ((ms.max(1.0).log2() * PER_DOUBLING) as usize).min(LENGTHS - 1)
+}
+
+impl Gaps {
+    /// Counts a gap.
+    pub fn note(&mut self, gap: Span) {
+        self.counts[length(gap)] += self.next;
+        self.total += self.next;
+        self.next *= (2.0_f64).powf(1.0 / HALF_LIFE);
+        if self.next > 1e9 {
+            let scale = 1.0 / self.next;
+            self.counts.iter_mut().for_each(|count| *count *= scale);
+            self.total *= scale;
+            self.next = 1.0;
+        }
+    }
+
+    /// Share of the gaps that are longer than `pause`; `None` while too few were seen.
+    fn share_over(&self, pause: Span) -> Option<f64> {
+        if self.total < ENOUGH * self.next {
+            return None;
+        }
+        let over: f64 = self.counts[length(pause) + 1..].iter().sum();
+        Some(over / self.total)
+    }
+
+    /// Whether streams of so many `events` that may pause for `pause` come late beside long prompts;
+    /// `was` is what held before, so that a share near the bound does not turn it about.
+    pub fn are_late(&self, pause: Span, events: f64, stride: u32, was: bool) -> bool {
+        if pause.0 == 0 {
+            return false;
+        }
+        match self.share_over(pause) {
+            None => pause <= Span::millis(PRIOR_STEP_MS * u64::from(stride.max(1))),
+            Some(share) => events * share >= if was { LATE * STILL_LATE } else { LATE },
+        }
+    }
+}
--- a/core/src/gateway/lane.rs
+++ b/core/src/gateway/lane.rs
@@ -4,20 +4,24 @@
 //! long one, every step takes about five times as long, and a stream whose pauses must be short
 //! comes late. So such streams share a few engines, and long prompts go to the others. All
 //! gateways agree on which without a message: the first of the open ones, in the order of their
-//! hashes, as many as the streams of all gateways need.
+//! hashes, as many as the streams of all gateways need for their places and their own prompts.
 
 use crate::gateway::config::Engine;
-use crate::gateway::config::Route;
 use crate::time::Span;
 use crate::time::Time;
 
-/// Milliseconds of a step in which an engine also reads a chunk of a long prompt: a chunk of 2,048
-/// tokens at 110 a millisecond, the step itself, and attention to a context of 20,000 tokens.
-const STEP_MS: u64 = 42;
 /// Part of an engine's slots that sensitive streams fill before they take one more engine. Keepers
 /// know which engine of the lane has places, so little need be spare; against 0.8, reports on time
 /// rose by 2 to 12 in 100 in four bursts.
 const FILL: f64 = 0.9;
+/// Part of its time for which an engine of the lane reads. Where it reads all the time, each step
+/// has a chunk, and what the lane is for is lost.
+const READING: f64 = 0.45;
+/// The same where all engines read for longer than that. The lane reads as much as the others then,
+/// up to this: beyond, its streams would queue as the reports do.
+const MOST_READING: f64 = 0.75;
+/// Weight that earlier streams keep when one more has ended: the last hundred count.
+const KEEPS: f64 = 0.99;
 /// Part of all engines that they may take.
 const MOST: f64 = 0.6;
 /// Steps in which the lane grows and shrinks, over all engines. Where gateways disagree on an
@@ -27,20 +31,47 @@
 /// over by then, and the streams that are left on it last about as long again.
 const STAY: Span = Span::millis(700);
 
-/// Whether a route's streams come late on an engine that reads long prompts.
-pub fn is_sensitive(route: &Route, engine: &Engine) -> bool {
-    let pause = Span::millis(STEP_MS * u64::from(engine.stride.max(1)));
-    route.streams && route.pause.0 > 0 && route.pause <= pause
-}
-
 /// Number of engines in the lane.
 #[derive(Debug, Default)]
 pub struct Lane {
     size: usize,
     needed: Time,
+    /// Milliseconds that ended streams took to read, and lasted in all; the older count less.
+    reading_ms: f64,
+    life_ms: f64,
+    /// Milliseconds that all streams took to read meanwhile.
+    all_reading_ms: f64,
 }
 
 impl Lane {
+    /// Notes a stream that ended: its prompt took `reading_ms`, and it lasted for `life`.
+    pub fn note(&mut self, reading_ms: f64, life: Span) {
+        self.reading_ms = self.reading_ms * KEEPS + reading_ms;
+        self.life_ms = self.life_ms * KEEPS + life.as_secs_f64() * 1e3;
+        self.all_reading_ms = self.all_reading_ms * KEEPS + reading_ms;
+    }
+
+    /// Notes a stream that is not sensitive, and ended.
+    pub fn note_other(&mut self, reading_ms: f64) {
+        self.all_reading_ms += reading_ms;
+    }
+
+    /// Part of its time for which each engine would read if all shared all prompts, where sensitive
+    /// streams keep `reading` engines of `engines` busy.
+    fn load(&self, reading: f64, engines: usize) -> f64 {
+        if self.reading_ms > 0.0 {
+            reading * self.all_reading_ms / self.reading_ms / engines.max(1) as f64
+        } else {
+            0.0
+        }
+    }
+
+    /// Part of a stream's life in which its prompt is read, and so the engines that each stream in
+    /// progress keeps reading.
+    fn reading_share(&self) -> f64 {
+        if self.life_ms > 0.0 { (self.reading_ms / self.life_ms).min(1.0) } else { 0.0 }
+    }
+
     /// The size at `now`, with `streams` sensitive streams over `engines` open engines.
     pub fn size(&mut self, now: Time, streams: u32, engine: &Engine, engines: usize) -> usize {
         if streams == 0 && now.since(self.needed) > STAY {
@@ -48,7 +79,10 @@
             return 0;
         }
         let full = f64::from(engine.slots.max(1)) * FILL;
-        let wanted = (f64::from(streams) / full).ceil() as usize + usize::from(streams > 0);
+        let by_places = f64::from(streams) / full;
+        let reading = f64::from(streams) * self.reading_share();
+        let by_reading = reading / self.load(reading, engines).clamp(READING, MOST_READING);
+        let wanted = by_places.max(by_reading).ceil() as usize;
         // Gateways count slightly different streams; in steps they agree all the same.
         let wanted = wanted.next_multiple_of(engines / STEPS + 1);
         if wanted >= self.size || now.since(self.needed) > STAY {
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -33,11 +33,11 @@
 use super::fleet::Use;
 use super::freshness::Freshness;
 use super::gossip::Demand;
-use super::lane;
-use super::lane::Lane;
 use super::ledger::Ledger;
 use super::ledger::Standing;
+use super::model::Model;
 use super::outage::Outage;
+use super::pace;
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use crate::arena::Key;
@@ -134,7 +134,7 @@
     fleet: Fleet,
     directory: Directory,
     budgets: BTreeMap<String, Budget>,
-    lanes: BTreeMap<String, Lane>,
+    models: BTreeMap<String, Model>,
     common: Common,
     ledger: Ledger,
     tidied: Time,
@@ -153,7 +153,7 @@
             fleet: Fleet::default(),
             directory: Directory::default(),
             budgets: BTreeMap::new(),
-            lanes: BTreeMap::new(),
+            models: BTreeMap::new(),
             common: Common::default(),
             ledger: Ledger::default(),
             tidied: now,
@@ -220,6 +220,7 @@
         if heartbeat.entry.name != self.settings.entry.name {
             self.directory.hear(now, heartbeat);
             self.fleet.learn(now, &heartbeat.loads);
+            self.hear_paces(&heartbeat.paces);
         }
     }
 
@@ -238,6 +239,7 @@
             entry: self.settings.entry.clone(),
             demands,
             loads: self.fleet.tell(now),
+            paces: self.tell_paces(),
             version: self.version(),
             proof_age: self.freshness.age(now).map(|s| s.0),
         }
@@ -400,13 +402,15 @@
         let engines = self.fleet.usable(now, &grant.service);
         let last = self.config.as_ref().is_some_and(|c| c.ranks_last(&grant.route, &grant.service));
         let gateways = self.directory.sharers();
-        let lane = self.lanes.entry(grant.service.clone()).or_default();
+        let model = self.models.entry(grant.service.clone()).or_default();
         Use {
             slots: engine.slots,
-            sensitive: lane::is_sensitive(&grant.route, engine),
-            lane: lane.size(now, streams, engine, engines),
+            sensitive: model.is_sensitive(&grant.route, engine),
+            lane: model.lane.size(now, streams, engine, engines),
             last,
             common: self.common.tokens(now, &ask.parts, engines, gateways),
+            pause: grant.route.pause,
+            pace: model.pace,
         }
     }
 
@@ -470,13 +474,57 @@
         self.fleet.silent_in(now, claim.replica)
     }
 
+    /// Notes an event, or the whole answer, of an attempt; `true` if it is the first.
+    pub fn event(&mut self, now: Time, claim: &mut Claim) -> bool {
+        if !claim.read {
+            self.first(now, claim);
+            return true;
+        }
+        let gap = now.since(std::mem::replace(&mut claim.event, now));
+        let apart = claim.sensitive && claim.lane > 0;
+        if let Some(service) = self.fleet.service_of_usual(claim.replica) {
+            model(&mut self.models, service).goes_on(claim.pause, gap, apart);
+        }
+        false
+    }
+
     /// Notes the first event or the whole answer of an attempt.
     pub fn first(&mut self, now: Time, claim: &mut Claim) {
+        let is_first = !claim.read;
         self.fleet.first(now, claim);
+        if is_first && let Some(service) = self.fleet.service_of_usual(claim.replica) {
+            let model = model(&mut self.models, service);
+            model.begins(claim.pause);
+            if claim.alone {
+                model.pace.learn(claim.work, now.since(claim.sent).as_secs_f64() * 1e3);
+            }
+        }
+    }
+
+    fn tell_paces(&self) -> Vec<pace::Sighting> {
+        let told = self.models.iter();
+        told.filter_map(|(service, model)| model.pace.tell(directory::short(service))).collect()
+    }
+
+    fn hear_paces(&mut self, paces: &[pace::Sighting]) {
+        for (service, model) in &mut self.models {
+            let short = directory::short(service);
+            paces.iter().filter(|p| p.service == short).for_each(|p| model.pace.hear(p));
+        }
     }
 
     /// Notes the end of an attempt that was sent.
     pub fn done(&mut self, now: Time, claim: Claim, outcome: Outcome) {
+        if claim.read
+            && claim.work > 0.0
+            && let Some(replica) = self.fleet.get(claim.replica)
+        {
+            let lane = &mut model(&mut self.models, &replica.listing.service).lane;
+            match claim.sensitive {
+                true => lane.note(claim.reading_ms, now.since(claim.sent)),
+                false => lane.note_other(claim.reading_ms),
+            }
+        }
         self.fleet.done(now, claim, outcome);
     }
 
@@ -487,6 +535,11 @@
     }
 }
 
+/// What is learnt of a service; nothing yet if it is new.
+fn model<'a>(models: &'a mut BTreeMap<String, Model>, service: &str) -> &'a mut Model {
+    models.entry(service.to_owned()).or_default()
+}
+
 fn need<'a>(
     ask: &'a Ask,
     grant: &'a Grant,
--- a/core/tests/gateway/directory.rs
+++ b/core/tests/gateway/directory.rs
@@ -22,6 +22,7 @@
         entry: entry.clone(),
         demands: vec![demand],
         loads: Vec::new(),
+        paces: Vec::new(),
         version: 1,
         proof_age: None,
     }
--- a/core/tests/gateway/fleet.rs
+++ b/core/tests/gateway/fleet.rs
@@ -27,6 +27,7 @@
         entry: entry(name),
         demands: Vec::new(),
         loads: Vec::new(),
+        paces: Vec::new(),
         version: 1,
         proof_age: Some(age.0),
     }
--- a/core/tests/gateway/ledger.rs
+++ b/core/tests/gateway/ledger.rs
@@ -57,8 +57,14 @@
     let replica = |i: usize| Incarnation::unstated(&format!("engine-{i}")).digest();
     let sighting = |i: usize| Sighting { replica: replica(i), running, waiting, age_ms: 0 };
     let loads = (0..engines).map(sighting).collect();
-    let heartbeat =
-        Heartbeat { entry: entry("two"), demands: Vec::new(), loads, version: 1, proof_age: None };
+    let heartbeat = Heartbeat {
+        entry: entry("two"),
+        demands: Vec::new(),
+        loads,
+        paces: Vec::new(),
+        version: 1,
+        proof_age: None,
+    };
     gateway.hear(START, &heartbeat);
 }
 
@@ -69,6 +75,7 @@
             entry: entry(name),
             demands: vec![demand],
             loads: Vec::new(),
+            paces: Vec::new(),
             version: 1,
             proof_age: None,
         };
--- a/core/tests/gateway/loads.rs
+++ b/core/tests/gateway/loads.rs
@@ -51,7 +51,14 @@
 }
 
 fn heartbeat(demands: Vec<Demand>, loads: Vec<Sighting>) -> Heartbeat {
-    Heartbeat { entry: entry("two"), demands, loads, version: 1, proof_age: None }
+    Heartbeat {
+        entry: entry("two"),
+        demands,
+        loads,
+        paces: Vec::new(),
+        version: 1,
+        proof_age: None,
+    }
 }
 
 fn demand_of_chats(streams: u16) -> Demand {
--- a/core/tests/gateway/outage.rs
+++ b/core/tests/gateway/outage.rs
@@ -24,6 +24,7 @@
         entry: entry("two"),
         demands: Vec::new(),
         loads: Vec::new(),
+        paces: Vec::new(),
         version: 1,
         proof_age: Some(age.0),
     }
--- a/core/tests/gateway/restart.rs
+++ b/core/tests/gateway/restart.rs
@@ -65,8 +65,14 @@
 
 fn gossip(gateway: &mut Gateway, now: Time, replica: Digest) {
     let loads = vec![Sighting { replica, running: 16, waiting: 30, age_ms: 0 }];
-    let heartbeat =
-        Heartbeat { entry: entry("two"), demands: Vec::new(), loads, version: 1, proof_age: None };
+    let heartbeat = Heartbeat {
+        entry: entry("two"),
+        demands: Vec::new(),
+        loads,
+        paces: Vec::new(),
+        version: 1,
+        proof_age: None,
+    };
     gateway.hear(now, &heartbeat);
 }
 
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -149,10 +149,12 @@
         self.shared.gateway.borrow_mut().heard(clock::now(), &self.claim, load);
     }
 
-    /// Notes the first event, or the whole answer.
-    pub fn first(&mut self) {
-        self.shared.gateway.borrow_mut().first(clock::now(), &mut self.claim);
-        self.shared.notices_waiting.notify_one();
+    /// Notes events, or the whole answer.
+    pub fn event(&mut self) {
+        let first = self.shared.gateway.borrow_mut().event(clock::now(), &mut self.claim);
+        if first {
+            self.shared.notices_waiting.notify_one();
+        }
     }
 }
 
@@ -362,7 +364,7 @@
         let collected = Limited::new(&mut begun.body, MOST_ANSWER).collect();
         match self.listen(&begun.in_flight, collected).await {
             Ok(Ok(body)) => {
-                begun.in_flight.first();
+                begun.in_flight.event();
                 let head = begun.head.clone();
                 begun.finish(outcome);
                 Ok(Whole { head, body: body.to_bytes() })
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -162,7 +162,7 @@
                 match splitter.push(&data) {
                     Ok(events) if events.is_empty() => {}
                     Ok(events) => {
-                        b.in_flight.first();
+                        b.in_flight.event();
                         return Ok(Step::Events(events));
                     }
                     Err(_) => return Err(call.fail(&b.in_flight, &b.replica, Fault::Broken)),
--- a/gateway/tests/decoders.rs
+++ b/gateway/tests/decoders.rs
@@ -43,6 +43,7 @@
         entry: entry(),
         demands: vec![demand; 3],
         loads: vec![load; 3],
+        paces: Vec::new(),
         version: 10,
         proof_age: Some(11),
     };
