--- a/core/src/gateway/lane.rs
+++ b/core/src/gateway/lane.rs
@@ -20,8 +20,8 @@
 /// The same where all engines read for longer than that. The lane reads as much as the others then,
 /// up to this: beyond, its streams would queue as the reports do.
 const MOST_READING: f64 = 0.75;
-/// Weight that earlier streams keep when one more has ended: the last hundred count.
-const KEEPS: f64 = 0.99;
+/// Weight that earlier streams keep when one more of any kind has ended: the last two hundred count.
+const KEEPS: f64 = 0.995;
 /// Part of all engines that they may take.
 const MOST: f64 = 0.6;
 /// Steps in which the lane grows and shrinks, over all engines. Where gateways disagree on an
@@ -46,16 +46,26 @@
 impl Lane {
     /// Notes a stream that ended: its prompt took `reading_ms`, and it lasted for `life`.
     pub fn note(&mut self, reading_ms: f64, life: Span) {
-        self.reading_ms = self.reading_ms * KEEPS + reading_ms;
-        self.life_ms = self.life_ms * KEEPS + life.as_secs_f64() * 1e3;
-        self.all_reading_ms = self.all_reading_ms * KEEPS + reading_ms;
+        self.fade();
+        self.reading_ms += reading_ms;
+        self.life_ms += life.as_secs_f64() * 1e3;
+        self.all_reading_ms += reading_ms;
     }
 
     /// Notes a stream that is not sensitive, and ended.
     pub fn note_other(&mut self, reading_ms: f64) {
+        self.fade();
         self.all_reading_ms += reading_ms;
     }
 
+    /// All sums fade alike: faded by sensitive streams only, hours without one would pile up what
+    /// the others read, and the next ones would find a lane too small.
+    fn fade(&mut self) {
+        for sum in [&mut self.reading_ms, &mut self.life_ms, &mut self.all_reading_ms] {
+            *sum *= KEEPS;
+        }
+    }
+
     /// Part of its time for which each engine would read if all shared all prompts, where sensitive
     /// streams keep `reading` engines of `engines` busy.
     fn load(&self, reading: f64, engines: usize) -> f64 {
--- a/core/tests/gateway/lane.rs
+++ b/core/tests/gateway/lane.rs
@@ -54,6 +54,20 @@
     assert!(beside >= 18, "{beside}");
 }
 
+/// A night of reports without a question, then questions again: within some hundred of them the lane
+/// is as large as if the night had not been.
+#[test]
+fn a_time_without_sensitive_streams_is_forgotten() {
+    let usual = lane(20.0, 0.0).size(START, 600, &engine(64), ENGINES);
+    let mut lane = lane(20.0, 0.0);
+    (0..1_000_000).for_each(|_| lane.note_other(100.0));
+    (0..400).for_each(|_| lane.note(20.0, Span::millis(800)));
+
+    let size = lane.size(START, 600, &engine(64), ENGINES);
+
+    assert_eq!(size, usual);
+}
+
 /// The edges: no stream, one engine, and streams that would take all engines.
 #[test]
 fn a_lane_is_sound_at_its_edges() {
