One gateway decides for all which streams are kept apart, and on how many engines

Cause: each of 295 gateways learnt from the handful of urgent streams that it served itself. In one zone's logs calls went with lanes of 0 to 91 of 153 engines, and gateways differed on which kinds belong there: what was one gateway's lane was another's place for long prompts. Change: gateways count what they see (tally) and tell the first living one in the readers' order, which adds it up, decides (plan) and publishes the decision with an epoch in heartbeats. Whoever knows of no plan goes by what it saw, as before. The bounds of the lane are taken from all listed engines, no longer from those that one gateway finds usable at the moment. Call lines say the plan's epoch, whether the call was kept apart, and its longest pause. Ruled out: that a lane of a fixed size would do. What is late now is late in the first four seconds and at the start of a burst.

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -14,6 +14,7 @@
 use crate::gateway::gossip::Demands;
 use crate::gateway::gossip::Sighting;
 use crate::gateway::pace;
+use crate::gateway::plan::Plan;
 use crate::incarnation::Digest;
 use crate::rendezvous;
 use crate::time::Span;
@@ -60,6 +61,8 @@
     pub loads: Vec<Sighting>,
     /// What prompts cost at the engines of services.
     pub paces: Vec<pace::Sighting>,
+    /// What gateways agree on, by service.
+    pub plans: Vec<Plan>,
     /// Version of its configuration.
     pub version: u64,
     /// Age of its proof that this version is the newest, in microseconds.
@@ -171,6 +174,17 @@
         (all.into_iter().filter_map(|(_, address)| address).collect(), is_reader)
     }
 
+    /// Address of the gateway that decides for all, or `None` if that is this one: of those that live
+    /// and take callers the first in the order of the readers. `own` is this gateway's entry if it
+    /// takes callers itself.
+    pub fn decider(&self, now: Time, own: Option<&Entry>) -> Option<String> {
+        let rank = |short: u32, entry: &Entry| (Reverse(entry.weight), short);
+        let open = self.members.values().filter(|m| m.open && m.is_live(now));
+        let first = open.min_by_key(|m| rank(m.short, &m.entry))?;
+        let before = |own: &Entry| rank(short(&own.name), own) < rank(first.short, &first.entry);
+        (!own.is_some_and(before)).then(|| first.entry.peer_address.clone())
+    }
+
     /// The keeper of an engine, with its address for datagrams; `None` if that is this gateway,
     /// `own`.
     pub fn keeper(&self, now: Time, own: &str, engine: Digest) -> Option<(u32, &str)> {
--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -70,6 +70,22 @@
         keys.filter(|k| self.replicas.get(**k).is_some_and(|r| r.is_usable(now))).count()
     }
 
+    /// How many of a service's listed replicas, from the first hash on, hold `wanted` that may get
+    /// work at `now`.
+    pub fn reach(&self, now: Time, service: &str, wanted: usize) -> usize {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        let open = keys.filter_map(|k| self.replicas.get(*k)).filter(|r| !r.closed);
+        let mut open: Vec<(u64, bool)> = open.map(|r| (r.hash, r.is_usable(now))).collect();
+        open.sort_unstable();
+        let mut found = 0;
+        let mut before = |usable: bool| {
+            let more = found < wanted;
+            found += usize::from(usable);
+            more
+        };
+        open.into_iter().map(|(_, usable)| usable).take_while(|usable| before(*usable)).count()
+    }
+
     /// Whether a service has a replica that may get work at `now`, besides those in `tried`.
     pub fn has_other(&self, now: Time, service: &str, tried: &[Key<Replica>]) -> bool {
         let mut keys = self.by_service.get(service).into_iter().flatten();
--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -2,6 +2,7 @@
 
 use crate::arena::Key;
 use crate::gateway::ask::Part;
+use crate::gateway::directory;
 use crate::gateway::ledger::Standing;
 use crate::gateway::pace;
 use crate::gateway::pace::Pace;
@@ -63,6 +64,8 @@
     pub sensitive: bool,
     /// Engines set apart for such streams.
     pub lane: usize,
+    /// Epoch of the plan that says so; 0 without one.
+    pub epoch: u32,
     /// No call of the service ranks below it, so it waits behind all others in an engine.
     pub last: bool,
     /// Tokens at the head of the prompt that every engine has cached.
@@ -94,8 +97,12 @@
     pub home: bool,
     /// Engines set apart for streams that long prompts would disturb.
     pub lane: usize,
+    /// Epoch of the plan that says so; 0 if this gateway knows of none and goes by what it saw.
+    pub epoch: u32,
     /// The load is what the replica's keeper said.
     pub kept: bool,
+    /// Short hash of the service's name.
+    pub(in crate::gateway) service: u32,
     /// Number of the call in the keeper's ledger.
     pub(super) call: u64,
     pub(in crate::gateway) sent: Time,
@@ -105,7 +112,8 @@
     pub(in crate::gateway) pause: Span,
     /// When the newest event came.
     pub(in crate::gateway) event: Time,
-    pub(in crate::gateway) sensitive: bool,
+    /// The call is a stream that is kept apart from long prompts.
+    pub sensitive: bool,
 }
 
 impl Fleet {
@@ -154,7 +162,7 @@
         let mut usable: Vec<(Key<Replica>, &Replica)> =
             open.iter().filter(|(_, r)| r.is_usable(now)).copied().collect();
         if let Some(u) = need.engine {
-            usable = of_lane(usable, &u);
+            usable = of_lane(&open, usable, &u);
         }
         usable.retain(|(key, _)| !tried.contains(key));
         // With nothing usable, the one that rested longest may be back.
@@ -177,6 +185,7 @@
         let least_failing =
             candidates.iter().map(|(_, r)| r.failures).fold(f64::INFINITY, f64::min);
         let homes = homes(need.parts, candidates);
+        let service = directory::short(need.service);
         let at_home = need.engine.is_some_and(|u| own_shared(need.parts, &u) >= LONG_SHARED);
         let eligible = candidates.iter().filter(|(key, _)| !at_home || homes.contains(key));
         let standing =
@@ -208,7 +217,9 @@
                 report_age: replica.report.map(|r| now.since(r.at)),
                 home: homes[0] == *key,
                 lane: need.engine.map_or(0, |u| u.lane),
+                epoch: need.engine.map_or(0, |u| u.epoch),
                 kept: standing.is_some(),
+                service,
                 call: 0,
                 sent: now,
                 read: false,
@@ -223,9 +234,11 @@
     }
 }
 
-/// Replicas in the lane of sensitive streams, or those outside of it for other calls.
+/// Replicas in the lane of sensitive streams, or those outside of it for other calls; `open` are all
+/// that are listed. The lane is the first of these in the order of their hashes.
 fn of_lane<'a>(
-    mut usable: Vec<(Key<Replica>, &'a Replica)>,
+    open: &[(Key<Replica>, &'a Replica)],
+    usable: Vec<(Key<Replica>, &'a Replica)>,
     u: &Use,
 ) -> Vec<(Key<Replica>, &'a Replica)> {
     // A call that ranks above others would stop one of them on a full engine, and its prompt would
@@ -234,9 +247,13 @@
     if u.lane == 0 || u.lane >= usable.len() || anywhere {
         return usable;
     }
-    usable.sort_by_key(|(_, r)| r.hash);
-    let rest = usable.split_off(u.lane);
-    if u.sensitive { usable } else { rest }
+    // Which engines are listed all gateways know alike; which of them one could not reach a moment
+    // ago is its own affair, and must not move the bounds of the lane.
+    let mut hashes: Vec<u64> = open.iter().map(|(_, r)| r.hash).collect();
+    let (_, last, _) = hashes.select_nth_unstable(u.lane - 1);
+    let in_lane = |r: &Replica| r.hash <= *last;
+    let side: Vec<_> = usable.iter().filter(|(_, r)| in_lane(r) == u.sensitive).copied().collect();
+    if side.is_empty() { usable } else { side }
 }
 
 /// Tokens of a prompt's shared head that not every engine has cached.
--- a/core/src/gateway/gaps.rs
+++ b/core/src/gateway/gaps.rs
@@ -43,6 +43,11 @@
     ((ms.max(1.0).log2() * PER_DOUBLING) as usize).min(LENGTHS - 1)
 }
 
+/// The class of length that a gap is counted in, as gateways tell one another.
+pub fn class(gap: Span) -> u8 {
+    length(gap) as u8
+}
+
 impl Gaps {
     /// Counts a gap.
     pub fn note(&mut self, gap: Span) {
@@ -57,6 +62,22 @@
         }
     }
 
+    /// Adds gaps of a class of length that others counted, without making earlier ones older.
+    pub fn add(&mut self, class: u8, count: f64) {
+        if let Some(known) = self.counts.get_mut(usize::from(class)) {
+            *known += count * self.next;
+            self.total += count * self.next;
+        }
+    }
+
+    /// Keeps this part of what was counted, and at least as much as is needed to go by it.
+    pub fn fade(&mut self, keeps: f64) {
+        let enough = HALF_LIFE * self.next / self.total.max(self.next);
+        let keeps = keeps.max(enough.min(1.0));
+        self.counts.iter_mut().for_each(|count| *count *= keeps);
+        self.total *= keeps;
+    }
+
     /// Share of the gaps that are longer than `pause`; `None` while too few were seen.
     fn share_over(&self, pause: Span) -> Option<f64> {
         if self.total < ENOUGH * self.next {
--- a/core/src/gateway/lane.rs
+++ b/core/src/gateway/lane.rs
@@ -31,6 +31,11 @@
 /// over by then, and the streams that are left on it last about as long again.
 const STAY: Span = Span::millis(700);
 
+/// Engines by which the lane grows and shrinks, of `engines` in all.
+pub fn step(engines: usize) -> usize {
+    engines / STEPS + 1
+}
+
 /// Number of engines in the lane.
 #[derive(Debug, Default)]
 pub struct Lane {
@@ -58,11 +63,24 @@
         self.all_reading_ms += reading_ms;
     }
 
+    /// Adds what other gateways saw, without making earlier sums older.
+    pub fn add(&mut self, reading_ms: f64, life_ms: f64, all_reading_ms: f64) {
+        let sound = |ms: f64| if ms.is_finite() { ms.max(0.0) } else { 0.0 };
+        self.reading_ms += sound(reading_ms);
+        self.life_ms += sound(life_ms);
+        self.all_reading_ms += sound(all_reading_ms);
+    }
+
     /// All sums fade alike: faded by sensitive streams only, hours without one would pile up what
     /// the others read, and the next ones would find a lane too small.
     fn fade(&mut self) {
+        self.fade_to(KEEPS);
+    }
+
+    /// Keeps this part of the sums.
+    pub fn fade_to(&mut self, keeps: f64) {
         for sum in [&mut self.reading_ms, &mut self.life_ms, &mut self.all_reading_ms] {
-            *sum *= KEEPS;
+            *sum *= keeps;
         }
     }
 
@@ -94,7 +112,7 @@
         let by_reading = reading / self.load(reading, engines).clamp(READING, MOST_READING);
         let wanted = by_places.max(by_reading).ceil() as usize;
         // Gateways count slightly different streams; in steps they agree all the same.
-        let wanted = wanted.next_multiple_of(engines / STEPS + 1);
+        let wanted = wanted.next_multiple_of(step(engines));
         if wanted >= self.size || now.since(self.needed) > STAY {
             self.size = wanted;
             self.needed = now;
--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -20,8 +20,10 @@
 mod model;
 pub mod outage;
 pub mod pace;
+pub mod plan;
 pub mod refusal;
 mod state;
+pub mod tally;
 pub mod view;
 
 pub use self::state::Gateway;
--- /dev/null
+++ b/core/src/gateway/plan.rs
@@ -0,0 +1,284 @@
+//! Which streams are kept apart, and on how many engines: one decision for all gateways.
+//!
+//! Engines set apart for urgent streams serve their purpose only if all gateways mean the same ones.
+//! One gateway, the first of those that live in an order that all know, adds up what all have seen
+//! (see [`super::tally`]) and publishes what follows as a [`Plan`] with an epoch. Heartbeats carry it
+//! on, and whoever hears of a later epoch takes it. Nothing is locked and nobody waits: a decider
+//! that is gone is followed by the next one, which goes on from the last epoch, and a gateway that
+//! has never heard of a plan goes by what it sees itself.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::config::Engine;
+use super::gaps::Gaps;
+use super::lane;
+use super::lane::Lane;
+use super::tally::Report;
+use super::tally::Sums;
+use crate::time::Span;
+use crate::time::Time;
+
+/// A gateway has been the decider for this long before it publishes: most gateways that see it as
+/// such have told it by then what they have in progress. Off by two, the first plan of a new decider
+/// comes that much later, or leaves out streams of half of the gateways.
+const SETTLED: Span = Span::millis(1_500);
+/// Streams in progress that a gateway told count no longer than this; it tells at least every second.
+const TOLD: Span = Span::millis(3_000);
+/// Time after which what was seen counts half: a burst of a few seconds moves it, a single clump of
+/// arrivals does not.
+const HALF_LIFE: Span = Span::secs(5);
+/// Streams begun that count in any case, so that a quiet hour forgets nothing.
+const LEAST_BEGUN: f64 = 100.0;
+/// Events of a stream before any was seen, and streams that this prior weighs as much as.
+const PRIOR_EVENTS: f64 = 30.0;
+const PRIOR_BEGUN: f64 = 1.0;
+/// Kinds of streams told apart by their pauses, at most: more than routes have; whatever a peer sends,
+/// a plan and a tally stay small.
+const MOST_KINDS: usize = 16;
+/// Services whose plans are known at a time, at most.
+const MOST_SERVICES: usize = 256;
+
+/// What all gateways do at one service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Plan {
+    /// Short hash of the service's name.
+    pub service: u32,
+    /// Number of the decision; a later one has a greater one.
+    pub epoch: u32,
+    /// Short hash of the decider's name, which decides between two of the same epoch.
+    pub by: u32,
+    /// Engines set apart, from the first in the order of their hashes.
+    pub lane: u16,
+    /// Pauses of the streams that go there, in milliseconds.
+    pub apart: Vec<u32>,
+    /// Age of the decision in milliseconds; at most a minute.
+    pub age_ms: u16,
+}
+
+impl Plan {
+    /// Whether streams that may pause for `pause` are kept apart.
+    pub fn keeps_apart(&self, pause: Span) -> bool {
+        self.apart.iter().any(|ms| u64::from(*ms) == pause.as_millis())
+    }
+
+    fn order(&self) -> (u32, u32) {
+        (self.epoch, self.by)
+    }
+}
+
+/// How a plan that was heard of stands to the known one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[display(rename_all = "snake_case")]
+pub enum Heard {
+    /// It is the known one.
+    Same,
+    /// It is an earlier one: whoever sent it lags.
+    Older,
+    /// It is a later one and was taken.
+    Newer,
+}
+
+/// The plans that a gateway goes by.
+#[derive(Debug, Default)]
+pub struct Board {
+    plans: BTreeMap<u32, (Plan, Time)>,
+}
+
+impl Board {
+    /// The plan of a service.
+    pub fn get(&self, service: u32) -> Option<&Plan> {
+        self.plans.get(&service).map(|(plan, _)| plan)
+    }
+
+    /// Takes a plan in if it is a later one. One that nobody can have decided is passed over.
+    pub fn hear(&mut self, now: Time, plan: &Plan) -> Option<Heard> {
+        if plan.apart.len() > MOST_KINDS {
+            return None;
+        }
+        let known = self.plans.get(&plan.service);
+        match known.map(|(known, _)| plan.order().cmp(&known.order())) {
+            Some(std::cmp::Ordering::Equal) => return Some(Heard::Same),
+            Some(std::cmp::Ordering::Less) => return Some(Heard::Older),
+            None if self.plans.len() >= MOST_SERVICES => return None,
+            _ => {}
+        }
+        let decided = now - Span::millis(u64::from(plan.age_ms));
+        self.plans.insert(plan.service, (plan.clone(), decided));
+        Some(Heard::Newer)
+    }
+
+    /// All plans, to pass on.
+    pub fn tell(&self, now: Time) -> Vec<Plan> {
+        let aged = |(plan, decided): &(Plan, Time)| Plan {
+            age_ms: now.since(*decided).as_millis().min(60_000) as u16,
+            ..plan.clone()
+        };
+        self.plans.values().map(aged).collect()
+    }
+
+    /// Forgets the plans of services that are gone.
+    pub fn retain(&mut self, mut exists: impl FnMut(u32) -> bool) {
+        self.plans.retain(|service, _| exists(*service));
+    }
+}
+
+/// One kind of streams over all gateways.
+#[derive(Debug)]
+struct Kind {
+    begun: f64,
+    events: f64,
+    late: bool,
+}
+
+/// What is known of a service over all gateways.
+#[derive(Debug, Default)]
+struct Service {
+    kinds: BTreeMap<u32, Kind>,
+    gaps: Gaps,
+    lane: Lane,
+    /// Streams in progress by gateway and pause, and when they were told.
+    open: BTreeMap<u32, (Time, BTreeMap<u32, u16>)>,
+}
+
+/// What there is to decide about.
+#[derive(Clone, Copy, Debug)]
+pub struct Subject<'a> {
+    /// Short hash of the service's name.
+    pub service: u32,
+    /// Its engines.
+    pub engine: &'a Engine,
+    /// How many of these may get work.
+    pub engines: usize,
+    /// The plan in force.
+    pub known: Option<&'a Plan>,
+}
+
+/// What the decider knows.
+#[derive(Debug, Default)]
+pub struct Planner {
+    since: Option<Time>,
+    faded: Time,
+    services: BTreeMap<u32, Service>,
+}
+
+impl Planner {
+    /// Notes at `now` whether this gateway is the decider. Whoever was not begins with nothing: what
+    /// it knows from a former time may be old.
+    pub fn is_decider(&mut self, now: Time, decides: bool) {
+        if !decides {
+            *self = Planner::default();
+        } else if self.since.is_none() {
+            self.since = Some(now);
+            self.faded = now;
+        }
+    }
+
+    /// Takes in what a gateway has seen. Whoever is not the decider passes it over.
+    pub fn absorb(&mut self, now: Time, report: &Report) {
+        if self.since.is_none() {
+            return;
+        }
+        for sums in &report.services {
+            if self.services.len() < MOST_SERVICES || self.services.contains_key(&sums.service) {
+                let service = self.services.entry(sums.service).or_default();
+                service.absorb(now, report.gateway, sums);
+            }
+        }
+    }
+
+    /// What follows at `now`; `None` while too little is known, or if it changes nothing. `reach` tells
+    /// for a number of usable engines how many listed ones that are from the first on.
+    pub fn decide(
+        &mut self,
+        now: Time,
+        by: u32,
+        subject: &Subject<'_>,
+        reach: impl Fn(usize) -> usize,
+    ) -> Option<Plan> {
+        if now.since(self.since?) < SETTLED {
+            return None;
+        }
+        let Subject { service, engine, engines, known } = *subject;
+        let heard = self.services.get_mut(&service)?;
+        let apart = heard.apart(engine, known);
+        let streams = heard.streams(now, &apart);
+        let size = heard.lane.size(now, streams, engine, engines);
+        let lane = steady(reach(size), engines, known).min(usize::from(u16::MAX)) as u16;
+        if known.is_some_and(|known| known.lane == lane && known.apart == apart) {
+            return None;
+        }
+        let epoch = known.map_or(0, |known| known.epoch).saturating_add(1);
+        Some(Plan { service, epoch, by, lane, apart, age_ms: 0 })
+    }
+
+    /// Lets what was seen before fade; to be called every now and then.
+    pub fn fade(&mut self, now: Time) {
+        let elapsed = now.since(std::mem::replace(&mut self.faded, now));
+        let keeps = (0.5_f64).powf(elapsed.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        self.services.values_mut().for_each(|service| service.fade(now, keeps));
+    }
+}
+
+/// The size to publish where `lane` engines are needed: the known one as long as that has them and
+/// not a whole step more. Otherwise an engine that rests for a moment would move the lane's end.
+fn steady(lane: usize, engines: usize, known: Option<&Plan>) -> usize {
+    let known = known.map_or(0, |known| usize::from(known.lane));
+    let spare = lane::step(engines);
+    let suffices = lane > 0 && (lane..lane + spare).contains(&known);
+    if suffices { known } else { lane }
+}
+
+impl Service {
+    fn absorb(&mut self, now: Time, gateway: u32, sums: &Sums) {
+        for stream in sums.streams.iter().take(MOST_KINDS) {
+            if self.kinds.len() >= MOST_KINDS && !self.kinds.contains_key(&stream.pause_ms) {
+                continue;
+            }
+            let prior =
+                Kind { begun: PRIOR_BEGUN, events: PRIOR_BEGUN * PRIOR_EVENTS, late: false };
+            let kind = self.kinds.entry(stream.pause_ms).or_insert(prior);
+            kind.begun += f64::from(stream.begun);
+            kind.events += f64::from(stream.begun) + f64::from(stream.events);
+        }
+        for (class, count) in &sums.gaps {
+            self.gaps.add(*class, f64::from(*count));
+        }
+        self.lane.add(sums.reading_ms.into(), sums.life_ms.into(), sums.all_reading_ms.into());
+        let open = sums.streams.iter().take(MOST_KINDS).map(|s| (s.pause_ms, s.open)).collect();
+        self.open.insert(gateway, (now, open));
+    }
+
+    fn fade(&mut self, now: Time, keeps: f64) {
+        for kind in self.kinds.values_mut() {
+            let keeps = keeps.max((LEAST_BEGUN / kind.begun).min(1.0));
+            kind.begun *= keeps;
+            kind.events *= keeps;
+        }
+        self.gaps.fade(keeps);
+        self.lane.fade_to(keeps);
+        self.open.retain(|_, (at, _)| now.since(*at) < TOLD);
+    }
+
+    /// Pauses of the streams that come late beside long prompts, in milliseconds.
+    fn apart(&mut self, engine: &Engine, known: Option<&Plan>) -> Vec<u32> {
+        let mut apart = Vec::new();
+        for (pause_ms, kind) in &mut self.kinds {
+            let pause = Span::millis(u64::from(*pause_ms));
+            let was = kind.late || known.is_some_and(|known| known.keeps_apart(pause));
+            kind.late = self.gaps.are_late(pause, kind.events / kind.begun, engine.stride, was);
+            if kind.late {
+                apart.push(*pause_ms);
+            }
+        }
+        apart
+    }
+
+    fn streams(&self, now: Time, apart: &[u32]) -> u32 {
+        let told = self.open.values().filter(|(at, _)| now.since(*at) < TOLD);
+        let open = told.flat_map(|(_, open)| open.iter());
+        open.filter(|(pause, _)| apart.contains(pause)).map(|(_, n)| u32::from(*n)).sum()
+    }
+}
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -1,6 +1,7 @@
 //! One gateway: from a call's head to a replica, and everything it believes.
 
 mod keeper;
+mod plans;
 mod stop;
 
 use std::collections::BTreeMap;
@@ -38,8 +39,12 @@
 use super::model::Model;
 use super::outage::Outage;
 use super::pace;
+use super::plan::Board;
+use super::plan::Heard;
+use super::plan::Planner;
 use super::refusal::Reason;
 use super::refusal::Refusal;
+use super::tally::Tally;
 use crate::arena::Key;
 use crate::rendezvous;
 use crate::time::Span;
@@ -135,6 +140,9 @@
     directory: Directory,
     budgets: BTreeMap<String, Budget>,
     models: BTreeMap<String, Model>,
+    plans: Board,
+    planner: Planner,
+    tallies: BTreeMap<u32, Tally>,
     common: Common,
     ledger: Ledger,
     tidied: Time,
@@ -154,6 +162,9 @@
             directory: Directory::default(),
             budgets: BTreeMap::new(),
             models: BTreeMap::new(),
+            plans: Board::default(),
+            planner: Planner::default(),
+            tallies: BTreeMap::new(),
             common: Common::default(),
             ledger: Ledger::default(),
             tidied: now,
@@ -215,13 +226,16 @@
         self.directory.readers(now, &self.settings.entry)
     }
 
-    /// Takes a peer's heartbeat in, received at `now`.
-    pub fn hear(&mut self, now: Time, heartbeat: &Heartbeat) {
-        if heartbeat.entry.name != self.settings.entry.name {
-            self.directory.hear(now, heartbeat);
-            self.fleet.learn(now, &heartbeat.loads);
-            self.hear_paces(&heartbeat.paces);
+    /// Takes a peer's heartbeat in, received at `now`; returns how its plans stand to the known ones,
+    /// each with the age of its decision.
+    pub fn hear(&mut self, now: Time, heartbeat: &Heartbeat) -> Vec<(Heard, Span)> {
+        if heartbeat.entry.name == self.settings.entry.name {
+            return Vec::new();
         }
+        self.directory.hear(now, heartbeat);
+        self.fleet.learn(now, &heartbeat.loads);
+        self.hear_paces(&heartbeat.paces);
+        self.hear_plans(now, &heartbeat.plans)
     }
 
     /// The heartbeat to send at `now`.
@@ -240,6 +254,7 @@
             demands,
             loads: self.fleet.tell(now),
             paces: self.tell_paces(),
+            plans: self.plans.tell(now),
             version: self.version(),
             proof_age: self.freshness.age(now).map(|s| s.0),
         }
@@ -398,15 +413,17 @@
     }
 
     fn engine_use(&mut self, now: Time, ask: &Ask, grant: &Grant, engine: &Engine) -> Use {
-        let streams = self.directory.sensitive(now) + self.fleet.sensitive();
         let engines = self.fleet.usable(now, &grant.service);
+        let (sensitive, lane) = self.lane_of(now, grant, engine, engines);
+        let epoch = self.plan(&grant.service).map_or(0, |plan| plan.epoch);
         let last = self.config.as_ref().is_some_and(|c| c.ranks_last(&grant.route, &grant.service));
         let gateways = self.directory.sharers();
         let model = self.models.entry(grant.service.clone()).or_default();
         Use {
             slots: engine.slots,
-            sensitive: model.is_sensitive(&grant.route, engine),
-            lane: model.lane.size(now, streams, engine, engines),
+            sensitive,
+            lane,
+            epoch,
             last,
             common: self.common.tokens(now, &ask.parts, engines, gateways),
             pause: grant.route.pause,
@@ -448,6 +465,9 @@
         grant.attempts += 1;
         grant.tried.push(pick.claim.replica);
         self.fleet.sent(now, &mut pick.claim, pick.engine, &ask.parts);
+        if let Some(tally) = self.tally(&pick.claim) {
+            tally.opens(pick.claim.pause);
+        }
         self.common.note(now, &ask.parts);
     }
 
@@ -482,8 +502,12 @@
         }
         let gap = now.since(std::mem::replace(&mut claim.event, now));
         let apart = claim.sensitive && claim.lane > 0;
-        if let Some(service) = self.fleet.service_of_usual(claim.replica) {
-            model(&mut self.models, service).goes_on(claim.pause, gap, apart);
+        let usual = self.fleet.service_of_usual(claim.replica).map(str::to_owned);
+        if let Some(service) = usual {
+            model(&mut self.models, &service).goes_on(claim.pause, gap, apart);
+            if let Some(tally) = self.tally(claim) {
+                tally.goes_on(claim.pause, (!apart).then_some(gap));
+            }
         }
         false
     }
@@ -498,6 +522,9 @@
             if claim.alone {
                 model.pace.learn(claim.work, now.since(claim.sent).as_secs_f64() * 1e3);
             }
+            if let Some(tally) = self.tally(claim) {
+                tally.begins(claim.pause);
+            }
         }
     }
 
@@ -515,6 +542,13 @@
 
     /// Notes the end of an attempt that was sent.
     pub fn done(&mut self, now: Time, claim: Claim, outcome: Outcome) {
+        if let Some(tally) = self.tally(&claim) {
+            tally.closes(claim.pause);
+            if claim.read {
+                let life = claim.sensitive.then(|| now.since(claim.sent));
+                tally.ends(claim.reading_ms, life);
+            }
+        }
         if claim.read
             && claim.work > 0.0
             && let Some(replica) = self.fleet.get(claim.replica)
--- /dev/null
+++ b/core/src/gateway/state/plans.rs
@@ -0,0 +1,120 @@
+//! A gateway as one that tells the decider what it sees, as one that goes by the plans, and as the
+//! decider itself.
+
+use super::Gateway;
+use super::Grant;
+use crate::gateway::config::Engine;
+use crate::gateway::directory;
+use crate::gateway::fleet::Claim;
+use crate::gateway::plan::Heard;
+use crate::gateway::plan::Plan;
+use crate::gateway::plan::Subject;
+use crate::gateway::tally::Report;
+use crate::gateway::tally::Tally;
+use crate::time::Span;
+use crate::time::Time;
+
+/// Shortest time between two reports: several a second follow a burst that lasts for seconds.
+const REPORTING: Span = Span::millis(500);
+/// The same for each gateway of the fleet, so that the decider hears at most 500 reports a second
+/// whatever the size: at some 15 microseconds each, under 1% of a core.
+const REPORTING_EACH: Span = Span::millis(2);
+
+impl Gateway {
+    /// Time from one report to the next.
+    pub fn reporting_period(&self) -> Span {
+        let gateways = self.directory.sharers() as u64;
+        REPORTING.max(Span(REPORTING_EACH.0 * gateways))
+    }
+
+    /// The report to send, with the address of the decider; `None` if there is nothing to send, or
+    /// this gateway is the decider. Decides then.
+    pub fn report(&mut self, now: Time) -> Option<(String, Report)> {
+        let own = self.is_open(now).then_some(&self.settings.entry);
+        let decider = self.directory.decider(now, own);
+        let decides = decider.is_none() && own.is_some();
+        self.planner.is_decider(now, decides);
+        let gateway = directory::short(&self.settings.entry.name);
+        let tallies = self.tallies.iter_mut();
+        let sums = tallies.filter_map(|(service, tally)| tally.take(*service));
+        let report = Report { gateway, services: sums.collect() };
+        if decides {
+            self.planner.absorb(now, &report);
+            self.decide(now);
+        }
+        let address = decider?;
+        (!report.services.is_empty()).then_some((address, report))
+    }
+
+    /// Takes in what another gateway has seen.
+    pub fn hear_report(&mut self, now: Time, report: &Report) {
+        self.planner.absorb(now, report);
+    }
+
+    fn decide(&mut self, now: Time) {
+        self.planner.fade(now);
+        let Some(config) = self.config.clone() else {
+            return;
+        };
+        let by = directory::short(&self.settings.entry.name);
+        let services = config.services();
+        for service in &services {
+            let Some(engine) = service.engine else {
+                continue;
+            };
+            let short = directory::short(&service.name);
+            let subject = Subject {
+                service: short,
+                engine: &engine,
+                engines: self.fleet.usable(now, &service.name),
+                known: self.plans.get(short),
+            };
+            let reach = |wanted| self.fleet.reach(now, &service.name, wanted);
+            let decided = self.planner.decide(now, by, &subject, reach);
+            if let Some(plan) = decided {
+                self.plans.hear(now, &plan);
+            }
+        }
+        let shorts: Vec<u32> = services.iter().map(|s| directory::short(&s.name)).collect();
+        self.plans.retain(|short| shorts.contains(&short));
+    }
+
+    /// Takes the plans of a heartbeat in; returns how they stand to the known ones, each with the
+    /// age of its decision.
+    pub(super) fn hear_plans(&mut self, now: Time, plans: &[Plan]) -> Vec<(Heard, Span)> {
+        let heard = |plan: &Plan| {
+            let heard = self.plans.hear(now, plan)?;
+            Some((heard, Span::millis(u64::from(plan.age_ms))))
+        };
+        plans.iter().filter_map(heard).collect()
+    }
+
+    /// The plan of a service by name.
+    pub fn plan(&self, service: &str) -> Option<&Plan> {
+        self.plans.get(directory::short(service))
+    }
+
+    /// Whether a call's stream is kept apart from long prompts, and on how many engines.
+    pub(super) fn lane_of(
+        &mut self,
+        now: Time,
+        grant: &Grant,
+        engine: &Engine,
+        engines: usize,
+    ) -> (bool, usize) {
+        if let Some(plan) = self.plans.get(directory::short(&grant.service)) {
+            let sensitive = grant.route.streams && plan.keeps_apart(grant.route.pause);
+            return (sensitive, usize::from(plan.lane));
+        }
+        let streams = self.directory.sensitive(now) + self.fleet.sensitive();
+        let model = super::model(&mut self.models, &grant.service);
+        let sensitive = model.is_sensitive(&grant.route, engine);
+        (sensitive, model.lane.size(now, streams, engine, engines))
+    }
+
+    /// Counts for the next report, of the service of an engine; `None` for a plain service.
+    pub(super) fn tally(&mut self, claim: &Claim) -> Option<&mut Tally> {
+        let streams = claim.pause.0 > 0;
+        streams.then(|| self.tallies.entry(claim.service).or_default())
+    }
+}
--- a/core/tests/gateway/ledger.rs
+++ b/core/tests/gateway/ledger.rs
@@ -62,6 +62,7 @@
         demands: Vec::new(),
         loads,
         paces: Vec::new(),
+        plans: Vec::new(),
         version: 1,
         proof_age: None,
     };
@@ -76,6 +77,7 @@
             demands: vec![demand],
             loads: Vec::new(),
             paces: Vec::new(),
+            plans: Vec::new(),
             version: 1,
             proof_age: None,
         };
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's decisions, in virtual time and without a network.
 
+mod agreement;
 mod budget;
 mod delta;
 mod directory;
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -46,12 +46,23 @@
     id: Bytes,
     noted: Cell<bool>,
     first: Cell<Option<Span>>,
+    /// When the newest event came, and the longest time from one to the next.
+    event: Cell<Time>,
+    longest_pause: Cell<Span>,
 }
 
 impl Ending {
     fn new(shared: Shared, id: Bytes, arrived: Time) -> Ending {
         shared.calls.set(shared.calls.get() + 1);
-        Ending { shared, arrived, id, noted: Cell::new(false), first: Cell::new(None) }
+        Ending {
+            shared,
+            arrived,
+            id,
+            noted: Cell::new(false),
+            first: Cell::new(None),
+            event: Cell::new(arrived),
+            longest_pause: Cell::new(Span(0)),
+        }
     }
 
     /// Notes that the first event goes to the caller.
@@ -62,6 +73,15 @@
         self.shared.metrics.latency(&call.grant.route.name, organisation, took);
     }
 
+    /// Notes that an event came; the time to the first one is no pause.
+    pub fn event(&self) {
+        let now = clock::now();
+        let before = self.event.replace(now);
+        if before > self.arrived {
+            self.longest_pause.set(self.longest_pause.get().max(now.since(before)));
+        }
+    }
+
     /// Notes the end of an admitted call.
     pub fn end(&self, call: &Call, outcome: &str, status: u16) {
         if self.noted.replace(true) {
@@ -79,6 +99,7 @@
             .with("rank", format_args!("{}.{}", grant.rank.route, grant.rank.organisation))
             .with("attempts", grant.attempts)
             .with("first_ms", self.first.get().map_or(-1, |f| f.as_millis() as i64))
+            .with("pause_ms", self.longest_pause.get().as_millis())
             .with("version", self.shared.gateway.borrow().version())
             .with("proof_age_ms", proof.map_or(-1, |p| p.as_millis() as i64));
         self.shared.log(match &grant.weighed {
@@ -125,6 +146,8 @@
         .with("home", claim.home)
         .with("kept", claim.kept)
         .with("lane", claim.lane)
+        .with("apart", claim.sensitive)
+        .with("plan", claim.epoch)
 }
 
 impl Drop for Ending {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -154,6 +154,7 @@
         spawn(Box::pin(enlist));
         spawn(Box::pin(peers::beat(shared.clone())));
         spawn(Box::pin(peers::hear(shared.clone())));
+        spawn(Box::pin(peers::report(shared.clone())));
         spawn(Box::pin(peers::tell_keepers(shared.clone())));
         spawn(Box::pin(server::serve(shared.clone(), callers, call::serve)));
         for (listener, handler) in others {
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -7,8 +7,11 @@
 use laburnumwheel_core::gateway::directory::Heartbeat;
 use laburnumwheel_core::gateway::ledger::Notice;
 use laburnumwheel_core::gateway::ledger::Standing;
+use laburnumwheel_core::gateway::plan::Heard;
+use laburnumwheel_core::gateway::tally::Report;
 use laburnumwheel_core::gateway::view;
 use laburnumwheel_core::incarnation::Digest;
+use laburnumwheel_core::time::Span;
 use rand::Rng;
 use rand::seq::SliceRandom;
 use serde::Deserialize;
@@ -47,6 +50,8 @@
     Standings(u64, Vec<Standing>),
     /// What happened at engines that you keep.
     Notices(Vec<Notice>),
+    /// What the sender has seen, for you to decide by.
+    Report(Report),
 }
 
 /// Decodes a datagram; whatever its bytes, it takes no more memory than a few times its length.
@@ -177,6 +182,30 @@
     }
 }
 
+/// Tells the decider what was seen, or decides, for ever.
+pub async fn report(shared: Shared) {
+    loop {
+        let period = shared.gateway.borrow().reporting_period();
+        tokio::time::sleep(clock::duration(period)).await;
+        let report = shared.gateway.borrow_mut().report(clock::now());
+        if let Some((decider, report)) = report
+            && let Ok(address) = decider.parse::<SocketAddr>()
+        {
+            post(&shared.socket, address, &Message::Report(report)).await;
+        }
+    }
+}
+
+/// Counts how often peers go by the same plans, and how long a new one took to come here.
+fn note_plans(shared: &Shared, heard: &[(Heard, Span)]) {
+    for (heard, age) in heard {
+        shared.metrics.count("plans_heard_total", format!("plan=\"{heard}\""));
+        if *heard == Heard::Newer {
+            shared.metrics.add("plans_delay_ms_total", String::new(), age.as_millis());
+        }
+    }
+}
+
 /// Takes datagrams in for ever.
 pub async fn hear(shared: Shared) {
     let mut bytes = [0; LARGEST];
@@ -191,7 +220,8 @@
         };
         match decode(&bytes[..n]) {
             Ok(Message::Heartbeat(heartbeat)) => {
-                shared.gateway.borrow_mut().hear(clock::now(), &heartbeat);
+                let heard = shared.gateway.borrow_mut().hear(clock::now(), &heartbeat);
+                note_plans(&shared, &heard);
             }
             Ok(Message::Question(question)) => reply(&shared, from, question).await,
             Ok(Message::Proof(proof)) => {
@@ -216,6 +246,9 @@
             Ok(Message::Notices(notices)) => {
                 shared.gateway.borrow_mut().note(clock::now(), &notices);
             }
+            Ok(Message::Report(report)) => {
+                shared.gateway.borrow_mut().hear_report(clock::now(), &report);
+            }
             Err(e) => {
                 let line = Line::new("heartbeat_malformed").with("from", from);
                 shared.log(line.with("error", e));
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -48,6 +48,7 @@
         let mut begun = Some(begun);
         match step(&mut call, &mut begun, &mut splitter).await {
             Ok(Step::Events(events)) => {
+                ending.event();
                 call.answered = true;
                 let ready = Some(events);
                 Ok((head, Relay { call, begun, splitter, ready, ending }))
@@ -80,7 +81,10 @@
                 return Ok(None);
             }
             match step(&mut self.call, &mut self.begun, &mut self.splitter).await {
-                Ok(Step::Events(events)) => return Ok(Some(events)),
+                Ok(Step::Events(events)) => {
+                    self.ending.event();
+                    return Ok(Some(events));
+                }
                 Ok(Step::End) => {}
                 Err(failure) => self.resume(failure).await?,
             }
--- a/gateway/tests/decoders.rs
+++ b/gateway/tests/decoders.rs
@@ -44,6 +44,7 @@
         demands: vec![demand; 3],
         loads: vec![load; 3],
         paces: Vec::new(),
+        plans: Vec::new(),
         version: 10,
         proof_age: Some(11),
     };
