Drafts stay out of the lane unless the engines outside are full

Cause: calls of the middle rank were free to go anywhere, and went to the lane for its short queues: each lengthens the pauses of the urgent streams there. While gateways disagreed on the lane this did not show. Change: such a call belongs outside of the lane and is sent there only where the engine that it would get is full, or late. The keeper of one engine on the other side is asked too.

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -205,6 +205,11 @@
         self.members.values().any(|m| m.short == gateway && m.is_live(now))
     }
 
+    /// Gateways that live as far as was heard of late.
+    pub fn heard(&self, now: Time) -> usize {
+        self.members.values().filter(|m| m.is_live(now)).count()
+    }
+
     /// Gateways that may be spending a share of a budget, this one included.
     pub fn sharers(&self) -> usize {
         self.members.len() + 1
--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -129,14 +129,10 @@
         tried: &[Key<Replica>],
     ) -> Option<Claim> {
         let inside = self.best(now, need, domain, tried, Side::Own);
-        let objective_ms = need.engine.map_or(f64::INFINITY, |u| u.objective_ms);
-        let late = |(_, claim): &(f64, Claim)| claim.expected_ms > objective_ms;
-        if !may_leave_lane(need) || !inside.as_ref().is_none_or(late) {
+        let suits = |u: Use| inside.as_ref().is_some_and(|(_, claim)| suits(&u, claim));
+        if !may_cross(need) || need.engine.is_some_and(suits) {
             return inside.map(|(_, claim)| claim);
         }
-        // Whoever waits for a place in the lane for longer than its objective is late for sure, and
-        // may be on time elsewhere. With the lane alone, one in four questions waited for up to 1.5 s
-        // in the first two seconds of a burst, while other engines had places.
         let outside = self.best(now, need, domain, tried, Side::Other);
         let all = inside.into_iter().chain(outside);
         all.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, claim)| claim)
@@ -172,7 +168,7 @@
         let mut scored = self.score(now, need, domain, &candidates);
         scored.sort_by(|a, b| a.0.total_cmp(&b.0));
         scored.truncate(ASKED.max(HOMES));
-        if may_leave_lane(need) {
+        if may_cross(need) {
             scored.extend(self.best(now, need, domain, tried, Side::Other));
         }
         let claims = scored.iter().filter_map(|(_, claim)| self.get(claim.replica));
@@ -274,10 +270,7 @@
     u: &Use,
     side: Side,
 ) -> Vec<(Key<Replica>, &'a Replica)> {
-    // A call that ranks above others would stop one of them on a full engine, and its prompt would
-    // be read again; the lane often has places.
-    let anywhere = !u.sensitive && !u.last;
-    if u.lane == 0 || u.lane >= usable.len() || anywhere {
+    if u.lane == 0 || u.lane >= usable.len() {
         return usable;
     }
     // Which engines are listed all gateways know alike; which of them one could not reach a moment
@@ -293,16 +286,30 @@
 /// Which engines are looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Side {
-    /// Those that the call belongs to: the lane for streams that are kept apart, the others for calls
-    /// that would disturb them.
+    /// Those that the call belongs to: the lane for streams that are kept apart, the others for all
+    /// other calls.
     Own,
     /// The others.
     Other,
 }
 
-/// Whether a call belongs to the lane, and may be sent elsewhere if that is full.
-fn may_leave_lane(need: &Need<'_>) -> bool {
-    need.engine.is_some_and(|u| u.sensitive && u.lane > 0)
+/// Whether a call may be sent to the other side of the lane's end where its own has no room. Calls that
+/// rank last are the long prompts that the lane is kept from.
+fn may_cross(need: &Need<'_>) -> bool {
+    need.engine.is_some_and(|u| !u.last && u.lane > 0)
+}
+
+/// Whether a call is well off on its own side.
+///
+/// A stream that waits for a place in the lane for longer than its objective is late for sure, and may
+/// be on time elsewhere: with the lane alone, one in four questions waited for up to 1.5 s in the first
+/// two seconds of a burst. A call that ranks between has no place where it would stop one that ranks
+/// below it, whose prompt would be read again; the lane may have one. Free to choose, such calls took
+/// the lane for its short queues, and the streams there paused: on a day of high load 41 in 100
+/// questions were late, against 31.
+fn suits(u: &Use, claim: &Claim) -> bool {
+    let stops_another = !u.sensitive && claim.kept && claim.load >= f64::from(u.slots);
+    claim.expected_ms <= u.objective_ms && !stops_another
 }
 
 /// Tokens of a prompt's shared head that not every engine has cached.
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -301,6 +301,11 @@
         &self.fleet
     }
 
+    /// Gateways that were heard of lately, themselves or by others.
+    pub fn gateways_heard(&self, now: Time) -> usize {
+        self.directory.heard(now)
+    }
+
     /// Gateways that share the budget.
     pub fn sharers(&self) -> usize {
         self.directory.sharers()
--- a/core/src/gateway/state/plans.rs
+++ b/core/src/gateway/state/plans.rs
@@ -94,6 +94,11 @@
         plans.iter().filter_map(heard).collect()
     }
 
+    /// The plans in force of all services.
+    pub fn plans(&self, now: Time) -> Vec<Plan> {
+        self.plans.tell(now)
+    }
+
     /// The plan of a service by name.
     pub fn plan(&self, service: &str) -> Option<&Plan> {
         self.plans.get(directory::short(service))
--- a/core/tests/gateway/loads.rs
+++ b/core/tests/gateway/loads.rs
@@ -305,3 +305,19 @@
 
     assert_eq!(asked.into_values().flatten().count(), 3);
 }
+
+/// Drafts beside chats: engines of the lane have little to read, so by queues alone they are the better
+/// ones for a draft as well. Each one that goes there lengthens the pauses of all chats on it.
+#[test]
+fn a_draft_stays_out_of_the_lane_while_others_have_places() {
+    let mut gateway = gateway(ENGINES);
+    gateway.hear(START, &heartbeat(vec![demand_of_chats(60)], Vec::new()));
+    let (in_lane, outside) = lane_and_rest(&mut gateway);
+    let call = ask("draft", &[(9_000, 1_800)]);
+    let mut grant = gateway.admit(START, &call).unwrap();
+    let asked = [standing(&outside, 12, 60.0), standing(&in_lane, 1, 0.0)];
+
+    let pick = gateway.pick(START, &call, &mut grant, &asked).unwrap();
+
+    assert_eq!(pick.id, outside);
+}
