--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod loads;
 mod outage;
 mod pace;
+mod plan;
 mod restart;
 mod routes;
 mod stop;
--- /dev/null
+++ b/core/tests/gateway/plan.rs
@@ -0,0 +1,193 @@
+//! What a decider makes of the reports of all gateways, and whose decision holds.
+
+use std::collections::BTreeSet;
+
+use laburnumwheel_core::gateway::config::Engine;
+use laburnumwheel_core::gateway::plan::Board;
+use laburnumwheel_core::gateway::plan::Heard;
+use laburnumwheel_core::gateway::plan::Plan;
+use laburnumwheel_core::gateway::plan::Planner;
+use laburnumwheel_core::gateway::plan::Subject;
+use laburnumwheel_core::gateway::tally::Report;
+use laburnumwheel_core::gateway::tally::Stream;
+use laburnumwheel_core::gateway::tally::Sums;
+use laburnumwheel_core::gateway::tally::Tally;
+use laburnumwheel_core::time::Span;
+use laburnumwheel_core::time::Time;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::proptest;
+
+use crate::support::START;
+
+const SERVICE: u32 = 7;
+const ENGINES: usize = 150;
+const ENGINE: Engine = Engine { slots: 16, kv_tokens: 300_000, stride: 5 };
+const CHAT: Span = Span::millis(150);
+const REPORT: Span = Span::millis(600);
+/// Long enough for a decider to know most gateways.
+const SETTLED: Span = Span::secs(2);
+
+/// A gateway with `chats` in progress, whose reports paused for 400 ms once in ten events.
+fn report(gateway: u32, chats: u16) -> Report {
+    let mut tally = Tally::default();
+    (0..chats).for_each(|_| tally.opens(CHAT));
+    tally.begins(CHAT);
+    (0..30).for_each(|_| tally.goes_on(CHAT, None));
+    for i in 0..100 {
+        let gap = if i % 10 == 0 { 400 } else { 60 };
+        tally.goes_on(REPORT, Some(Span::millis(gap)));
+    }
+    tally.ends(20.0, Some(Span::secs(2)));
+    Report { gateway, services: tally.take(SERVICE).into_iter().collect() }
+}
+
+fn planner() -> Planner {
+    let mut planner = Planner::default();
+    planner.is_decider(START, true);
+    planner
+}
+
+fn decide(planner: &mut Planner, now: Time, known: Option<&Plan>) -> Option<Plan> {
+    let subject = Subject { service: SERVICE, engine: &ENGINE, engines: ENGINES, known };
+    planner.decide(now, 1, &subject, |wanted| wanted)
+}
+
+fn plan(epoch: u32, by: u32) -> Plan {
+    Plan { service: SERVICE, epoch, by, lane: 20, apart: vec![150], age_ms: 0 }
+}
+
+/// Each of 200 gateways has one chat: none of them would set an engine apart, together they need a
+/// dozen.
+#[test]
+fn what_each_sees_a_little_of_is_added_up() {
+    let mut planner = planner();
+    (0..200).for_each(|gateway| planner.absorb(START, &report(gateway, 1)));
+
+    let plan = decide(&mut planner, START + SETTLED, None).unwrap();
+
+    assert_eq!(plan.epoch, 1);
+    assert!(plan.keeps_apart(CHAT) && !plan.keeps_apart(REPORT), "{plan:?}");
+    assert!((14..=24).contains(&plan.lane), "{plan:?}");
+}
+
+/// A decider that has just begun has heard of a few gateways. Publishing what these have in progress
+/// would take the lane from the streams of all others.
+#[test]
+fn a_decider_that_has_just_begun_leaves_the_plan_as_it_is() {
+    let mut planner = planner();
+    planner.absorb(START, &report(1, 1));
+
+    assert_eq!(decide(&mut planner, START + Span::millis(500), Some(&plan(9, 2))), None);
+}
+
+/// The decider is lost, and the next one goes on: its decision has a later epoch than all before, or
+/// gateways that know the last one would pass it over.
+#[test]
+fn the_next_decider_goes_on_from_the_last_epoch() {
+    let mut planner = planner();
+    (0..200).for_each(|gateway| planner.absorb(START, &report(gateway, 3)));
+
+    let next = decide(&mut planner, START + SETTLED, Some(&plan(9, 2))).unwrap();
+
+    assert_eq!(next.epoch, 10);
+    assert_eq!(decide(&mut planner, START + SETTLED, Some(&next)), None, "nothing has changed");
+}
+
+#[test]
+fn a_gateway_that_is_not_heard_of_any_more_has_no_streams() {
+    let mut planner = planner();
+    (0..200).for_each(|gateway| planner.absorb(START, &report(gateway, 3)));
+    let before = decide(&mut planner, START + SETTLED, None).unwrap();
+
+    let after = decide(&mut planner, START + Span::secs(9), Some(&before)).unwrap();
+
+    assert_eq!(after.lane, 0);
+}
+
+/// One engine rests for a moment. The end of the lane would move for all calls, there and back.
+#[test]
+fn an_engine_that_rests_for_a_moment_does_not_move_the_lane() {
+    let mut planner = planner();
+    (0..200).for_each(|gateway| planner.absorb(START, &report(gateway, 1)));
+    let now = START + SETTLED;
+    let subject = |known| Subject { service: SERVICE, engine: &ENGINE, engines: ENGINES, known };
+    let longer = planner.decide(now, 1, &subject(None), |wanted| wanted + 1).unwrap();
+
+    let again = planner.decide(now, 1, &subject(Some(&longer)), |wanted| wanted);
+
+    assert_eq!(again, None);
+}
+
+/// Two gateways take themselves for the decider for a moment, and a late heartbeat brings an earlier
+/// plan. All gateways must end with the same one, in whatever order they hear of them.
+#[test]
+fn the_latest_plan_holds_in_whatever_order_they_come() {
+    let mut all = [plan(3, 1), plan(4, 1), plan(4, 2), plan(2, 9)];
+    let mut held = BTreeSet::new();
+    for _ in 0..all.len() {
+        let mut board = Board::default();
+        for plan in &all {
+            board.hear(START, plan);
+        }
+        held.insert(board.get(SERVICE).map(|plan| (plan.epoch, plan.by)));
+        all.rotate_left(1);
+    }
+
+    assert_eq!(held, BTreeSet::from([Some((4, 2))]));
+}
+
+#[test]
+fn a_plan_is_passed_on_with_its_age() {
+    let mut board = Board::default();
+    let heard = board.hear(START, &Plan { age_ms: 300, ..plan(1, 1) });
+
+    let told = board.tell(START + Span::millis(200));
+
+    assert_eq!(heard, Some(Heard::Newer));
+    assert_eq!(board.hear(START, &told[0]), Some(Heard::Same));
+    assert_eq!(told[0].age_ms, 500);
+}
+
+/// The last chat of a gateway has ended. Untold, the decider would keep an engine for it for seconds.
+#[test]
+fn the_end_of_the_last_stream_is_told() {
+    let mut tally = Tally::default();
+    tally.opens(CHAT);
+    let with_one = tally.take(SERVICE).unwrap();
+    tally.closes(CHAT);
+
+    let without = tally.take(SERVICE);
+
+    assert_eq!(with_one.streams[0].open, 1);
+    assert!(without.is_some_and(|sums| sums.streams.iter().all(|stream| stream.open == 0)));
+    assert_eq!(tally.take(SERVICE), None, "nothing more to tell");
+}
+
+proptest! {
+    /// Whatever a peer reports, the plan stays within the engines and within what a datagram holds.
+    #[test]
+    fn any_report_may_come(
+        pauses in proptest::collection::vec(any::<u32>(), 0..40),
+        open in any::<u16>(),
+        events in any::<u32>(),
+        gaps in proptest::collection::vec((any::<u8>(), any::<u16>()), 0..60),
+        ms in any::<f32>(),
+        service in any::<u32>(),
+    ) {
+        let stream = |pause_ms| Stream { pause_ms, open, begun: open, events };
+        let streams = pauses.into_iter().map(stream).collect();
+        let sums = Sums {
+            service: SERVICE, streams, gaps, reading_ms: ms, life_ms: -ms, all_reading_ms: ms,
+        };
+        let foreign = Sums { service, ..Sums::default() };
+        let mut planner = planner();
+        planner.absorb(START, &Report { gateway: 1, services: vec![sums, foreign] });
+        planner.fade(START + SETTLED);
+
+        if let Some(plan) = decide(&mut planner, START + SETTLED, None) {
+            prop_assert!(usize::from(plan.lane) <= ENGINES);
+            prop_assert!(plan.apart.len() <= 16);
+        }
+    }
+}
--- a/gateway/tests/decoders.rs
+++ b/gateway/tests/decoders.rs
@@ -10,6 +10,7 @@
 use laburnumwheel_core::gateway::fleet::Listing;
 use laburnumwheel_core::gateway::gossip::Demand;
 use laburnumwheel_core::gateway::gossip::Sighting;
+use laburnumwheel_core::gateway::plan::Plan;
 use laburnumwheel_core::gateway::view::Base;
 use laburnumwheel_core::gateway::view::Known;
 use laburnumwheel_core::gateway::view::View;
@@ -44,7 +45,7 @@
         demands: vec![demand; 3],
         loads: vec![load; 3],
         paces: Vec::new(),
-        plans: Vec::new(),
+        plans: vec![Plan { service: 1, epoch: 2, by: 3, lane: 20, apart: vec![150], age_ms: 4 }],
         version: 10,
         proof_age: Some(11),
     };
--- a/gateway/tests/streams.rs
+++ b/gateway/tests/streams.rs
@@ -186,3 +186,35 @@
         assert_eq!(*replica.connections.borrow(), 3);
     });
 }
+
+/// A question is sent to an engine that takes it and never says anything. Its caller waited until the
+/// lot had closed; it has to hear at its deadline, and that the question may have run.
+#[test]
+fn a_question_that_is_never_answered_ends_at_its_deadline() {
+    run(async {
+        let replica = Replica::start(vec![Act::Silent]).await;
+        let running = before(&[&replica]).await;
+
+        let (status, _) = call(&running, "/once-stream/x", "call-1").await;
+
+        assert_eq!(status, 504);
+        assert_eq!(replica.seen.borrow().len(), 1);
+        assert_eq!(running.shared.calls.get(), 0);
+    });
+}
+
+/// The engine begins to answer and falls silent, on a connection that stays open. At the deadline the
+/// stream ends, and looks broken: what has come is not the whole answer.
+#[test]
+fn a_question_whose_answer_stalls_ends_at_its_deadline() {
+    run(async {
+        let replica = Replica::start(vec![Act::Write(events(1, 2))]).await;
+        let running = before(&[&replica]).await;
+
+        let (status, body) = call(&running, "/once-stream/x", "call-1").await;
+
+        assert_eq!(status, 200);
+        assert_eq!(body, Err(()));
+        assert_eq!(running.shared.calls.get(), 0);
+    });
+}
