--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -27,11 +27,11 @@
 const REMEMBERED: Span = Span::secs(20);
 /// Gateways of the caller's own failure domain that are enough for an answer.
 const ENOUGH: usize = 2;
-/// Gateways that read the store for all: so many, that two may be lost at a time,
+/// Gateways that read the store for all: so many that two may be lost at a time.
 const READERS: usize = 3;
-/// and a fourth of the square root of the fleet's size more. Each reader costs calls of the store, and
-/// each of the others a question to a reader; at the square root both grow alike. 7 readers of 295
-/// gateways answer 80 questions a second each; half as many answer twice as many.
+/// One reader more for so many times the square root of the fleet's size. Readers cost calls of the
+/// store, and each takes the questions of its part of the fleet; at the square root both grow alike. 7
+/// readers of 295 gateways answer 80 questions a second each; half as many would answer twice as many.
 const ROOTS_PER_READER: usize = 4;
 /// Most addresses in an answer.
 const ADDRESSES: usize = 16;
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -1,5 +1,6 @@
 //! One gateway: from a call's head to a replica, and everything it believes.
 
+mod attempts;
 mod keeper;
 mod plans;
 mod stop;
@@ -27,9 +28,7 @@
 use super::fleet::Claim;
 use super::fleet::Fleet;
 use super::fleet::Listing;
-use super::fleet::Load;
 use super::fleet::Need;
-use super::fleet::Outcome;
 use super::fleet::Replica;
 use super::fleet::Use;
 use super::freshness::Freshness;
@@ -466,17 +465,6 @@
         self.fleet.get(key).is_some_and(|r| !r.closed)
     }
 
-    /// Notes that an attempt is sent to the replica of `pick`.
-    pub fn sent(&mut self, now: Time, ask: &Ask, grant: &mut Grant, pick: &mut Pick) {
-        grant.attempts += 1;
-        grant.tried.push(pick.claim.replica);
-        self.fleet.sent(now, &mut pick.claim, pick.engine, &ask.parts);
-        if let Some(tally) = self.tally(&pick.claim) {
-            tally.opens(pick.claim.pause);
-        }
-        self.common.note(now, &ask.parts);
-    }
-
     /// Whether a call that a replica has may still be sent to another one, and one is there.
     pub fn may_move(&self, now: Time, ask: &Ask, grant: &Grant) -> bool {
         let mut renewed = grant.clone();
@@ -490,50 +478,11 @@
         self.budgets.get_mut(service).is_some_and(|b| b.spend(now, sharers))
     }
 
-    /// Notes that something came from a replica.
-    pub fn heard(&mut self, now: Time, claim: &Claim, load: Option<Load>) {
-        self.fleet.heard(now, claim.replica, load);
-    }
-
     /// Time until a replica with work of this gateway counts as silent; zero if it is now.
     pub fn silent_in(&self, now: Time, claim: &Claim) -> Span {
         self.fleet.silent_in(now, claim.replica)
     }
 
-    /// Notes an event, or the whole answer, of an attempt; `true` if it is the first.
-    pub fn event(&mut self, now: Time, claim: &mut Claim) -> bool {
-        if !claim.read {
-            self.first(now, claim);
-            return true;
-        }
-        let gap = now.since(std::mem::replace(&mut claim.event, now));
-        let apart = claim.sensitive && claim.lane > 0;
-        let usual = self.fleet.service_of_usual(claim.replica).map(str::to_owned);
-        if let Some(service) = usual {
-            model(&mut self.models, &service).goes_on(claim.pause, gap, apart);
-            if let Some(tally) = self.tally(claim) {
-                tally.goes_on(claim.pause, (!apart).then_some(gap));
-            }
-        }
-        false
-    }
-
-    /// Notes the first event or the whole answer of an attempt.
-    pub fn first(&mut self, now: Time, claim: &mut Claim) {
-        let is_first = !claim.read;
-        self.fleet.first(now, claim);
-        if is_first && let Some(service) = self.fleet.service_of_usual(claim.replica) {
-            let model = model(&mut self.models, service);
-            model.begins(claim.pause);
-            if claim.alone {
-                model.pace.learn(claim.work, now.since(claim.sent).as_secs_f64() * 1e3);
-            }
-            if let Some(tally) = self.tally(claim) {
-                tally.begins(claim.pause);
-            }
-        }
-    }
-
     fn tell_paces(&self) -> Vec<pace::Sighting> {
         let told = self.models.iter();
         told.filter_map(|(service, model)| model.pace.tell(directory::short(service))).collect()
@@ -545,34 +494,6 @@
             paces.iter().filter(|p| p.service == short).for_each(|p| model.pace.hear(p));
         }
     }
-
-    /// Notes the end of an attempt that was sent.
-    pub fn done(&mut self, now: Time, claim: Claim, outcome: Outcome) {
-        if let Some(tally) = self.tally(&claim) {
-            tally.closes(claim.pause);
-            if claim.read {
-                let life = claim.sensitive.then(|| now.since(claim.sent));
-                tally.ends(claim.reading_ms, life);
-            }
-        }
-        if claim.read
-            && claim.work > 0.0
-            && let Some(replica) = self.fleet.get(claim.replica)
-        {
-            let lane = &mut model(&mut self.models, &replica.listing.service).lane;
-            match claim.sensitive {
-                true => lane.note(claim.reading_ms, now.since(claim.sent)),
-                false => lane.note_other(claim.reading_ms),
-            }
-        }
-        self.fleet.done(now, claim, outcome);
-    }
-
-    /// Notes that a replica could not be sent an attempt.
-    pub fn unsent(&mut self, now: Time, grant: &mut Grant, key: Key<Replica>, outcome: Outcome) {
-        grant.tried.push(key);
-        self.fleet.outcome(now, key, outcome);
-    }
 }
 
 /// What is learnt of a service; nothing yet if it is new.
--- /dev/null
+++ b/core/src/gateway/state/attempts.rs
@@ -0,0 +1,100 @@
+//! The life of an attempt: sent, first event, further events, end; and what is learnt from each.
+
+use super::Gateway;
+use super::Grant;
+use super::Pick;
+use super::model;
+use crate::arena::Key;
+use crate::gateway::ask::Ask;
+use crate::gateway::fleet::Claim;
+use crate::gateway::fleet::Load;
+use crate::gateway::fleet::Outcome;
+use crate::gateway::fleet::Replica;
+use crate::gateway::tally::Tally;
+use crate::time::Time;
+
+impl Gateway {
+    /// Notes that an attempt is sent to the replica of `pick`.
+    pub fn sent(&mut self, now: Time, ask: &Ask, grant: &mut Grant, pick: &mut Pick) {
+        grant.attempts += 1;
+        grant.tried.push(pick.claim.replica);
+        self.fleet.sent(now, &mut pick.claim, pick.engine, &ask.parts);
+        if let Some(tally) = self.tally(&pick.claim) {
+            tally.opens(pick.claim.pause);
+        }
+        self.common.note(now, &ask.parts);
+    }
+
+    /// Notes that something came from a replica.
+    pub fn heard(&mut self, now: Time, claim: &Claim, load: Option<Load>) {
+        self.fleet.heard(now, claim.replica, load);
+    }
+
+    /// Notes an event, or the whole answer, of an attempt; `true` if it is the first.
+    pub fn event(&mut self, now: Time, claim: &mut Claim) -> bool {
+        if !claim.read {
+            self.first(now, claim);
+            return true;
+        }
+        let gap = now.since(std::mem::replace(&mut claim.event, now));
+        let apart = claim.sensitive && claim.lane > 0;
+        let usual = self.fleet.service_of_usual(claim.replica).map(str::to_owned);
+        if let Some(service) = usual {
+            model(&mut self.models, &service).goes_on(claim.pause, gap, apart);
+            if let Some(tally) = self.tally(claim) {
+                tally.goes_on(claim.pause, (!apart).then_some(gap));
+            }
+        }
+        false
+    }
+
+    /// Notes the first event or the whole answer of an attempt.
+    pub fn first(&mut self, now: Time, claim: &mut Claim) {
+        let is_first = !claim.read;
+        self.fleet.first(now, claim);
+        if is_first && let Some(service) = self.fleet.service_of_usual(claim.replica) {
+            let model = model(&mut self.models, service);
+            model.begins(claim.pause);
+            if claim.alone {
+                model.pace.learn(claim.work, now.since(claim.sent).as_secs_f64() * 1e3);
+            }
+            if let Some(tally) = self.tally(claim) {
+                tally.begins(claim.pause);
+            }
+        }
+    }
+
+    /// Notes the end of an attempt that was sent.
+    pub fn done(&mut self, now: Time, claim: Claim, outcome: Outcome) {
+        if let Some(tally) = self.tally(&claim) {
+            tally.closes(claim.pause);
+            if claim.read {
+                let life = claim.sensitive.then(|| now.since(claim.sent));
+                tally.ends(claim.reading_ms, life);
+            }
+        }
+        if claim.read
+            && claim.work > 0.0
+            && let Some(replica) = self.fleet.get(claim.replica)
+        {
+            let lane = &mut model(&mut self.models, &replica.listing.service).lane;
+            match claim.sensitive {
+                true => lane.note(claim.reading_ms, now.since(claim.sent)),
+                false => lane.note_other(claim.reading_ms),
+            }
+        }
+        self.fleet.done(now, claim, outcome);
+    }
+
+    /// Notes that a replica could not be sent an attempt.
+    pub fn unsent(&mut self, now: Time, grant: &mut Grant, key: Key<Replica>, outcome: Outcome) {
+        grant.tried.push(key);
+        self.fleet.outcome(now, key, outcome);
+    }
+
+    /// Counts for the next report, of the service of an engine; `None` for a plain service.
+    pub(super) fn tally(&mut self, claim: &Claim) -> Option<&mut Tally> {
+        let streams = claim.pause.0 > 0;
+        streams.then(|| self.tallies.entry(claim.service).or_default())
+    }
+}
--- a/core/src/gateway/state/plans.rs
+++ b/core/src/gateway/state/plans.rs
@@ -5,12 +5,10 @@
 use super::Grant;
 use crate::gateway::config::Engine;
 use crate::gateway::directory;
-use crate::gateway::fleet::Claim;
 use crate::gateway::plan::Heard;
 use crate::gateway::plan::Plan;
 use crate::gateway::plan::Subject;
 use crate::gateway::tally::Report;
-use crate::gateway::tally::Tally;
 use crate::time::Span;
 use crate::time::Time;
 
@@ -121,10 +119,4 @@
         let sensitive = model.is_sensitive(&grant.route, engine);
         (sensitive, model.lane.size(now, streams, engine, engines))
     }
-
-    /// Counts for the next report, of the service of an engine; `None` for a plain service.
-    pub(super) fn tally(&mut self, claim: &Claim) -> Option<&mut Tally> {
-        let streams = claim.pause.0 > 0;
-        streams.then(|| self.tallies.entry(claim.service).or_default())
-    }
 }
