Lines of failed attempts name the content of the call

Cause looked for: whether the calls that were there when replicas ended asked for the same thing. A line named the id of a try alone, which is new each time. Now it has a short hash of organisation, method, address and body.

--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod ask;
 pub mod budget;
 pub mod config;
+pub mod content;
 pub mod delta;
 pub mod directory;
 pub mod engine;
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -20,6 +20,8 @@
 use laburnumwheel_core::gateway::Grant;
 use laburnumwheel_core::gateway::Pick;
 use laburnumwheel_core::gateway::ask::Ask;
+use laburnumwheel_core::gateway::content;
+use laburnumwheel_core::gateway::content::Content;
 use laburnumwheel_core::gateway::fleet::Claim;
 use laburnumwheel_core::gateway::fleet::Outcome;
 use laburnumwheel_core::gateway::ledger::Standing;
@@ -191,6 +193,17 @@
 }
 
 impl Call {
+    /// What the call asks for, the same for each try of its caller.
+    pub fn content(&self) -> Content {
+        Content::of(&content::Source {
+            organisation: self.grant.organisation.as_deref(),
+            method: self.method.as_str(),
+            host: &self.ask.host,
+            path: self.uri.path_and_query().map_or("", |p| p.as_str()),
+            body: &self.body,
+        })
+    }
+
     /// Logs what came of an attempt.
     pub fn note(&self, replica: &str, fault: Fault) {
         let label = format!("service=\"{}\",fault=\"{fault}\"", self.grant.service);
@@ -198,6 +211,7 @@
         let line = Line::new("attempt_failed")
             .with("request", String::from_utf8_lossy(&self.ask.id))
             .with("route", &self.grant.route.name)
+            .with("content", self.content())
             .with("replica", replica)
             .with("fault", fault)
             .with("attempt", self.grant.attempts)
