Contents under which three replicas ended are held back by all gateways

What callers saw: drafts failing one after the other, and everything beside them cut off, as one draft was sent to engine after engine. Cause: a failure was charged to the replica alone, and by the gateway alone that had the call. Mend: gateways note the run of the replica for each content whose connection broke, and tell one another in heartbeats for 3 s (core/src/gateway/quarantine.rs). From the third end on no gateway sends the content; its caller hears 503, which is true, and when to come back. The store holds what is held, written under a condition by the readers, so that a restart of all forgets nothing. Why it holds: the record is a set that only grows, so the order in which gateways hear changes nothing. Harmless ones: a whole answer clears; a replica that is heard of 1 s later has not ended; ends shared twice with a held content do not count; otherwise a hold lasts 10 minutes. Ruled out: gateways' own repeats as the cause (drafts have one attempt).

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -15,6 +15,7 @@
 use crate::gateway::gossip::Sighting;
 use crate::gateway::pace;
 use crate::gateway::plan::Plan;
+use crate::gateway::quarantine;
 use crate::incarnation::Digest;
 use crate::rendezvous;
 use crate::time::Span;
@@ -66,6 +67,8 @@
     pub paces: Vec<pace::Sighting>,
     /// What gateways agree on, by service.
     pub plans: Vec<Plan>,
+    /// Contents under which replicas ended.
+    pub suspects: Vec<quarantine::Record>,
     /// Version of its configuration.
     pub version: u64,
     /// Age of its proof that this version is the newest, in microseconds.
--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -59,6 +59,12 @@
         self.by_digest.contains_key(&run)
     }
 
+    /// Whether a run is listed and has sent something after `at`, to any gateway.
+    pub fn heard_since(&self, run: Digest, at: Time) -> bool {
+        let key = self.by_digest.get(&run).copied();
+        key.and_then(|key| self.replicas.get(key)).is_some_and(|replica| replica.alive > at)
+    }
+
     /// All replicas.
     pub fn iter(&self) -> impl Iterator<Item = &Replica> {
         self.replicas.iter().map(|(_, r)| r)
@@ -134,6 +140,7 @@
             return;
         };
         replica.quiet_since = now;
+        replica.alive = now;
         replica.rest = FIRST_REST;
         if let Some(load) = load {
             replica.learn(now, load.running, load.waiting);
@@ -150,6 +157,7 @@
             };
             let at = gossip::at(now, s.age_ms);
             if replica.report.is_none_or(|r| r.at < at) {
+                replica.alive = replica.alive.max(at);
                 replica.learn(at, u32::from(s.running), u32::from(s.waiting));
             }
         }
--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -83,6 +83,8 @@
 pub struct Claim {
     /// The replica.
     pub replica: Key<Replica>,
+    /// Its run.
+    pub run: Digest,
     /// What there is to read of the prompt; see [`pace::work`].
     pub work: f64,
     /// Time to read the prompt, in milliseconds.
@@ -237,6 +239,7 @@
             let sensitive = need.engine.is_some_and(|u| u.sensitive);
             let claim = Claim {
                 replica: *key,
+                run: replica.digest(),
                 work,
                 reading_ms,
                 expected_ms,
--- a/core/src/gateway/fleet/replica.rs
+++ b/core/src/gateway/fleet/replica.rs
@@ -106,6 +106,8 @@
     pub(super) own: u32,
     pub(super) reading_ms: f64,
     pub(super) quiet_since: Time,
+    /// When it was last known to live, from what it sent to any gateway.
+    pub(super) alive: Time,
     pub(super) resting_until: Time,
     pub(super) rest: Span,
     pub(super) failures: f64,
@@ -126,6 +128,7 @@
             own: 0,
             reading_ms: 0.0,
             quiet_since: now,
+            alive: Time(0),
             resting_until: Time(0),
             rest: FIRST_REST,
             failures: 0.0,
--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod outage;
 pub mod pace;
 pub mod plan;
+pub mod quarantine;
 pub mod refusal;
 mod state;
 pub mod tally;
--- a/core/src/gateway/refusal.rs
+++ b/core/src/gateway/refusal.rs
@@ -22,6 +22,8 @@
     NoReplica,
     /// Every replica has more work than could be done in time.
     Overloaded,
+    /// Replicas ended one after the other while they ran what the call asks for.
+    Quarantined,
     /// A replica refused the call without running it.
     ReplicaRefused,
     /// The call may have run and must not be repeated, or may not be repeated any more.
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -1,6 +1,7 @@
 //! One gateway: from a call's head to a replica, and everything it believes.
 
 mod attempts;
+mod contents;
 mod keeper;
 mod plans;
 mod stop;
@@ -19,6 +20,7 @@
 use super::config::Config;
 use super::config::Engine;
 use super::config::Route;
+use super::content::Content;
 use super::directory;
 use super::directory::Directory;
 use super::directory::Entry;
@@ -41,6 +43,7 @@
 use super::plan::Board;
 use super::plan::Heard;
 use super::plan::Planner;
+use super::quarantine::Quarantine;
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use super::tally::Tally;
@@ -91,6 +94,8 @@
     pub rank: Rank,
     /// Service that the call goes to.
     pub service: String,
+    /// What it asks for; set once its body was read.
+    pub content: Option<Content>,
     /// When its head was read.
     pub arrived: Time,
     /// When its caller, or its route, stops waiting.
@@ -143,6 +148,7 @@
     planner: Planner,
     tallies: BTreeMap<u32, Tally>,
     common: Common,
+    quarantine: Quarantine,
     ledger: Ledger,
     tidied: Time,
     outage: Outage,
@@ -165,6 +171,7 @@
             planner: Planner::default(),
             tallies: BTreeMap::new(),
             common: Common::default(),
+            quarantine: Quarantine::default(),
             ledger: Ledger::default(),
             tidied: now,
             outage: Outage::default(),
@@ -233,6 +240,7 @@
         }
         self.directory.hear(now, heartbeat);
         self.fleet.learn(now, &heartbeat.loads);
+        self.quarantine.hear(now, &heartbeat.suspects);
         self.hear_paces(&heartbeat.paces);
         self.hear_plans(now, &heartbeat.plans)
     }
@@ -254,6 +262,7 @@
             loads: self.fleet.tell(now),
             paces: self.tell_paces(),
             plans: self.plans.tell(now),
+            suspects: self.quarantine.tell(now),
             version: self.version(),
             proof_age: self.freshness.age(now).map(|s| s.0),
         }
@@ -355,6 +364,7 @@
             organisation,
             rank,
             service: target(route, &ask.id),
+            content: None,
             arrived,
             deadline: arrived + patience,
             tried: Vec::new(),
@@ -450,10 +460,12 @@
         if !grant.route.public && !self.freshness.is_current(now) {
             return Err(Refusal::not_run(Reason::StaleConfiguration, ELSEWHERE));
         }
+        self.may_send(now, grant)?;
         if grant.version == self.version() {
             return Ok(());
         }
         let mut renewed = self.resolve(now, grant.arrived, ask)?;
+        renewed.content = grant.content;
         renewed.tried = std::mem::take(&mut grant.tried);
         renewed.attempts = grant.attempts;
         *grant = renewed;
--- a/core/tests/gateway/directory.rs
+++ b/core/tests/gateway/directory.rs
@@ -23,6 +23,7 @@
         demands: vec![demand],
         loads: Vec::new(),
         paces: Vec::new(),
+        suspects: Vec::new(),
         plans: Vec::new(),
         version: 1,
         proof_age: None,
--- a/core/tests/gateway/loads.rs
+++ b/core/tests/gateway/loads.rs
@@ -56,6 +56,7 @@
         demands,
         loads,
         paces: Vec::new(),
+        suspects: Vec::new(),
         plans: Vec::new(),
         version: 1,
         proof_age: None,
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod outage;
 mod pace;
 mod plan;
+mod quarantine;
 mod restart;
 mod routes;
 mod stop;
--- a/core/tests/gateway/outage.rs
+++ b/core/tests/gateway/outage.rs
@@ -25,6 +25,7 @@
         demands: Vec::new(),
         loads: Vec::new(),
         paces: Vec::new(),
+        suspects: Vec::new(),
         plans: Vec::new(),
         version: 1,
         proof_age: Some(age.0),
--- a/core/tests/gateway/restart.rs
+++ b/core/tests/gateway/restart.rs
@@ -70,6 +70,7 @@
         demands: Vec::new(),
         loads,
         paces: Vec::new(),
+        suspects: Vec::new(),
         plans: Vec::new(),
         version: 1,
         proof_age: None,
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -20,8 +20,6 @@
 use laburnumwheel_core::gateway::Grant;
 use laburnumwheel_core::gateway::Pick;
 use laburnumwheel_core::gateway::ask::Ask;
-use laburnumwheel_core::gateway::content;
-use laburnumwheel_core::gateway::content::Content;
 use laburnumwheel_core::gateway::fleet::Claim;
 use laburnumwheel_core::gateway::fleet::Outcome;
 use laburnumwheel_core::gateway::ledger::Standing;
@@ -111,6 +109,11 @@
     }
 }
 
+/// The call's content, as logs name it.
+pub fn content_of(grant: &Grant) -> String {
+    grant.content.map_or_else(String::new, |content| content.to_string())
+}
+
 /// A whole answer of a replica.
 #[derive(Clone, Debug)]
 pub struct Whole {
@@ -193,17 +196,6 @@
 }
 
 impl Call {
-    /// What the call asks for, the same for each try of its caller.
-    pub fn content(&self) -> Content {
-        Content::of(&content::Source {
-            organisation: self.grant.organisation.as_deref(),
-            method: self.method.as_str(),
-            host: &self.ask.host,
-            path: self.uri.path_and_query().map_or("", |p| p.as_str()),
-            body: &self.body,
-        })
-    }
-
     /// Logs what came of an attempt.
     pub fn note(&self, replica: &str, fault: Fault) {
         let label = format!("service=\"{}\",fault=\"{fault}\"", self.grant.service);
@@ -211,7 +203,7 @@
         let line = Line::new("attempt_failed")
             .with("request", String::from_utf8_lossy(&self.ask.id))
             .with("route", &self.grant.route.name)
-            .with("content", self.content())
+            .with("content", content_of(&self.grant))
             .with("replica", replica)
             .with("fault", fault)
             .with("attempt", self.grant.attempts)
@@ -387,6 +379,9 @@
         match self.listen(&begun.in_flight, collected).await {
             Ok(Ok(body)) => {
                 begun.in_flight.event();
+                if outcome == Outcome::Answered {
+                    self.answered_whole();
+                }
                 let head = begun.head.clone();
                 begun.finish(outcome);
                 Ok(Whole { head, body: body.to_bytes() })
@@ -396,9 +391,18 @@
         }
     }
 
+    /// Notes that a replica has run the call to its end.
+    pub fn answered_whole(&self) {
+        self.shared.gateway.borrow_mut().answered(clock::now(), &self.grant);
+    }
+
     /// Notes that an attempt failed.
     pub fn fail(&mut self, in_flight: &InFlight, replica: &str, fault: Fault) -> Failure {
         self.touched |= !fault.not_run();
+        if fault == Fault::Broken {
+            let mut gateway = self.shared.gateway.borrow_mut();
+            gateway.broke(clock::now(), &self.grant, &in_flight.claim);
+        }
         in_flight.end(fault.outcome());
         self.note(replica, fault);
         Failure::Fault(fault, None)
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -16,6 +16,8 @@
 use hyper::header::HeaderValue;
 use laburnumwheel_core::gateway::Pick;
 use laburnumwheel_core::gateway::config::Limits;
+use laburnumwheel_core::gateway::content;
+use laburnumwheel_core::gateway::content::Content;
 use laburnumwheel_core::gateway::fleet::Outcome;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::gateway::refusal::Refusal;
@@ -196,12 +198,19 @@
             return own(shared, &ask.id, status, None);
         }
     };
-    let grant = match admitted {
+    let mut grant = match admitted {
         Ok(grant) => grant,
         Err(refusal) => return refuse(shared, &ending, &ask.id, &refusal),
     };
     let (method, uri) = (head.method, head.uri);
     let uri = uri.path_and_query().map_or(uri.clone(), |p| p.clone().into());
+    grant.content = Some(Content::of(&content::Source {
+        organisation: grant.organisation.as_deref(),
+        method: method.as_str(),
+        host: &ask.host,
+        path: uri.path_and_query().map_or("", |p| p.as_str()),
+        body: &body,
+    }));
     let shared = shared.clone();
     let call = Call {
         shared,
--- a/gateway/src/flaw.rs
+++ b/gateway/src/flaw.rs
@@ -26,6 +26,8 @@
     Replica,
     /// A gateway.
     Gateway,
+    /// Contents under which replicas ended.
+    Contents,
 }
 
 /// What is wrong with an entry.
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -148,7 +148,7 @@
         shared.log(Line::new("started").with("callers", local).with("domain", &entry.domain));
         let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
         spawn(Box::pin(write_lines(shared.clone())));
-        spawn(Box::pin(store::follow(shared.clone(), self.store.read)));
+        spawn(Box::pin(store::follow(shared.clone(), self.store.read, self.store.keep)));
         spawn(Box::pin(serve_plain(shared.clone(), views, view::answer)));
         let enlist = store::enlist(shared.clone(), entry, self.store.announce, self.store.renew);
         spawn(Box::pin(enlist));
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call;
 pub mod channel;
 pub mod clock;
+pub mod contents;
 pub mod dialect;
 pub mod flaw;
 pub mod gateway;
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -20,6 +20,7 @@
 use tokio::sync::oneshot;
 
 use crate::clock;
+use crate::contents;
 use crate::log::Line;
 use crate::shared::Shared;
 
@@ -182,11 +183,13 @@
     }
 }
 
-/// Tells the decider what was seen, or decides, for ever.
+/// Looks at contents under which replicas end, and tells the decider what was seen, or decides, for ever.
 pub async fn report(shared: Shared) {
     loop {
         let period = shared.gateway.borrow().reporting_period();
         tokio::time::sleep(clock::duration(period)).await;
+        let verdicts = shared.gateway.borrow_mut().reconsider(clock::now());
+        contents::tell(&shared, &verdicts);
         let report = shared.gateway.borrow_mut().report(clock::now());
         if let Some((decider, report)) = report
             && let Ok(address) = decider.parse::<SocketAddr>()
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -178,6 +178,7 @@
                 return Err(call.fail(&b.in_flight, &b.replica, Fault::Broken));
             }
             None => {
+                call.answered_whole();
                 if let Some(b) = begun.take() {
                     b.finish(Outcome::Answered);
                 }
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -18,6 +18,8 @@
 use rand::seq::SliceRandom;
 
 use crate::clock;
+use crate::contents;
+use crate::contents::Stored;
 use crate::flaw;
 use crate::flaw::Flaw;
 use crate::flaw::Kind;
@@ -65,6 +67,8 @@
 pub struct Reading {
     /// Everything that could be used.
     pub view: View,
+    /// Contents under which replicas ended, as gateways before have left them.
+    pub contents: Stored,
     /// Entries that name nothing to use. Whoever reads the store tells of them; they are not handed
     /// on.
     pub flaws: Vec<Flaw>,
@@ -106,6 +110,8 @@
     pub read: Box<dyn FnMut() -> Reply<Reading>>,
     /// Writes the gateway's entry under a new lease of this length; returns the lease.
     pub announce: Box<dyn FnMut(Entry, Duration) -> Reply<u64>>,
+    /// Writes these contents in the place of those that were read with this revision.
+    pub keep: Box<dyn FnMut(Vec<contents::Record>, u64) -> Reply<()>>,
     /// Renews a lease.
     pub renew: Box<dyn FnMut(u64) -> Reply<()>>,
     /// Ends a lease, and the entry with it.
@@ -143,7 +149,11 @@
 }
 
 /// Keeps up with the store for ever: a reader by reading, any other gateway by asking a reader.
-pub async fn follow(shared: Shared, mut read: Box<dyn FnMut() -> Reply<Reading>>) {
+pub async fn follow(
+    shared: Shared,
+    mut read: Box<dyn FnMut() -> Reply<Reading>>,
+    mut keep: Box<dyn FnMut(Vec<contents::Record>, u64) -> Reply<()>>,
+) {
     let mut sound = true;
     loop {
         let (readers, is_reader) = shared.gateway.borrow().readers(clock::now());
@@ -161,7 +171,11 @@
                     shared.log(Line::new("store_regained"));
                 }
                 sound = true;
-                take_reading(&shared, sent, reading);
+                let stored = take_reading(&shared, sent, reading);
+                // The readers write for all: a few, so that a fleet does not write the same at once.
+                if is_reader {
+                    contents::keep(&shared, &stored, &mut keep).await;
+                }
                 let waits = shared.gateway.borrow().version() == 0;
                 let pause = if waits { WAITING } else { PERIOD };
                 tokio::time::sleep(jittered(&shared, pause)).await;
@@ -267,8 +281,10 @@
         .collect()
 }
 
-/// Takes in what a read of the store found.
-fn take_reading(shared: &Shared, sent: Time, mut reading: Reading) {
+/// Takes in what a read of the store found; returns what it holds of contents.
+fn take_reading(shared: &Shared, sent: Time, mut reading: Reading) -> Stored {
+    // First of all, so that a gateway which has just started knows them when it serves.
+    contents::recall(shared, &reading.contents);
     // A version that can't be read may be the one that takes a key away. The last one that could
     // be read stays in force, and its proof of freshness ages as if the store were out of reach:
     // no key is honoured for longer than the bound on revocation.
@@ -280,6 +296,7 @@
     flaw::tell(shared, &shared.flaws, &reading.flaws);
     let known = Known::new(reading.view, shared.views.borrow().newest());
     take(shared, sent, known, Source::Store, readable);
+    reading.contents
 }
 
 /// Takes a view in; `proves` if it shows which configuration is the newest.
--- a/gateway/tests/decoders.rs
+++ b/gateway/tests/decoders.rs
@@ -45,6 +45,7 @@
         demands: vec![demand; 3],
         loads: vec![load; 3],
         paces: Vec::new(),
+        suspects: Vec::new(),
         plans: vec![Plan { service: 1, epoch: 2, by: 3, lane: 20, apart: vec![150], age_ms: 4 }],
         version: 10,
         proof_age: Some(11),
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -269,10 +269,11 @@
             let view = held.borrow().clone();
             Box::pin(async move {
                 let view = view.ok_or_else(out)?;
-                Ok(Reading { view, flaws: Vec::new() })
+                Ok(Reading { view, ..Reading::default() })
             })
         }),
         announce: Box::new(|_, _| Box::pin(async { Ok(1) })),
+        keep: Box::new(|_, _| Box::pin(async { Ok(()) })),
         renew: Box::new(|_| Box::pin(async { Ok(()) })),
         withdraw: Box::new(|_| Box::pin(async { Ok(()) })),
     }
