Eras of the store: what gateways hold goes before a copy that is older

What callers saw after the store came back from a copy: a configuration that was never taken up again, calls to a replica that was leaving, none to one that had joined, a gateway that was never listed again, and a key that had been taken away honoured by a gateway that started then. Cause: revisions compared without their era, every list taken for the newest state, and a lease number that is another's by then renewed with success. Mend: each answer's era is heard (gateway/src/era.rs); a configuration is the same only at the same position; a read in which the era rose is none; for 2.2 s reads prove no freshness and missing replicas in use stay; for 10 s replicas known to leave, to be gone or replaced stay so (core/src/gateway/returned.rs, fleet/amend.rs); entries are written anew within 1.5 s; a new gateway goes by its peers' newest version for 10 s. Ruled out: that a drop of the revision alone shows a return, as it may have risen past the old value. Before: four tests of the built program fail (never taken up in 60 s; 108 calls in place of 67 at the leaving replica; never listed in 60 s; 200 with the revoked key). After: all pass; 11 more without a network, a property test of joins, leaves and returns among them. A first form of the rises missed one that came while nobody waited; its test failed.

--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -1,5 +1,6 @@
 //! Replicas of all services: who is there, how loaded, and which one gets a call.
 
+mod amend;
 mod choice;
 mod list;
 mod replica;
@@ -43,6 +44,8 @@
     by_id: BTreeMap<String, Key<Replica>>,
     by_digest: BTreeMap<Digest, Key<Replica>>,
     by_service: BTreeMap<String, Vec<Key<Replica>>>,
+    /// Runs that are gone, and since when.
+    gone: BTreeMap<Digest, Time>,
     /// Calls sent to engines so far; numbers them in the keepers' ledgers.
     calls: u32,
     notices: Vec<Notice>,
--- /dev/null
+++ b/core/src/gateway/fleet/amend.rs
@@ -0,0 +1,49 @@
+//! A list that may be older than what is known of replicas.
+
+use super::Fleet;
+use super::Listing;
+use super::Replica;
+use crate::incarnation::Digest;
+use crate::time::Span;
+use crate::time::Time;
+
+/// How long a run that is gone is remembered: longer than the store may go back.
+const REMEMBERED: Span = Span::secs(60);
+
+impl Fleet {
+    /// Notes that a run is gone.
+    pub(super) fn note_gone(&mut self, now: Time, run: Digest) {
+        self.gone.retain(|_, at| now.since(*at) < REMEMBERED);
+        self.gone.insert(run, now);
+    }
+
+    /// The list with what is known put before it: runs that are leaving, gone or replaced get nothing
+    /// new, and with `keep_missing` those in use stay, whether listed or not.
+    pub fn amend(&self, listings: Vec<Listing>, keep_missing: bool) -> Vec<Listing> {
+        let mut amended: Vec<Listing> = listings.into_iter().map(|l| self.amended(l)).collect();
+        if keep_missing {
+            let is_listed = |replica: &Replica| {
+                amended.iter().any(|l| l.incarnation.id == replica.listing.incarnation.id)
+            };
+            let missing = self.iter().filter(|replica| !replica.closed && !is_listed(replica));
+            let missing: Vec<Listing> = missing.map(|replica| replica.listing.clone()).collect();
+            amended.extend(missing);
+        }
+        amended
+    }
+
+    fn amended(&self, listing: Listing) -> Listing {
+        let key = self.by_id.get(&listing.incarnation.id).copied();
+        let known = key.and_then(|key| self.replicas.get(key));
+        let is_gone = self.gone.contains_key(&listing.incarnation.digest());
+        match known {
+            // A former run under the id of the one that is there.
+            Some(replica) if is_gone => replica.listing.clone(),
+            Some(replica) if replica.closed && replica.digest() == listing.incarnation.digest() => {
+                Listing { leaving: true, ..listing }
+            }
+            None if is_gone => Listing { leaving: true, ..listing },
+            _ => listing,
+        }
+    }
+}
--- a/core/src/gateway/fleet/list.rs
+++ b/core/src/gateway/fleet/list.rs
@@ -51,7 +51,7 @@
                 Some(key) if self.is_same_life(key, &listing) => key,
                 Some(key) => {
                     // Late events of the former life find nothing under its key.
-                    self.forget(&id, key);
+                    self.forget(now, &id, key);
                     replaced.push(id.clone());
                     self.insert(now, listing.clone())
                 }
@@ -84,7 +84,7 @@
         for (id, key) in missing {
             closed.extend(self.close(key).then(|| id.clone()));
             if self.replicas.get(key).is_some_and(|r| r.own == 0) {
-                self.forget(&id, key);
+                self.forget(now, &id, key);
             }
         }
         Changes { came, replaced, closed, kept: Vec::new() }
@@ -181,12 +181,13 @@
         key
     }
 
-    fn forget(&mut self, id: &str, key: Key<Replica>) {
+    fn forget(&mut self, now: Time, id: &str, key: Key<Replica>) {
         self.by_id.remove(id);
         let Some(replica) = self.replicas.remove(key) else {
             return;
         };
         self.by_digest.remove(&replica.digest());
+        self.note_gone(now, replica.digest());
         if let Some(keys) = self.by_service.get_mut(&replica.listing.service) {
             keys.retain(|k| *k != key);
         }
--- a/core/src/gateway/quarantine.rs
+++ b/core/src/gateway/quarantine.rs
@@ -43,7 +43,7 @@
 /// which one further end is enough.
 const LONG_MEMORY: Span = Span::secs(2 * 86_400);
 /// Contents that are remembered: those of all calls at 250 engines that end together. Some 200 bytes each.
-const MOST: usize = 4_096;
+pub const MOST: usize = 4_096;
 /// A replica that is heard of so long after its connection broke has not ended; what it sent before
 /// may be read, and told on by others, as much later.
 pub const SETTLED: Span = Span::secs(1);
@@ -242,6 +242,11 @@
         (now < until).then(|| until.since(now))
     }
 
+    /// Contents that are remembered.
+    pub fn remembered(&self) -> usize {
+        self.suspects.len()
+    }
+
     /// Contents that are held back.
     pub fn held(&self, now: Time) -> usize {
         self.held.values().filter(|until| now < **until).count()
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -46,6 +46,7 @@
 use super::quarantine::Quarantine;
 use super::refusal::Reason;
 use super::refusal::Refusal;
+use super::returned::Return;
 use super::tally::Tally;
 use crate::arena::Key;
 use crate::rendezvous;
@@ -67,6 +68,8 @@
 const OBJECTIVES: f64 = 0.6;
 const OBJECTIVES_URGENT: f64 = 2.0;
 const TIMEOUT_PART: f64 = 0.06;
+/// How long after its start a gateway goes by its peers' word of the newest version.
+const STARTING: Span = Span::secs(10);
 /// Time to come back when the replicas are busy.
 const BUSY: Span = Span::millis(300);
 
@@ -152,6 +155,9 @@
     ledger: Ledger,
     tidied: Time,
     outage: Outage,
+    returned: Return,
+    /// Newest version that peers told of in this gateway's first seconds.
+    told_version: u64,
     stop: Option<Stop>,
 }
 
@@ -175,6 +181,8 @@
             ledger: Ledger::default(),
             tidied: now,
             outage: Outage::default(),
+            returned: Return::default(),
+            told_version: 0,
             stop: None,
             settings,
         }
@@ -182,23 +190,55 @@
 
     /// Notes a sound read of the store, sent at `sent`, that found `config`; `true` if it is new.
     ///
-    /// A version that is older than one known before is never taken.
+    /// A version that is older than one known before is never taken. What the store holds right after a
+    /// return may be older than what it held before, so it proves nothing.
     pub fn learn(&mut self, sent: Time, config: Option<Arc<Config>>) -> bool {
         let known = self.version();
         match config {
             Some(config) if config.version > known => {
                 self.config = Some(config);
-                self.freshness.prove(sent);
+                self.prove(sent);
                 true
             }
             Some(config) if config.version < known => false,
             _ => {
-                self.freshness.prove(sent);
+                self.prove(sent);
                 false
             }
         }
     }
 
+    fn prove(&mut self, sent: Time) {
+        if !self.returned.may_lack(sent) {
+            self.freshness.prove(sent);
+        }
+    }
+
+    /// Notes that the store came back from an older copy.
+    pub fn store_returned(&mut self, now: Time) {
+        self.returned.begin(now);
+    }
+
+    /// The list of replicas that was asked for at `sent`, with what is known put before it if the
+    /// store may have gone back.
+    pub fn amend(&self, sent: Time, replicas: Vec<Listing>) -> Vec<Listing> {
+        match self.returned.may_show_gone(sent) {
+            true => self.fleet.amend(replicas, self.returned.may_lack(sent)),
+            false => replicas,
+        }
+    }
+
+    /// Whether keys may be honoured at `now`.
+    ///
+    /// One that has just started can't tell whether the store went back right before. If it reads an
+    /// older version than its peers serve by, keys that were taken away would count again. Later on
+    /// peers are not believed: a stranger's datagram could have the whole fleet refuse its callers.
+    fn is_current(&self, now: Time) -> bool {
+        let is_new = now.since(self.began) < STARTING;
+        let knows_newest = !is_new || self.version() >= self.told_version;
+        knows_newest && self.freshness.is_current(now)
+    }
+
     /// Takes the lists of replicas and gateways in, which were asked for at `sent`; returns what
     /// changed of the replicas.
     pub fn list(
@@ -238,6 +278,9 @@
         if heartbeat.entry.name == self.settings.entry.name {
             return Vec::new();
         }
+        if now.since(self.began) < STARTING {
+            self.told_version = self.told_version.max(heartbeat.version);
+        }
         self.directory.hear(now, heartbeat);
         self.fleet.learn(now, &heartbeat.loads);
         self.quarantine.hear(now, &heartbeat.suspects);
@@ -275,7 +318,7 @@
 
     /// Whether callers may be sent here.
     pub fn is_open(&self, now: Time) -> bool {
-        self.stop.is_none() && self.config.is_some() && self.freshness.is_current(now)
+        self.stop.is_none() && self.config.is_some() && self.is_current(now)
     }
 
     /// Gateways for a caller in `domain`.
@@ -341,7 +384,7 @@
         let Some(route) = config.route(&ask.host, &ask.path) else {
             // The route may be newer than what a gateway that is cut off knows; told that there is
             // none, the caller would never ask again.
-            let refusal = if self.freshness.is_current(now) {
+            let refusal = if self.is_current(now) {
                 Refusal::not_run(Reason::NoRoute, Span(0))
             } else {
                 Refusal::not_run(Reason::StaleConfiguration, ELSEWHERE)
@@ -351,7 +394,7 @@
         let mut organisation = None;
         let mut rank = Rank { organisation: 0, route: route.priority };
         if !route.public {
-            if !self.freshness.is_current(now) {
+            if !self.is_current(now) {
                 return Err(Refusal::not_run(Reason::StaleConfiguration, ELSEWHERE));
             }
             let found = ask.key.as_ref().and_then(|key| config.organisation(key));
@@ -457,7 +500,7 @@
     ///
     /// The refusal to answer with; it does not know of earlier attempts.
     pub fn confirm(&self, now: Time, ask: &Ask, grant: &mut Grant) -> Result<(), Refusal> {
-        if !grant.route.public && !self.freshness.is_current(now) {
+        if !grant.route.public && !self.is_current(now) {
             return Err(Refusal::not_run(Reason::StaleConfiguration, ELSEWHERE));
         }
         self.may_send(now, grant)?;
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod plan;
 mod quarantine;
 mod restart;
+mod returns;
 mod routes;
 mod stop;
 mod strays;
--- a/core/tests/gateway/quarantine.rs
+++ b/core/tests/gateway/quarantine.rs
@@ -12,6 +12,7 @@
 use laburnumwheel_core::gateway::fleet::Outcome;
 use laburnumwheel_core::gateway::quarantine::ENDS;
 use laburnumwheel_core::gateway::quarantine::End;
+use laburnumwheel_core::gateway::quarantine::MOST;
 use laburnumwheel_core::gateway::quarantine::MOST_TOLD;
 use laburnumwheel_core::gateway::quarantine::Quarantine;
 use laburnumwheel_core::gateway::quarantine::Record;
@@ -177,6 +178,7 @@
 
     let told = quarantine.tell(at(4));
 
+    assert_eq!(quarantine.remembered(), MOST);
     assert_eq!(told.len(), MOST_TOLD);
     assert_eq!(told[0].content, DEADLY);
     assert!(quarantine.holds(at(4), DEADLY).is_some());
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::channel::Pool;
 use crate::clock;
 use crate::dialect::Dialect;
+use crate::era;
 use crate::log;
 use crate::log::Line;
 use crate::log::Log;
@@ -148,9 +149,14 @@
         shared.log(Line::new("started").with("callers", local).with("domain", &entry.domain));
         let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
         spawn(Box::pin(write_lines(shared.clone())));
-        spawn(Box::pin(store::follow(shared.clone(), self.store.read, self.store.keep)));
+        let eras = self.store.eras;
+        spawn(Box::pin(era::follow(shared.clone(), eras.clone())));
+        let (read, keep) = (self.store.read, self.store.keep);
+        let following = store::Following { eras: eras.clone(), read, keep };
+        spawn(Box::pin(store::follow(shared.clone(), following)));
         spawn(Box::pin(serve_plain(shared.clone(), views, view::answer)));
-        let enlist = store::enlist(shared.clone(), entry, self.store.announce, self.store.renew);
+        let enlist =
+            store::enlist(shared.clone(), entry, eras, self.store.announce, self.store.renew);
         spawn(Box::pin(enlist));
         spawn(Box::pin(peers::beat(shared.clone())));
         spawn(Box::pin(peers::hear(shared.clone())));
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 pub mod contents;
 pub mod dialect;
+pub mod era;
 pub mod flaw;
 pub mod gateway;
 pub mod log;
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -20,6 +20,8 @@
 use crate::clock;
 use crate::contents;
 use crate::contents::Stored;
+use crate::era;
+use crate::era::Eras;
 use crate::flaw;
 use crate::flaw::Flaw;
 use crate::flaw::Kind;
@@ -58,6 +60,9 @@
 const LEASE: Duration = Duration::from_secs(10);
 /// Time from one renewal to the next, so that two may be lost.
 const RENEWAL: Duration = Duration::from_millis(3_300);
+/// After a return of the store all entries are written again within this time: 440 gateways make two
+/// calls each, some 590 a second in all.
+const ANNOUNCING: Duration = Duration::from_millis(1_500);
 /// Time from one read to the next while the store holds no configuration: all gateways of a new fleet
 /// read then, as none can tell the others anything.
 const WAITING: Duration = Duration::from_millis(1_100);
@@ -93,6 +98,9 @@
     /// The store refused.
     #[error("refused with status {0}")]
     Refused(u16),
+    /// The answer is of a life of the store that is over.
+    #[error("of an earlier era")]
+    Outdated,
     /// The lease has ended.
     #[error("the lease has ended")]
     Ended,
@@ -106,6 +114,8 @@
 
 /// The store's calls, as one platform makes them.
 pub struct Store {
+    /// Which life of the store answers.
+    pub eras: Eras,
     /// Reads everything, as of a moment after the call; bounds each call that it makes for it.
     pub read: Box<dyn FnMut() -> Reply<Reading>>,
     /// Writes the gateway's entry under a new lease of this length; returns the lease.
@@ -148,12 +158,32 @@
     }
 }
 
+/// What following the store takes.
+pub struct Following {
+    /// Which life of the store answers.
+    pub eras: Eras,
+    /// Reads everything.
+    pub read: Box<dyn FnMut() -> Reply<Reading>>,
+    /// Writes contents under which replicas ended.
+    pub keep: Box<dyn FnMut(Vec<contents::Record>, u64) -> Reply<()>>,
+}
+
+/// Reads everything within the time that a whole read may take.
+///
+/// A read in which the store came back from an older copy is part of one life and part of another, so
+/// it is none.
+async fn read_whole(following: &mut Following) -> Result<Reading, Error> {
+    let era = following.eras.newest();
+    let whole = tokio::time::timeout(WHOLE_READ, (following.read)()).await;
+    let reading = whole.unwrap_or(Err(Error::Silent))?;
+    if era.is_some() && following.eras.newest() != era {
+        return Err(Error::Outdated);
+    }
+    Ok(reading)
+}
+
 /// Keeps up with the store for ever: a reader by reading, any other gateway by asking a reader.
-pub async fn follow(
-    shared: Shared,
-    mut read: Box<dyn FnMut() -> Reply<Reading>>,
-    mut keep: Box<dyn FnMut(Vec<contents::Record>, u64) -> Reply<()>>,
-) {
+pub async fn follow(shared: Shared, mut following: Following) {
     let mut sound = true;
     loop {
         let (readers, is_reader) = shared.gateway.borrow().readers(clock::now());
@@ -162,8 +192,8 @@
             continue;
         }
         let sent = clock::now();
-        let whole = tokio::time::timeout(WHOLE_READ, read()).await;
-        let result = whole.unwrap_or(Err(Error::Silent));
+        let result = read_whole(&mut following).await;
+        era::tell(&shared, &following.eras);
         shared.metrics.store_call("read", result.is_ok());
         match result {
             Ok(reading) => {
@@ -174,7 +204,7 @@
                 let stored = take_reading(&shared, sent, reading);
                 // The readers write for all: a few, so that a fleet does not write the same at once.
                 if is_reader {
-                    contents::keep(&shared, &stored, &mut keep).await;
+                    contents::keep(&shared, &stored, &mut following.keep).await;
                 }
                 let waits = shared.gateway.borrow().version() == 0;
                 let pause = if waits { WAITING } else { PERIOD };
@@ -285,6 +315,7 @@
 fn take_reading(shared: &Shared, sent: Time, mut reading: Reading) -> Stored {
     // First of all, so that a gateway which has just started knows them when it serves.
     contents::recall(shared, &reading.contents);
+    reading.view.replicas = shared.gateway.borrow().amend(sent, reading.view.replicas);
     // A version that can't be read may be the one that takes a key away. The last one that could
     // be read stays in force, and its proof of freshness ages as if the store were out of reach:
     // no key is honoured for longer than the bound on revocation.
@@ -343,9 +374,11 @@
 pub async fn enlist(
     shared: Shared,
     entry: Entry,
+    eras: Eras,
     mut announce: Box<dyn FnMut(Entry, Duration) -> Reply<u64>>,
     mut renew: Box<dyn FnMut(u64) -> Reply<()>>,
 ) {
+    let mut rises = eras.rises();
     loop {
         if shared.gateway.borrow().version() == 0 {
             tokio::time::sleep(Duration::from_millis(100)).await;
@@ -360,7 +393,16 @@
         shared.lease.set(Some(lease));
         shared.log(Line::new("announced").with("lease", lease));
         loop {
-            tokio::time::sleep(jittered(&shared, RENEWAL)).await;
+            // After a return the lease is nobody's, or another's, and renewing it would succeed.
+            tokio::select! {
+                _ = rises.next() => {
+                    let spread = shared.rng.borrow_mut().random_range(0.0..1.0);
+                    tokio::time::sleep(ANNOUNCING.mul_f64(spread)).await;
+                    shared.log(Line::new("lease_ended").with("lease", lease).with("cause", "return"));
+                    break;
+                }
+                () = tokio::time::sleep(jittered(&shared, RENEWAL)) => {}
+            }
             if shared.gateway.borrow().is_stopping() {
                 return;
             }
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -33,6 +33,7 @@
 use laburnumwheel_gateway::channel;
 use laburnumwheel_gateway::channel::Channel;
 use laburnumwheel_gateway::dialect::own;
+use laburnumwheel_gateway::era::Eras;
 use laburnumwheel_gateway::gateway::Builder;
 use laburnumwheel_gateway::gateway::Running;
 use laburnumwheel_gateway::store;
@@ -265,6 +266,7 @@
     let held = Rc::clone(held);
     let out = || store::Error::Unreachable("out".to_owned());
     Store {
+        eras: Eras::default(),
         read: Box::new(move || {
             let view = held.borrow().clone();
             Box::pin(async move {
