--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -4,6 +4,7 @@
 mod contents;
 mod keeper;
 mod plans;
+mod reads;
 mod stop;
 
 use std::collections::BTreeMap;
@@ -26,10 +27,8 @@
 use super::directory::Entry;
 use super::directory::Heartbeat;
 use super::engine::Common;
-use super::fleet::Changes;
 use super::fleet::Claim;
 use super::fleet::Fleet;
-use super::fleet::Listing;
 use super::fleet::Need;
 use super::fleet::Replica;
 use super::fleet::Use;
@@ -68,8 +67,6 @@
 const OBJECTIVES: f64 = 0.6;
 const OBJECTIVES_URGENT: f64 = 2.0;
 const TIMEOUT_PART: f64 = 0.06;
-/// How long after its start a gateway goes by its peers' word of the newest version.
-const STARTING: Span = Span::secs(10);
 /// Time to come back when the replicas are busy.
 const BUSY: Span = Span::millis(300);
 
@@ -188,80 +185,6 @@
         }
     }
 
-    /// Notes a sound read of the store, sent at `sent`, that found `config`; `true` if it is new.
-    ///
-    /// A version that is older than one known before is never taken. What the store holds right after a
-    /// return may be older than what it held before, so it proves nothing.
-    pub fn learn(&mut self, sent: Time, config: Option<Arc<Config>>) -> bool {
-        let known = self.version();
-        match config {
-            Some(config) if config.version > known => {
-                self.config = Some(config);
-                self.prove(sent);
-                true
-            }
-            Some(config) if config.version < known => false,
-            _ => {
-                self.prove(sent);
-                false
-            }
-        }
-    }
-
-    fn prove(&mut self, sent: Time) {
-        if !self.returned.may_lack(sent) {
-            self.freshness.prove(sent);
-        }
-    }
-
-    /// Notes that the store came back from an older copy.
-    pub fn store_returned(&mut self, now: Time) {
-        self.returned.begin(now);
-    }
-
-    /// The list of replicas that was asked for at `sent`, with what is known put before it if the
-    /// store may have gone back.
-    pub fn amend(&self, sent: Time, replicas: Vec<Listing>) -> Vec<Listing> {
-        match self.returned.may_show_gone(sent) {
-            true => self.fleet.amend(replicas, self.returned.may_lack(sent)),
-            false => replicas,
-        }
-    }
-
-    /// Whether keys may be honoured at `now`.
-    ///
-    /// One that has just started can't tell whether the store went back right before. If it reads an
-    /// older version than its peers serve by, keys that were taken away would count again. Later on
-    /// peers are not believed: a stranger's datagram could have the whole fleet refuse its callers.
-    fn is_current(&self, now: Time) -> bool {
-        let is_new = now.since(self.began) < STARTING;
-        let knows_newest = !is_new || self.version() >= self.told_version;
-        knows_newest && self.freshness.is_current(now)
-    }
-
-    /// Takes the lists of replicas and gateways in, which were asked for at `sent`; returns what
-    /// changed of the replicas.
-    pub fn list(
-        &mut self,
-        sent: Time,
-        now: Time,
-        replicas: Vec<Listing>,
-        gateways: Vec<Entry>,
-    ) -> Changes {
-        let own = self.settings.entry.name.clone();
-        self.directory.list(now, gateways.into_iter().filter(|e| e.name != own).collect());
-        let absence = self.fleet.absence(&replicas);
-        let keep = self.outage.may_have_lapsed(sent, now, absence);
-        self.fleet.update(now, replicas, keep)
-    }
-
-    /// Notes that a peer's proof covers what this gateway knows: nothing had changed at `sent`.
-    /// Returns replicas that are closed by it, as their entries did not come back.
-    pub fn confirm_view(&mut self, sent: Time) -> Vec<String> {
-        self.freshness.prove(sent);
-        if self.outage.is_over(sent) { self.fleet.close_kept() } else { Vec::new() }
-    }
-
     /// Name of this gateway.
     pub fn name(&self) -> &str {
         &self.settings.entry.name
@@ -278,9 +201,7 @@
         if heartbeat.entry.name == self.settings.entry.name {
             return Vec::new();
         }
-        if now.since(self.began) < STARTING {
-            self.told_version = self.told_version.max(heartbeat.version);
-        }
+        self.hear_version(now, heartbeat.version);
         self.directory.hear(now, heartbeat);
         self.fleet.learn(now, &heartbeat.loads);
         self.quarantine.hear(now, &heartbeat.suspects);
