A run that had lapsed and come back is not gone; lists are amended in one pass

What a caller would see: within a return, calls go to a replica that has just written that it leaves, if its entry had lapsed once in the last minute. Cause: runs that were forgotten stayed among the gone when they were listed again, and their known entry took the place of the new one.

--- a/core/src/gateway/fleet/amend.rs
+++ b/core/src/gateway/fleet/amend.rs
@@ -1,9 +1,9 @@
 //! A list that may be older than what is known of replicas.
 
+use std::collections::BTreeSet;
+
 use super::Fleet;
 use super::Listing;
-use super::Replica;
-use crate::incarnation::Digest;
 use crate::time::Span;
 use crate::time::Time;
 
@@ -11,10 +11,9 @@
 const REMEMBERED: Span = Span::secs(60);
 
 impl Fleet {
-    /// Notes that a run is gone.
-    pub(super) fn note_gone(&mut self, now: Time, run: Digest) {
+    /// Forgets runs that have been gone for long.
+    pub(super) fn forget_gone(&mut self, now: Time) {
         self.gone.retain(|_, at| now.since(*at) < REMEMBERED);
-        self.gone.insert(run, now);
     }
 
     /// The list with what is known put before it: runs that are leaving, gone or replaced get nothing
@@ -22,11 +21,12 @@
     pub fn amend(&self, listings: Vec<Listing>, keep_missing: bool) -> Vec<Listing> {
         let mut amended: Vec<Listing> = listings.into_iter().map(|l| self.amended(l)).collect();
         if keep_missing {
-            let is_listed = |replica: &Replica| {
-                amended.iter().any(|l| l.incarnation.id == replica.listing.incarnation.id)
-            };
-            let missing = self.iter().filter(|replica| !replica.closed && !is_listed(replica));
-            let missing: Vec<Listing> = missing.map(|replica| replica.listing.clone()).collect();
+            let listed: BTreeSet<&str> =
+                amended.iter().map(|listing| listing.incarnation.id.as_str()).collect();
+            let in_use = self.iter().filter(|replica| !replica.closed);
+            let missing = in_use.map(|replica| &replica.listing);
+            let missing = missing.filter(|l| !listed.contains(l.incarnation.id.as_str()));
+            let missing: Vec<Listing> = missing.cloned().collect();
             amended.extend(missing);
         }
         amended
--- a/core/src/gateway/fleet/list.rs
+++ b/core/src/gateway/fleet/list.rs
@@ -31,6 +31,7 @@
     /// store entries are missing for a moment although their replicas live, and going by the list
     /// alone would empty the fleet.
     pub fn update(&mut self, now: Time, listings: Vec<Listing>, keep_missing: bool) -> Changes {
+        self.forget_gone(now);
         let mut came = Vec::new();
         let mut replaced = Vec::new();
         let mut closed = Vec::new();
@@ -176,6 +177,8 @@
         self.by_id.insert(id, key);
         if let Some(replica) = self.replicas.get(key) {
             self.by_digest.insert(replica.digest(), key);
+            // Its entry had lapsed, and is back.
+            self.gone.remove(&replica.digest());
         }
         self.by_service.entry(service).or_default().push(key);
         key
@@ -187,7 +190,7 @@
             return;
         };
         self.by_digest.remove(&replica.digest());
-        self.note_gone(now, replica.digest());
+        self.gone.insert(replica.digest(), now);
         if let Some(keys) = self.by_service.get_mut(&replica.listing.service) {
             keys.retain(|k| *k != key);
         }
--- a/core/tests/gateway/returns.rs
+++ b/core/tests/gateway/returns.rs
@@ -124,6 +124,23 @@
     assert_eq!(open(&gateway), ids(["b"]));
 }
 
+/// A replica's entry lapsed and came back before the return; after it the replica writes that it leaves.
+/// Taken for one that is gone, it would stay in use as it was known.
+#[test]
+fn one_that_had_lapsed_and_come_back_may_leave_within_the_return() {
+    let (both, one) = ([listing("a"), listing("b")], [listing("a")]);
+    let mut gateway = gateway(0);
+    read(&mut gateway, at(0), both.to_vec());
+    read(&mut gateway, at(500), one.to_vec());
+    read(&mut gateway, at(900), both.to_vec());
+    gateway.store_returned(at(1_000));
+
+    let leaving = Listing { leaving: true, ..listing("b") };
+    read(&mut gateway, at(1_100), vec![listing("a"), leaving]);
+
+    assert_eq!(open(&gateway), ids(["a"]));
+}
+
 /// A second return within the spans of the first begins them anew.
 #[test]
 fn two_returns_in_ten_seconds_are_each_waited_out() {
