--- a/gateway/tests/eras.rs
+++ b/gateway/tests/eras.rs
@@ -2,12 +2,17 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use laburnumwheel_gateway::era::Eras;
 use laburnumwheel_gateway::store::Error;
+use laburnumwheel_gateway::store::View;
 
+use crate::support::config;
+use crate::support::gateway_that_reads;
 use crate::support::run;
+use crate::support::until;
 
 /// Time for which nothing must happen.
 const QUIET: Duration = Duration::from_millis(20);
@@ -38,6 +43,25 @@
     assert_eq!(eras.newest(), Some(3));
 }
 
+/// The store comes back from a copy while a read of several answers is on its way: the first of them are
+/// of one life, the rest of the next. Taken for one state, it would be one that never was.
+#[test]
+fn a_read_in_which_the_store_came_back_is_none() {
+    run(async {
+        let read = |number: u32, eras: &Eras| {
+            let era: &[u8] = if number == 1 { b"1" } else { b"2" };
+            eras.hear(Some(era)).unwrap();
+            let version = [1, 9, 5][number.min(3) as usize - 1];
+            View { config: Some(Arc::new(config(version))), ..View::default() }
+        };
+
+        let running = gateway_that_reads(read).await;
+        until("a later version", || running.shared.gateway.borrow().version() > 1).await;
+
+        assert_eq!(running.shared.gateway.borrow().version(), 5);
+    });
+}
+
 #[test]
 fn a_rise_is_told_once_and_the_first_era_is_none() {
     run(async {
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -351,6 +351,20 @@
     all
 }
 
+/// A gateway before a store whose reads find what `found` says, by their number and the eras heard so far.
+pub async fn gateway_that_reads(found: impl Fn(u32, &Eras) -> View + 'static) -> Running {
+    let held = Rc::new(RefCell::new(Some(view(&[]))));
+    let mut store = held_store(&held);
+    let (eras, reads) = (store.eras.clone(), Cell::new(0));
+    store.read = Box::new(move || {
+        reads.set(reads.get() + 1);
+        let view = found(reads.get(), &eras);
+        Box::pin(async move { Ok(Reading { view, ..Reading::default() }) })
+    });
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    started(settings("one", any), store, any).await
+}
+
 /// A store that also lists the gateways that announce themselves, and refuses reads while `away`.
 pub fn store_that_turns_away(held: &Held, away: &Rc<Cell<bool>>) -> Store {
     let mut store = listing_store(held);
