--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -203,6 +203,28 @@
         (score(first.short) > own).then_some((first.short, address))
     }
 
+    /// Place of this gateway, `own`, in the order of the readers among all that live; 0 is the first.
+    pub fn rank(&self, now: Time, own: &Entry) -> usize {
+        let rank = |short: u32, entry: &Entry| (Reverse(entry.weight), short);
+        let own = rank(short(&own.name), own);
+        let live = self.members.values().filter(|m| m.is_live(now));
+        live.filter(|m| rank(m.short, &m.entry) < own).count()
+    }
+
+    /// Another live gateway that holds copies for this one, `own`, with its address for datagrams.
+    pub fn backup(&self, now: Time, own: &str, except: Option<u32>) -> Option<(u32, &str)> {
+        let own = u64::from(short(own));
+        let live = self.members.values().filter(|m| m.is_live(now) && Some(m.short) != except);
+        let first = live.max_by_key(|m| rendezvous::score(own, u64::from(m.short)))?;
+        Some((first.short, first.entry.peer_address.as_str()))
+    }
+
+    /// Address for datagrams of the gateway with this short hash.
+    pub fn address(&self, gateway: u32) -> Option<&str> {
+        let member = self.members.values().find(|m| m.short == gateway)?;
+        Some(member.entry.peer_address.as_str())
+    }
+
     /// Whether a gateway was heard of lately.
     pub fn lives(&self, now: Time, gateway: u32) -> bool {
         self.members.values().any(|m| m.short == gateway && m.is_live(now))
--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -109,7 +109,8 @@
     pub(in crate::gateway) service: u32,
     /// Number of the call in the keeper's ledger.
     pub(super) call: u64,
-    pub(in crate::gateway) sent: Time,
+    /// When the attempt was sent.
+    pub sent: Time,
     pub(in crate::gateway) read: bool,
     /// Nothing unread was known at the engine.
     pub(in crate::gateway) alone: bool,
--- /dev/null
+++ b/core/src/gateway/journal.rs
@@ -0,0 +1,51 @@
+//! The leaders' journal in the store: what was fixed before it was sent.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::usage::REPORTS_KEPT;
+use super::usage::Report;
+use super::usage::Window;
+
+/// What leaders leave to their successors. It outlasts every gateway.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Journal {
+    /// Era of the last term.
+    pub era: u64,
+    /// Usage reports that may have been sent, the oldest first.
+    pub reports: Vec<Report>,
+    /// Last window of which a report may have been sent.
+    pub last_window: Window,
+}
+
+impl Journal {
+    /// The report of a window, if it is fixed.
+    pub fn report(&self, window: Window) -> Option<&Report> {
+        self.reports.iter().find(|report| report.window == window)
+    }
+
+    /// Whether a report of this window may be fixed: none was sent by any leader, as far as the journal
+    /// tells.
+    pub fn is_open(&self, window: Window) -> bool {
+        window > self.last_window
+    }
+
+    /// The journal with one more report.
+    pub fn with_report(&self, report: Report) -> Journal {
+        let mut journal = self.clone();
+        journal.last_window = journal.last_window.max(report.window);
+        journal.reports.push(report);
+        journal.reports.sort_by_key(|report| report.window);
+        let excess = journal.reports.len().saturating_sub(REPORTS_KEPT);
+        journal.reports.drain(..excess);
+        journal
+    }
+
+    /// The journal of a term in `era`, which leaves out all windows up to `last_window`.
+    pub fn with_term(&self, era: u64, last_window: Window) -> Journal {
+        let mut journal = self.clone();
+        journal.era = era;
+        journal.last_window = journal.last_window.max(last_window);
+        journal
+    }
+}
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -195,6 +195,16 @@
         self.directory.readers(now, &self.settings.entry)
     }
 
+    /// Place of this gateway in the order of the readers among all that live; 0 is the first.
+    pub fn rank(&self, now: Time) -> usize {
+        self.directory.rank(now, &self.settings.entry)
+    }
+
+    /// The gateways of the fleet.
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
     /// Takes a peer's heartbeat in, received at `now`; returns how its plans stand to the known ones,
     /// each with the age of its decision.
     pub fn hear(&mut self, now: Time, heartbeat: &Heartbeat) -> Vec<(Heard, Span)> {
