Report usage from the leader, fixed in the store before it is sent

Each gateway counts requests that began to run, cuts the counts into numbered batches and hands them to the leader and to a backup until both have acknowledged them. The leader fixes a window's report by a write that holds only in its own term, sends it with the term's token, and repeats it exactly where the answer was lost. A window that half of the gateways do not vouch for, or that a term before a return of the store may have reported, is left out.

--- /dev/null
+++ b/core/src/gateway/autoscaler.rs
@@ -0,0 +1,206 @@
+//! How many engines of each kind to order, by failure domain.
+//!
+//! Demand is the calls at a service's engines, held at its peak and forgotten slowly, so that bursts in
+//! a row do not boot and drain engines in turn. Spot instances serve it, spread evenly and with as many
+//! to spare as one failure domain holds, because all of a domain's may be reclaimed at once; ordinary
+//! ones stay as a floor. Ordinary engines are only given up for spot instances that already serve.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+
+use super::leader::Outcome;
+use crate::time::Span;
+use crate::time::Time;
+
+/// Share of its slots that an engine has taken at the peak, with room for what boots too late.
+const TARGET_OCCUPANCY: f64 = 0.35;
+/// Time after which a peak counts half.
+const PEAK_HALF_LIFE: Span = Span::secs(600);
+/// Growth of the peak below which nothing new is ordered.
+const HYSTERESIS: f64 = 0.05;
+/// Time beyond the boot after which replicas that were ordered are taken as lost.
+const BOOT_SLACK: Span = Span::millis(1_500);
+/// Time from a refused order to the next.
+const RETRY: Span = Span::secs(1);
+
+/// Bounds and prices of a service's replicas.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Scaling {
+    /// Fewest replicas in a failure domain.
+    pub min: u32,
+    /// Most replicas in a failure domain, of both kinds together.
+    pub max: u32,
+    /// Time from an order until the replica serves.
+    pub boot: Span,
+    /// Price of a spot instance relative to an ordinary replica; `None` if there are none.
+    pub spot_price: Option<f64>,
+}
+
+/// What a replica costs, and whether it may be reclaimed.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+#[display(rename_all = "snake_case")]
+pub enum Kind {
+    /// Stays until it is given up.
+    Ordinary,
+    /// May be reclaimed at short notice, all of a failure domain at once.
+    Spot,
+}
+
+/// Replicas of a service in one failure domain.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Stock {
+    /// Ordinary replicas that take work.
+    pub ordinary: u32,
+    /// Spot instances that take work.
+    pub spot: u32,
+    /// Spot instances that are leaving.
+    pub reclaimed: u32,
+}
+
+impl Stock {
+    fn of(&self, kind: Kind) -> u32 {
+        match kind {
+            Kind::Ordinary => self.ordinary,
+            Kind::Spot => self.spot,
+        }
+    }
+}
+
+/// Replicas of a service by failure domain.
+pub type Stocks = BTreeMap<String, Stock>;
+
+/// An order of replicas.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Failure domain.
+    pub domain: String,
+    /// Kind of replicas.
+    pub kind: Kind,
+    /// Number wanted.
+    pub desired: u32,
+}
+
+/// The last order of a kind in a failure domain.
+#[derive(Clone, Copy, Debug)]
+struct Placed {
+    desired: u32,
+    at: Time,
+    outcome: Outcome,
+    reclaimed: u32,
+}
+
+/// Orders of one service, as one leader places them.
+#[derive(Debug)]
+pub struct Autoscaler {
+    slots: u32,
+    ordinary_share: f64,
+    /// Engines that were there when this leader first looked.
+    initial: Option<u32>,
+    peak: f64,
+    peak_at: Time,
+    needed: u32,
+    placed: BTreeMap<(String, Kind), Placed>,
+}
+
+impl Autoscaler {
+    /// Of a service whose engines run `slots` requests at once; `ordinary_share` of the engines that
+    /// serve the demand are ordinary ones.
+    pub fn new(slots: u32, ordinary_share: f64) -> Autoscaler {
+        Autoscaler {
+            slots: slots.max(1),
+            ordinary_share,
+            initial: None,
+            peak: 0.0,
+            peak_at: Time(0),
+            needed: 0,
+            placed: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in how many calls the engines have, running or waiting.
+    pub fn observe(&mut self, now: Time, calls: f64) {
+        let held = self.peak_held(now);
+        if calls >= held {
+            self.peak = calls;
+            self.peak_at = now;
+        }
+    }
+
+    fn peak_held(&self, now: Time) -> f64 {
+        let halves = now.since(self.peak_at).as_secs_f64() / PEAK_HALF_LIFE.as_secs_f64();
+        self.peak * 0.5_f64.powf(halves)
+    }
+
+    /// Engines that serve the demand.
+    pub fn needed(&self) -> u32 {
+        self.needed
+    }
+
+    /// Orders to place at `now`.
+    pub fn plan(&mut self, now: Time, scaling: &Scaling, stocks: &Stocks) -> Vec<Order> {
+        if stocks.is_empty() || scaling.spot_price.is_none_or(|price| price >= 1.0) {
+            return Vec::new();
+        }
+        self.need(now, stocks);
+        let mut orders = Vec::new();
+        for (domain, stock) in stocks {
+            let target = self.target(scaling, stocks.len() as u32, stock);
+            for (kind, desired) in target {
+                let order = Order { domain: domain.clone(), kind, desired };
+                if self.is_due(now, scaling, stock, &order) {
+                    orders.push(order);
+                }
+            }
+        }
+        orders
+    }
+
+    fn need(&mut self, now: Time, stocks: &Stocks) {
+        let there = stocks.values().map(|stock| stock.ordinary + stock.spot).sum();
+        let initial = *self.initial.get_or_insert(there);
+        let per_engine = TARGET_OCCUPANCY * f64::from(self.slots);
+        let wanted = (self.peak_held(now) / per_engine).ceil() as u32;
+        // Before any demand was seen, what the operator has set up is the best guess.
+        let wanted = if self.peak > 0.0 { wanted } else { initial };
+        let change = (f64::from(wanted) - f64::from(self.needed)).abs();
+        if change > HYSTERESIS * f64::from(self.needed) {
+            self.needed = wanted;
+        }
+    }
+
+    /// What a failure domain is to have of each kind.
+    fn target(&self, scaling: &Scaling, domains: u32, stock: &Stock) -> [(Kind, u32); 2] {
+        let share = self.ordinary_share * f64::from(self.needed) / f64::from(domains.max(1));
+        let floor = (share.ceil() as u32).clamp(scaling.min, scaling.max);
+        // As many as serve the demand without one of the failure domains.
+        let others = domains.saturating_sub(1).max(1);
+        let spot = self.needed.div_ceil(others).saturating_sub(floor).min(scaling.max - floor);
+        let missing = spot.saturating_sub(stock.spot);
+        // Engines are given up one for one as others serve in their place.
+        let ordinary = (floor + missing).min(stock.ordinary.max(floor));
+        let room = scaling.max.saturating_sub(ordinary);
+        [(Kind::Ordinary, ordinary), (Kind::Spot, spot.min(room))]
+    }
+
+    fn is_due(&self, now: Time, scaling: &Scaling, stock: &Stock, order: &Order) -> bool {
+        let there = stock.of(order.kind);
+        let Some(placed) = self.placed.get(&(order.domain.clone(), order.kind)) else {
+            return there != order.desired;
+        };
+        let age = now.since(placed.at);
+        if placed.outcome != Outcome::Accepted {
+            return age >= RETRY;
+        }
+        let was_reclaimed = order.kind == Kind::Spot && stock.reclaimed > placed.reclaimed;
+        let is_late = there < order.desired && age >= scaling.boot + BOOT_SLACK;
+        placed.desired != order.desired || was_reclaimed || is_late
+    }
+
+    /// Records what came of an order.
+    pub fn placed(&mut self, now: Time, order: &Order, outcome: Outcome, stocks: &Stocks) {
+        let reclaimed = stocks.get(&order.domain).map_or(0, |stock| stock.reclaimed);
+        let placed = Placed { desired: order.desired, at: now, outcome, reclaimed };
+        self.placed.insert((order.domain.clone(), order.kind), placed);
+    }
+}
--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -79,6 +79,12 @@
         keys.filter(|k| self.replicas.get(**k).is_some_and(|r| r.is_usable(now))).count()
     }
 
+    /// Calls of all gateways at a service's replicas, running or waiting, as far as known.
+    pub fn calls(&self, now: Time, service: &str) -> f64 {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        keys.filter_map(|key| self.replicas.get(*key)).map(|r| r.running(now)).sum()
+    }
+
     /// How many of a service's listed replicas, from the first hash on, hold `wanted` that may get
     /// work at `now`.
     pub fn reach(&self, now: Time, service: &str, wanted: usize) -> usize {
--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! callers should use. Like the rest of the core it has no clock and no socket.
 
 pub mod ask;
+pub mod autoscaler;
 pub mod budget;
 pub mod config;
 pub mod content;
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -200,6 +200,16 @@
         self.directory.rank(now, &self.settings.entry)
     }
 
+    /// Calls of all gateways at the replicas of a service, running or waiting, as far as known.
+    pub fn calls_at(&self, now: Time, service: &str) -> f64 {
+        self.fleet.calls(now, service)
+    }
+
+    /// Requests in one batch of a service's engines; `None` if its replicas are not engines.
+    pub fn slots(&self, service: &str) -> Option<u32> {
+        Some(self.config.as_ref()?.service(service)?.engine?.slots)
+    }
+
     /// The gateways of the fleet.
     pub fn directory(&self) -> &Directory {
         &self.directory
--- a/core/src/gateway/usage.rs
+++ b/core/src/gateway/usage.rs
@@ -120,6 +120,8 @@
     gateway: u32,
     incarnation: u64,
     seq: u32,
+    /// Newest window of which a batch was cut after its end.
+    vouched: Window,
     pending: BTreeMap<Window, BTreeMap<String, u32>>,
     held: BTreeMap<BatchId, Held>,
 }
@@ -128,7 +130,7 @@
     /// An empty log of this incarnation of a gateway.
     pub fn new(rules: Rules, gateway: u32, incarnation: u64) -> Log {
         let (pending, held) = (BTreeMap::new(), BTreeMap::new());
-        Log { rules, gateway, incarnation, seq: 0, pending, held }
+        Log { rules, gateway, incarnation, seq: 0, vouched: 0, pending, held }
     }
 
     /// When windows begin and reports are due.
@@ -149,6 +151,13 @@
 
     /// Cuts what was counted since the last time into batches, and forgets old windows.
     pub fn flush(&mut self, wall: WallTime, token: u64) {
+        let current = self.rules.window_at(wall);
+        // An empty batch tells a window without requests from one whose counts are lost.
+        let previous = current.saturating_sub(1);
+        if previous > self.vouched {
+            self.vouched = previous;
+            self.pending.entry(previous).or_default();
+        }
         for (window, counts) in std::mem::take(&mut self.pending) {
             let mut batch = self.next_batch(window);
             for (name, count) in counts {
@@ -158,11 +167,9 @@
                     self.hold(std::mem::replace(&mut batch, next), true, token);
                 }
             }
-            if !batch.counts.is_empty() {
-                self.hold(batch, true, token);
-            }
+            self.hold(batch, true, token);
         }
-        let oldest = (self.rules.window_at(wall) + 1).saturating_sub(WINDOWS_KEPT);
+        let oldest = (current + 1).saturating_sub(WINDOWS_KEPT);
         self.held.retain(|_, held| held.batch.window >= oldest);
     }
 
@@ -256,7 +263,7 @@
         Report { window, counts }
     }
 
-    /// Gateways with a batch of a window here.
+    /// Gateways of which a batch of a window is here.
     pub fn reporters(&self, window: Window) -> usize {
         let ids = self.held.values().filter(|held| held.batch.window == window);
         ids.map(|held| held.batch.id.gateway).collect::<BTreeSet<u32>>().len()
--- /dev/null
+++ b/core/tests/gateway/autoscaler.rs
@@ -0,0 +1,203 @@
+//! Orders of engines under bursts, reclaims and refusals, without a network.
+
+use laburnumwheel_core::gateway::autoscaler::Autoscaler;
+use laburnumwheel_core::gateway::autoscaler::Kind;
+use laburnumwheel_core::gateway::autoscaler::Order;
+use laburnumwheel_core::gateway::autoscaler::Scaling;
+use laburnumwheel_core::gateway::autoscaler::Stock;
+use laburnumwheel_core::gateway::autoscaler::Stocks;
+use laburnumwheel_core::gateway::leader::Outcome;
+use laburnumwheel_core::time::Span;
+use laburnumwheel_core::time::Time;
+
+const SLOTS: u32 = 16;
+const ORDINARY_SHARE: f64 = 0.1;
+const START: Time = Time(1_000_000_000);
+
+fn scaling() -> Scaling {
+    Scaling { min: 1, max: 60, boot: Span::secs(4), spot_price: Some(0.15) }
+}
+
+fn stock(ordinary: u32, spot: u32) -> Stock {
+    Stock { ordinary, spot, reclaimed: 0 }
+}
+
+fn stocks(all: &[(&str, Stock)]) -> Stocks {
+    all.iter().map(|(domain, stock)| ((*domain).to_owned(), stock.clone())).collect()
+}
+
+fn even(ordinary: u32, spot: u32) -> Stocks {
+    let stock = stock(ordinary, spot);
+    stocks(&[("a", stock.clone()), ("b", stock.clone()), ("c", stock)])
+}
+
+/// Three failure domains whose replicas boot and leave as ordered, a second a step.
+struct World {
+    autoscaler: Autoscaler,
+    now: Time,
+    stocks: Stocks,
+    booting: Vec<(Time, Order)>,
+    orders: usize,
+    unavailable: Vec<String>,
+}
+
+impl World {
+    fn new(stocks: Stocks) -> World {
+        let autoscaler = Autoscaler::new(SLOTS, ORDINARY_SHARE);
+        let (booting, unavailable) = (Vec::new(), Vec::new());
+        World { autoscaler, now: START, stocks, booting, orders: 0, unavailable }
+    }
+
+    fn step(&mut self, calls: f64) {
+        self.now = self.now + Span::secs(1);
+        let now = self.now;
+        let arrived = self.booting.extract_if(.., |(at, _)| *at <= now);
+        for (_, order) in arrived.collect::<Vec<_>>() {
+            self.stocks.get_mut(&order.domain).unwrap().spot = order.desired;
+        }
+        self.autoscaler.observe(now, calls);
+        for order in self.autoscaler.plan(now, &scaling(), &self.stocks) {
+            self.place(&order);
+        }
+    }
+
+    fn place(&mut self, order: &Order) {
+        self.orders += 1;
+        let refused = order.kind == Kind::Spot && self.unavailable.contains(&order.domain);
+        let outcome = if refused { Outcome::Refused } else { Outcome::Accepted };
+        self.autoscaler.placed(self.now, order, outcome, &self.stocks);
+        let stock = self.stocks.get_mut(&order.domain).unwrap();
+        match order.kind {
+            Kind::Ordinary => stock.ordinary = order.desired,
+            Kind::Spot if refused => {}
+            Kind::Spot if order.desired <= stock.spot => stock.spot = order.desired,
+            Kind::Spot => self.booting.push((self.now + scaling().boot, order.clone())),
+        }
+    }
+
+    fn run(&mut self, seconds: usize, calls: f64) {
+        (0..seconds).for_each(|_| self.step(calls));
+    }
+
+    fn reclaim(&mut self, domain: &str) {
+        let stock = self.stocks.get_mut(domain).unwrap();
+        stock.reclaimed = std::mem::take(&mut stock.spot);
+    }
+
+    fn engines(&self) -> u32 {
+        self.stocks.values().map(|stock| stock.ordinary + stock.spot).sum()
+    }
+
+    fn ordinary(&self) -> u32 {
+        self.stocks.values().map(|stock| stock.ordinary).sum()
+    }
+}
+
+#[test]
+fn ordinary_engines_stay_until_spot_instances_serve_in_their_place() {
+    let mut world = World::new(even(30, 0));
+
+    let fewest = (0..20).map(|_| {
+        world.step(0.0);
+        world.engines()
+    });
+
+    assert!(fewest.min() >= Some(90));
+    assert_eq!(world.ordinary(), 9);
+}
+
+#[test]
+fn a_failure_domain_that_loses_its_spot_instances_leaves_enough_engines() {
+    let mut world = World::new(even(30, 0));
+    world.run(30, 400.0);
+    let needed = world.autoscaler.needed();
+
+    world.reclaim("b");
+
+    assert!(world.engines() >= needed, "{} of {needed}", world.engines());
+}
+
+#[test]
+fn replacements_are_ordered_at_the_notice() {
+    let mut world = World::new(even(30, 0));
+    world.run(30, 400.0);
+    let before = world.orders;
+
+    world.reclaim("b");
+    world.step(400.0);
+
+    assert!(world.orders > before);
+}
+
+#[test]
+fn refused_orders_are_repeated_until_there_are_instances_again() {
+    let mut world = World::new(even(30, 0));
+    world.run(30, 400.0);
+    world.unavailable.push("b".to_owned());
+    world.reclaim("b");
+    world.run(8, 400.0);
+    assert_eq!(world.stocks["b"].spot, 0);
+
+    world.unavailable.clear();
+    world.run(8, 400.0);
+
+    assert!(world.stocks["b"].spot > 0);
+}
+
+#[test]
+fn bursts_in_a_row_do_not_boot_and_drain_engines_in_turn() {
+    let mut world = World::new(even(30, 0));
+    world.run(20, 900.0);
+    let before = world.orders;
+
+    for _ in 0..6 {
+        world.run(9, 150.0);
+        world.run(9, 900.0);
+    }
+
+    assert!(world.orders - before <= 6, "{} orders", world.orders - before);
+}
+
+#[test]
+fn a_fleet_whose_demand_is_gone_shrinks() {
+    let mut world = World::new(even(30, 0));
+    world.run(20, 900.0);
+    let most = world.engines();
+
+    world.run(3_600, 100.0);
+
+    assert!(world.engines() < most / 2, "{} of {most}", world.engines());
+}
+
+#[test]
+fn replicas_that_never_come_are_ordered_again() {
+    let mut world = World::new(even(30, 0));
+    world.step(0.0);
+    world.booting.clear();
+    let before = world.orders;
+
+    world.run(8, 0.0);
+
+    assert!(world.orders >= before + 3);
+}
+
+#[test]
+fn no_failure_domain_gets_more_than_its_maximum() {
+    let mut world = World::new(even(30, 0));
+
+    for _ in 0..40 {
+        world.step(9_000.0);
+        let most = world.stocks.values().map(|stock| stock.ordinary + stock.spot).max();
+        assert!(most <= Some(60));
+    }
+}
+
+#[test]
+fn nothing_is_ordered_where_there_are_no_spot_instances() {
+    let mut autoscaler = Autoscaler::new(SLOTS, ORDINARY_SHARE);
+    let without = Scaling { spot_price: None, ..scaling() };
+
+    let orders = autoscaler.plan(START, &without, &even(30, 0));
+
+    assert!(orders.is_empty());
+}
--- a/core/tests/gateway/leader.rs
+++ b/core/tests/gateway/leader.rs
@@ -140,6 +140,7 @@
     phase: Phase,
     sent: Time,
     lease: u64,
+    lease_era: u64,
     position: Position,
     read: Option<(u32, Time)>,
     inaugurating: Option<u32>,
@@ -153,6 +154,8 @@
     leader: Option<(u64, u64)>,
     journal: Option<(u64, u64)>,
     leases: BTreeMap<u64, Time>,
+    /// Leases granted so far. A return to a copy grants the same numbers again.
+    granted: u64,
 }
 
 #[derive(Debug)]
@@ -168,7 +171,6 @@
     calls: u32,
     nodes: Vec<Node>,
     held: Held,
-    next_lease: u64,
     era: u64,
     copies: Vec<Held>,
     down: bool,
@@ -184,7 +186,7 @@
         let start = Time(1_000_000);
         let mut model = Model {
             guards,
-            slow: if seed % 2 == 0 { 0.08 } else { 0.6 },
+            slow: if seed.is_multiple_of(2) { 0.08 } else { 0.6 },
             rng,
             now: start,
             queue: BinaryHeap::new(),
@@ -193,7 +195,6 @@
             calls: 0,
             nodes: Vec::new(),
             held: Held::default(),
-            next_lease: 100,
             era: 1,
             copies: Vec::new(),
             down: false,
@@ -331,7 +332,6 @@
             *end = if keeps { self.now + Span::secs(3) } else { self.now };
         }
         self.held = held;
-        self.next_lease = 100 + self.held.revision;
         self.era += 1;
     }
 
@@ -363,9 +363,9 @@
         match call {
             Call::Read => Reply::Leader(held.leader.is_some()),
             Call::Grant => {
-                self.next_lease += 1;
-                held.leases.insert(self.next_lease, self.now + RULES.lease);
-                Reply::Granted(self.next_lease)
+                held.granted += 1;
+                held.leases.insert(held.granted, self.now + RULES.lease);
+                Reply::Granted(held.granted)
             }
             Call::Acquire { lease } if !held.leases.contains_key(&lease) => Reply::Ended,
             Call::Acquire { .. } if held.leader.is_some() => Reply::Conflict,
@@ -553,14 +553,14 @@
         let node = &mut self.nodes[i];
         match (node.phase, reply) {
             (Phase::Granting, Reply::Granted(lease)) => {
-                node.lease = lease;
+                (node.lease, node.lease_era) = (lease, era);
                 node.phase = Phase::Acquiring;
                 let before = node.sent;
                 let number = self.send(i, Call::Acquire { lease });
                 let node = &mut self.nodes[i];
                 (node.control, node.sent) = (Some(number), before);
             }
-            (Phase::Acquiring, Reply::Committed(revision)) => {
+            (Phase::Acquiring, Reply::Committed(revision)) if node.lease_era == era => {
                 node.position = Position { era, revision };
                 node.phase = Phase::ReadingJournal;
                 let number = self.send(i, Call::Journal);
@@ -696,6 +696,7 @@
         phase: Phase::Idle,
         sent: now,
         lease: 0,
+        lease_era: 0,
         position: Position::default(),
         read: None,
         inaugurating: None,
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions, in virtual time and without a network.
 
 mod agreement;
+mod autoscaler;
 mod budget;
 mod delta;
 mod directory;
--- a/core/tests/gateway/usage.rs
+++ b/core/tests/gateway/usage.rs
@@ -57,7 +57,7 @@
 
     assert_eq!(first, again);
     assert!(gateway.for_leader(9, 1).is_empty());
-    assert_eq!(gateway.for_backup(8).len(), 1);
+    assert_eq!(gateway.for_backup(8), first);
 }
 
 #[test]
@@ -70,7 +70,7 @@
     let next_leader = backup.for_leader(7, 6);
 
     assert!(same_leader.is_empty());
-    assert_eq!(next_leader.len(), 1);
+    assert_eq!(next_leader.iter().map(|batch| batch.counts.len()).sum::<usize>(), 1);
 }
 
 #[test]
@@ -102,7 +102,18 @@
 
     gateway.flush(NOW + 60_000_000, 0);
 
-    assert!(gateway.for_leader(9, 1).is_empty());
+    let left = gateway.for_leader(9, 1);
+    assert!(left.iter().all(|batch| batch.window > WINDOW));
+}
+
+#[test]
+fn a_window_without_requests_is_vouched_for() {
+    let mut gateway = log(1);
+
+    gateway.flush(NOW + RULES.window.0, 0);
+
+    assert_eq!(gateway.reporters(WINDOW), 1);
+    assert!(gateway.report(WINDOW).counts.is_empty());
 }
 
 #[test]
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -24,6 +24,7 @@
 use laburnumwheel_core::gateway::fleet::Outcome;
 use laburnumwheel_core::gateway::ledger::Standing;
 use laburnumwheel_core::gateway::refusal::Refusal;
+use laburnumwheel_core::time::Time;
 
 use crate::channel;
 use crate::channel::Channel;
@@ -66,6 +67,8 @@
     pub touched: bool,
     /// The head of an answer is on its way to the caller.
     pub answered: bool,
+    /// It was counted for its organisation.
+    pub metered: bool,
 }
 
 /// Why an attempt brought no answer.
@@ -350,6 +353,7 @@
     /// Reads a failure answer whole.
     async fn refused(&mut self, begun: Begun) -> Failure {
         let replica = begun.replica.clone();
+        let sent = begun.in_flight.claim.sent;
         let fault = if begun.head.status == StatusCode::MISDIRECTED_REQUEST {
             Fault::Replaced
         } else if begun.said.not_run {
@@ -360,6 +364,9 @@
         match self.whole(begun, fault.outcome()).await {
             Ok(whole) => {
                 self.touched |= !fault.not_run();
+                if !fault.not_run() {
+                    self.meter(sent);
+                }
                 self.note(&replica, fault);
                 Failure::Fault(fault, Some(Box::new(whole)))
             }
@@ -396,9 +403,20 @@
         self.shared.gateway.borrow_mut().answered(clock::now(), &self.grant);
     }
 
+    /// Counts the call for its organisation, once, as one that began to run at `at`.
+    pub fn meter(&mut self, at: Time) {
+        if !std::mem::replace(&mut self.metered, true) {
+            self.shared.meter(at, self.grant.organisation.as_deref());
+        }
+    }
+
     /// Notes that an attempt failed.
     pub fn fail(&mut self, in_flight: &InFlight, replica: &str, fault: Fault) -> Failure {
         self.touched |= !fault.not_run();
+        // A plain call runs as soon as it arrives, so one whose answer was lost has most likely run.
+        if !self.grant.route.streams && !fault.not_run() && fault != Fault::Stopped {
+            self.meter(in_flight.claim.sent);
+        }
         if fault == Fault::Broken {
             let mut gateway = self.shared.gateway.borrow_mut();
             gateway.broke(clock::now(), &self.grant, &in_flight.claim);
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -222,6 +222,7 @@
         grant,
         touched: false,
         answered: false,
+        metered: false,
     };
     run(call, ending).await
 }
@@ -238,14 +239,18 @@
                     failure
                 }
             },
-            Ok(begun) => match call.whole(begun, Outcome::Answered).await {
-                Ok(whole) => {
-                    ending.first(&call);
-                    ending.end(&call, "answered", whole.head.status.as_u16());
-                    return answered(whole.head, Answer::whole(whole.body));
+            Ok(begun) => {
+                let sent = begun.in_flight.claim.sent;
+                match call.whole(begun, Outcome::Answered).await {
+                    Ok(whole) => {
+                        call.meter(sent);
+                        ending.first(&call);
+                        ending.end(&call, "answered", whole.head.status.as_u16());
+                        return answered(whole.head, Answer::whole(whole.body));
+                    }
+                    Err(failure) => failure,
                 }
-                Err(failure) => failure,
-            },
+            }
             Err(failure) => failure,
         };
         if !goes_on(&call, &failure) {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::channel::Pool;
 use crate::clock;
 use crate::dialect::Dialect;
+use crate::duty;
 use crate::era;
 use crate::log;
 use crate::log::Line;
@@ -64,6 +65,7 @@
     callers: SocketAddr,
     heartbeats: SocketAddr,
     listeners: Vec<Listener>,
+    duties: Option<(duty::Rules, duty::Calls)>,
     grace: Duration,
     learn_time: Duration,
 }
@@ -84,6 +86,7 @@
             callers,
             heartbeats,
             listeners: Vec::new(),
+            duties: None,
             grace: Duration::from_secs(8),
             learn_time: Duration::from_secs(3),
         }
@@ -95,6 +98,12 @@
         self
     }
 
+    /// With duties that one gateway carries out for all.
+    pub fn duties(mut self, rules: duty::Rules, calls: duty::Calls) -> Builder {
+        self.duties = Some((rules, calls));
+        self
+    }
+
     /// With this much time between the signal to stop and the end.
     pub fn grace(mut self, grace: Duration) -> Builder {
         self.grace = grace;
@@ -125,6 +134,9 @@
             others.push((opened, listener.handler));
         }
         let entry = self.settings.entry.clone();
+        let duties = self
+            .duties
+            .map(|(rules, calls)| duty::State::new(rules, calls, &entry.name, entry.incarnation));
         let shared = Shared::new(State {
             lines: Log::new(&entry.name),
             dialect: self.dialect,
@@ -141,6 +153,7 @@
             calls: Cell::new(0),
             rng: RefCell::new(SmallRng::seed_from_u64(self.settings.seed)),
             lines_waiting: Notify::new(),
+            duties,
             notices_waiting: Notify::new(),
             socket,
             gateway: RefCell::new(Gateway::new(self.settings, clock::now())),
@@ -155,13 +168,15 @@
         let following = store::Following { eras: eras.clone(), read, keep };
         spawn(Box::pin(store::follow(shared.clone(), following)));
         spawn(Box::pin(serve_plain(shared.clone(), views, view::answer)));
-        let enlist =
-            store::enlist(shared.clone(), entry, eras, self.store.announce, self.store.renew);
+        let (announce, renew) = (self.store.announce, self.store.renew);
+        let enlist = store::enlist(shared.clone(), entry, eras.clone(), announce, renew);
         spawn(Box::pin(enlist));
         spawn(Box::pin(peers::beat(shared.clone())));
         spawn(Box::pin(peers::hear(shared.clone())));
         spawn(Box::pin(peers::report(shared.clone())));
         spawn(Box::pin(peers::tell_keepers(shared.clone())));
+        spawn(Box::pin(duty::lead(shared.clone(), eras)));
+        spawn(Box::pin(duty::exchange(shared.clone())));
         spawn(Box::pin(server::serve(shared.clone(), callers, call::serve)));
         for (listener, handler) in others {
             spawn(Box::pin(serve_plain(shared.clone(), listener, handler)));
@@ -231,6 +246,7 @@
         let (learned, end) = (clock::span(self.learn_time), clock::span(end));
         shared.gateway.borrow_mut().stop(began, learned, end);
         shared.log(Line::new("stopping").with("calls", shared.calls.get()));
+        duty::stop(&shared);
         peers::send(&shared).await;
         store::withdraw(&shared, self.withdraw).await;
         peers::send(&shared).await;
@@ -248,6 +264,7 @@
                 break;
             }
         }
+        duty::finish(&shared).await;
         let line = Line::new("stopped")
             .with("calls", shared.calls.get())
             .with("connections", shared.connections.get())
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -4,12 +4,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use laburnumwheel_core::gateway::directory;
 use laburnumwheel_core::gateway::directory::Heartbeat;
+use laburnumwheel_core::gateway::leader;
 use laburnumwheel_core::gateway::ledger::Notice;
 use laburnumwheel_core::gateway::ledger::Standing;
 use laburnumwheel_core::gateway::plan::Heard;
 use laburnumwheel_core::gateway::tally::Report;
+use laburnumwheel_core::gateway::usage;
 use laburnumwheel_core::gateway::view;
+use laburnumwheel_core::gateway::wall::WallTime;
 use laburnumwheel_core::incarnation::Digest;
 use laburnumwheel_core::time::Span;
 use rand::Rng;
@@ -21,6 +25,7 @@
 
 use crate::clock;
 use crate::contents;
+use crate::duty;
 use crate::log::Line;
 use crate::shared::Shared;
 
@@ -53,6 +58,19 @@
     Notices(Vec<Notice>),
     /// What the sender has seen, for you to decide by.
     Report(Report),
+    /// Counts of requests, held by the gateway with this short hash.
+    Usage(u32, Vec<usage::Batch>),
+    /// The gateway with this short hash holds these counts.
+    UsageAck(u32, Vec<usage::BatchId>),
+}
+
+/// What follows a heartbeat in its datagram. Gateways of releases without it pass over it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Trailer {
+    /// Time of day of the sender's own clock.
+    pub wall: WallTime,
+    /// Who leads, as far as the sender knows.
+    pub leader: Option<leader::Notice>,
 }
 
 /// Decodes a datagram; whatever its bytes, it takes no more memory than a few times its length.
@@ -61,7 +79,17 @@
 ///
 /// What can't be understood.
 pub fn decode(bytes: &[u8]) -> Result<Message, postcard::Error> {
-    postcard::from_bytes(bytes)
+    decode_with_trailer(bytes).map(|(message, _)| message)
+}
+
+/// Decodes a datagram and what follows its message, if anything does.
+///
+/// # Errors
+///
+/// What can't be understood of the message.
+pub fn decode_with_trailer(bytes: &[u8]) -> Result<(Message, Option<Trailer>), postcard::Error> {
+    let (message, rest) = postcard::take_from_bytes(bytes)?;
+    Ok((message, postcard::from_bytes(rest).ok()))
 }
 
 /// Answers that are waited for, by question.
@@ -143,9 +171,9 @@
     }
 }
 
-async fn post(socket: &UdpSocket, address: SocketAddr, message: &Message) -> bool {
+/// Sends a message; datagrams may be lost, so senders send more, or fall back.
+pub async fn post(socket: &UdpSocket, address: SocketAddr, message: &Message) -> bool {
     match postcard::to_stdvec(message) {
-        // Datagrams may be lost; whoever sends them sends more, or falls back.
         Ok(bytes) => socket.send_to(&bytes, address).await.is_ok(),
         Err(_) => false,
     }
@@ -174,11 +202,33 @@
         let gateway = shared.gateway.borrow();
         (gateway.heartbeat(clock::now()), gateway.peers())
     };
-    let message = Message::Heartbeat(Box::new(heartbeat));
+    let Some(bytes) = encode_heartbeat(shared, heartbeat) else {
+        return;
+    };
     peers.shuffle(&mut *shared.rng.borrow_mut());
     for peer in peers.iter().take(FANOUT) {
         if let Ok(address) = peer.parse::<SocketAddr>() {
-            post(&shared.socket, address, &message).await;
+            // The next heartbeat makes up for one that can't be sent.
+            let _ = shared.socket.send_to(&bytes, address).await;
+        }
+    }
+}
+
+fn encode_heartbeat(shared: &Shared, heartbeat: Heartbeat) -> Option<Vec<u8>> {
+    let message = Message::Heartbeat(Box::new(heartbeat));
+    let bytes = postcard::to_stdvec(&message).ok()?;
+    let Some(duties) = &shared.duties else {
+        return Some(bytes);
+    };
+    let trailer = Trailer { wall: duty::own_wall(), leader: duties.leader() };
+    postcard::to_extend(&trailer, bytes).ok()
+}
+
+fn take_trailer(shared: &Shared, from: &str, trailer: Option<Trailer>) {
+    if let (Some(duties), Some(trailer)) = (&shared.duties, trailer) {
+        duties.observe_wall(clock::now(), directory::short(from), trailer.wall);
+        if let Some(notice) = trailer.leader {
+            duties.notice(notice);
         }
     }
 }
@@ -221,40 +271,57 @@
                 continue;
             }
         };
-        match decode(&bytes[..n]) {
-            Ok(Message::Heartbeat(heartbeat)) => {
+        let (message, trailer) = match decode_with_trailer(&bytes[..n]) {
+            Ok(decoded) => decoded,
+            Err(e) => {
+                let line = Line::new("heartbeat_malformed").with("from", from);
+                shared.log(line.with("error", e));
+                continue;
+            }
+        };
+        match message {
+            Message::Heartbeat(heartbeat) => {
+                take_trailer(&shared, &heartbeat.entry.name, trailer);
                 let heard = shared.gateway.borrow_mut().hear(clock::now(), &heartbeat);
                 note_plans(&shared, &heard);
             }
-            Ok(Message::Question(question)) => reply(&shared, from, question).await,
-            Ok(Message::Proof(proof)) => {
+            Message::Question(question) => reply(&shared, from, question).await,
+            Message::Proof(proof) => {
                 let waiting = shared.questions.borrow_mut().proofs.remove(&proof.question);
                 if let Some(sender) = waiting {
                     // Whoever asked may have given up.
                     let _ = sender.send(proof);
                 }
             }
-            Ok(Message::Inquiry(question, engines)) => {
+            Message::Inquiry(question, engines) => {
                 let now = clock::now();
                 let standings = shared.gateway.borrow_mut().standings(now, &engines);
                 post(&shared.socket, from, &Message::Standings(question, standings)).await;
             }
-            Ok(Message::Standings(question, standings)) => {
+            Message::Standings(question, standings) => {
                 let waiting = shared.questions.borrow_mut().standings.remove(&question);
                 if let Some(sender) = waiting {
                     // Whoever asked may have given up.
                     let _ = sender.send(standings);
                 }
             }
-            Ok(Message::Notices(notices)) => {
+            Message::Notices(notices) => {
                 shared.gateway.borrow_mut().note(clock::now(), &notices);
             }
-            Ok(Message::Report(report)) => {
+            Message::Report(report) => {
                 shared.gateway.borrow_mut().hear_report(clock::now(), &report);
             }
-            Err(e) => {
-                let line = Line::new("heartbeat_malformed").with("from", from);
-                shared.log(line.with("error", e));
+            Message::Usage(sender, batches) => {
+                let acks = shared.duties.as_ref().map(|duties| duties.merge(sender, batches));
+                if let Some(acks) = acks.filter(|acks| !acks.is_empty()) {
+                    let own = directory::short(shared.gateway.borrow().name());
+                    post(&shared.socket, from, &Message::UsageAck(own, acks)).await;
+                }
+            }
+            Message::UsageAck(holder, ids) => {
+                if let Some(duties) = &shared.duties {
+                    duties.acked(holder, &ids);
+                }
             }
         }
     }
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -167,6 +167,7 @@
                     Ok(events) if events.is_empty() => {}
                     Ok(events) => {
                         b.in_flight.event();
+                        call.meter(clock::now());
                         return Ok(Step::Events(events));
                     }
                     Err(_) => return Err(call.fail(&b.in_flight, &b.replica, Fault::Broken)),
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -7,12 +7,14 @@
 
 use laburnumwheel_core::gateway::Gateway;
 use laburnumwheel_core::gateway::view::History;
+use laburnumwheel_core::time::Time;
 use rand::rngs::SmallRng;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
 use crate::channel::Pool;
 use crate::dialect::Dialect;
+use crate::duty;
 use crate::flaw::Told;
 use crate::log::Line;
 use crate::log::Log;
@@ -56,6 +58,8 @@
     pub lines: Log,
     /// Jitter and draws of the shell.
     pub rng: RefCell<SmallRng>,
+    /// Duties of one gateway for all, where the deployment has any.
+    pub duties: Option<duty::State>,
     /// Wakes the task that writes lines.
     pub lines_waiting: Notify,
 }
@@ -70,6 +74,13 @@
         Shared(Rc::new(state))
     }
 
+    /// Counts a request of an organisation that began to run at `at`.
+    pub fn meter(&self, at: Time, organisation: Option<&str>) {
+        if let (Some(duties), Some(organisation)) = (&self.duties, organisation) {
+            duties.record(at, organisation);
+        }
+    }
+
     /// Gathers a log line.
     pub fn log(&self, line: Line) {
         self.lines.write(&line);
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -1,7 +1,9 @@
 //! What the gateway asks of the store that keeps configuration and lists.
 
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,6 +11,8 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use laburnumwheel_core::gateway::autoscaler::Scaling;
+use laburnumwheel_core::gateway::autoscaler::Stocks;
 use laburnumwheel_core::gateway::directory::Entry;
 use laburnumwheel_core::gateway::view::Known;
 use laburnumwheel_core::rendezvous;
@@ -20,6 +24,7 @@
 use crate::clock;
 use crate::contents;
 use crate::contents::Stored;
+use crate::duty;
 use crate::era;
 use crate::era::Eras;
 use crate::flaw;
@@ -74,6 +79,12 @@
     pub view: View,
     /// Contents under which replicas ended, as gateways before have left them.
     pub contents: Stored,
+    /// Whether there is a leader's record.
+    pub has_leader: bool,
+    /// Bounds and prices of the replicas that may be ordered, by service.
+    pub scaling: Arc<BTreeMap<String, Scaling>>,
+    /// Replicas, by service and failure domain.
+    pub stocks: BTreeMap<String, Stocks>,
     /// Entries that name nothing to use. Whoever reads the store tells of them; they are not handed
     /// on.
     pub flaws: Vec<Flaw>,
@@ -313,6 +324,12 @@
 
 /// Takes in what a read of the store found; returns what it holds of contents.
 fn take_reading(shared: &Shared, sent: Time, mut reading: Reading) -> Stored {
+    if let Some(duties) = &shared.duties {
+        duties.observe(sent, reading.has_leader);
+        let scaling = Arc::clone(&reading.scaling);
+        let stocks = std::mem::take(&mut reading.stocks);
+        duties.count_stocks(duty::Count { at: sent, scaling, stocks });
+    }
     // First of all, so that a gateway which has just started knows them when it serves.
     contents::recall(shared, &reading.contents);
     reading.view.replicas = shared.gateway.borrow().amend(sent, reading.view.replicas);
