--- a/core/src/gateway/autoscaler.rs
+++ b/core/src/gateway/autoscaler.rs
@@ -81,6 +81,15 @@
     pub desired: u32,
 }
 
+/// Engines without those of the largest failure domain that has spot instances: what the last leader
+/// held necessary.
+fn sure(stocks: &Stocks) -> u32 {
+    let engines = |stock: &Stock| stock.ordinary + stock.spot;
+    let there: u32 = stocks.values().map(engines).sum();
+    let with_spot = stocks.values().filter(|stock| stock.spot > 0);
+    there - with_spot.map(engines).max().unwrap_or(0)
+}
+
 /// The last order of a kind in a failure domain.
 #[derive(Clone, Copy, Debug)]
 struct Placed {
@@ -95,10 +104,9 @@
 pub struct Autoscaler {
     slots: u32,
     ordinary_share: f64,
-    /// Engines that were there when this leader first looked.
-    initial: Option<u32>,
     peak: f64,
-    peak_at: Time,
+    /// When the peak was seen; `None` before the first look.
+    peak_at: Option<Time>,
     needed: u32,
     placed: BTreeMap<(String, Kind), Placed>,
 }
@@ -110,26 +118,36 @@
         Autoscaler {
             slots: slots.max(1),
             ordinary_share,
-            initial: None,
             peak: 0.0,
-            peak_at: Time(0),
+            peak_at: None,
             needed: 0,
             placed: BTreeMap::new(),
         }
     }
 
+    fn calls_per_engine(&self) -> f64 {
+        TARGET_OCCUPANCY * f64::from(self.slots)
+    }
+
     /// Takes in how many calls the engines have, running or waiting.
-    pub fn observe(&mut self, now: Time, calls: f64) {
+    ///
+    /// What is there at the first look counts as a peak: a new leader has seen no demand yet, and those
+    /// before it, or the operator, have.
+    pub fn observe(&mut self, now: Time, calls: f64, stocks: &Stocks) {
+        if self.peak_at.is_none() {
+            self.peak = f64::from(sure(stocks)) * self.calls_per_engine();
+            self.peak_at = Some(now);
+        }
         let held = self.peak_held(now);
         if calls >= held {
             self.peak = calls;
-            self.peak_at = now;
+            self.peak_at = Some(now);
         }
     }
 
     fn peak_held(&self, now: Time) -> f64 {
-        let halves = now.since(self.peak_at).as_secs_f64() / PEAK_HALF_LIFE.as_secs_f64();
-        self.peak * 0.5_f64.powf(halves)
+        let age = self.peak_at.map_or(Span(0), |at| now.since(at));
+        self.peak * 0.5_f64.powf(age.as_secs_f64() / PEAK_HALF_LIFE.as_secs_f64())
     }
 
     /// Engines that serve the demand.
@@ -142,7 +160,7 @@
         if stocks.is_empty() || scaling.spot_price.is_none_or(|price| price >= 1.0) {
             return Vec::new();
         }
-        self.need(now, stocks);
+        self.need(now);
         let mut orders = Vec::new();
         for (domain, stock) in stocks {
             let target = self.target(scaling, stocks.len() as u32, stock);
@@ -156,13 +174,8 @@
         orders
     }
 
-    fn need(&mut self, now: Time, stocks: &Stocks) {
-        let there = stocks.values().map(|stock| stock.ordinary + stock.spot).sum();
-        let initial = *self.initial.get_or_insert(there);
-        let per_engine = TARGET_OCCUPANCY * f64::from(self.slots);
-        let wanted = (self.peak_held(now) / per_engine).ceil() as u32;
-        // Before any demand was seen, what the operator has set up is the best guess.
-        let wanted = if self.peak > 0.0 { wanted } else { initial };
+    fn need(&mut self, now: Time) {
+        let wanted = (self.peak_held(now) / self.calls_per_engine()).ceil() as u32;
         let change = (f64::from(wanted) - f64::from(self.needed)).abs();
         if change > HYSTERESIS * f64::from(self.needed) {
             self.needed = wanted;
--- a/core/src/gateway/leader.rs
+++ b/core/src/gateway/leader.rs
@@ -182,13 +182,14 @@
 }
 
 impl Election {
-    /// A gateway that has just started.
-    pub fn new(rules: Rules, now: Time) -> Election {
+    /// A gateway that has just started; it may have led a moment before, unless the whole system starts
+    /// for the first time.
+    pub fn new(rules: Rules, now: Time, is_first_start: bool) -> Election {
+        let stand_back = if is_first_start { Span(0) } else { rules.stand_back };
         Election {
             rules,
             role: Role::Follower,
-            // It may have led a moment before it started.
-            not_before: now + rules.stand_back,
+            not_before: now + stand_back,
             observed: None,
             absent_since: None,
             stopping: false,
--- a/core/tests/gateway/autoscaler.rs
+++ b/core/tests/gateway/autoscaler.rs
@@ -55,7 +55,7 @@
         for (_, order) in arrived.collect::<Vec<_>>() {
             self.stocks.get_mut(&order.domain).unwrap().spot = order.desired;
         }
-        self.autoscaler.observe(now, calls);
+        self.autoscaler.observe(now, calls, &self.stocks);
         for order in self.autoscaler.plan(now, &scaling(), &self.stocks) {
             self.place(&order);
         }
@@ -117,6 +117,31 @@
     assert!(world.engines() >= needed, "{} of {needed}", world.engines());
 }
 
+#[test]
+fn the_first_calls_of_a_day_do_not_shrink_the_fleet() {
+    let mut world = World::new(even(30, 0));
+    world.run(12, 0.0);
+    let before = world.engines();
+
+    world.run(10, 20.0);
+
+    assert_eq!(world.engines(), before);
+}
+
+#[test]
+fn a_change_of_leader_does_not_grow_the_fleet() {
+    let mut world = World::new(even(30, 0));
+    world.run(30, 400.0);
+    let before = world.engines();
+
+    for _ in 0..5 {
+        world.autoscaler = Autoscaler::new(SLOTS, ORDINARY_SHARE);
+        world.run(10, 100.0);
+    }
+
+    assert!(world.engines() <= before + 3, "{} after {before}", world.engines());
+}
+
 #[test]
 fn replacements_are_ordered_at_the_notice() {
     let mut world = World::new(even(30, 0));
--- a/core/tests/gateway/leader.rs
+++ b/core/tests/gateway/leader.rs
@@ -686,7 +686,7 @@
 
 fn fresh(rules: Rules, now: Time) -> Node {
     Node {
-        election: Election::new(rules, now),
+        election: Election::new(rules, now, false),
         era: 0,
         incarnation: 0,
         alive: true,
@@ -753,11 +753,11 @@
         last_era: Some(1),
     };
     let began = Time(20_000_000);
-    let mut predecessor = Election::new(rules, Time(0));
+    let mut predecessor = Election::new(rules, Time(0), false);
     predecessor.won(began, &victory(began, 1));
     let lapses = began + rules.lease;
     let last = predecessor.begin_call(lapses - rules.call, 1).unwrap();
-    let mut successor = Election::new(rules, Time(0));
+    let mut successor = Election::new(rules, Time(0), false);
     successor.won(lapses, &victory(lapses, 2));
     let moments = (0..).map(|ms| lapses + Span::millis(ms));
     let first = moments.into_iter().find(|at| successor.begin_call(*at, 1).is_some());
@@ -810,7 +810,7 @@
 
 #[test]
 fn a_leader_that_does_not_reach_the_platform_hands_over() {
-    let mut election = Election::new(RULES, Time(0));
+    let mut election = Election::new(RULES, Time(0), false);
     let position = Position { era: 1, revision: 7 };
     let granted = RULES.lease;
     election.campaigning();
--- a/gateway/src/duty.rs
+++ b/gateway/src/duty.rs
@@ -71,6 +71,8 @@
     pub usage: Option<usage::Rules>,
     /// Replicas are to be ordered.
     pub scale: bool,
+    /// The whole system starts for the first time, so nobody has led before.
+    pub is_first_start: bool,
 }
 
 /// The leader's record was written.
@@ -145,6 +147,8 @@
     wall: RefCell<Wall>,
     leader: Cell<Option<Notice>>,
     count: RefCell<Count>,
+    /// Era of the first sound read of the store.
+    first_era: Cell<Option<u64>>,
     woken: Notify,
 }
 
@@ -162,11 +166,12 @@
         State {
             rules,
             calls,
-            election: RefCell::new(Election::new(rules.election, now)),
+            election: RefCell::new(Election::new(rules.election, now, rules.is_first_start)),
             usage: RefCell::new(log),
             wall: RefCell::new(Wall::new(now, own_wall())),
             leader: Cell::new(None),
             count: RefCell::default(),
+            first_era: Cell::new(None),
             woken: Notify::new(),
         }
     }
@@ -236,6 +241,9 @@
     loop {
         let now = clock::now();
         let era = eras.newest().unwrap_or(0);
+        if duties.first_era.get().is_none() {
+            duties.first_era.set(eras.newest());
+        }
         let rank = shared.gateway.borrow().rank(now);
         let step = duties.election.borrow_mut().step(now, era, rank);
         log_ended(&shared, duties);
@@ -295,7 +303,7 @@
         lease: acquired.lease,
         granted: acquired.granted,
         position: acquired.position,
-        last_era: stored.journal.as_ref().map(|journal| journal.era),
+        last_era: last_era(duties, &stored, acquired.position.era),
     };
     let now = clock::now();
     if !duties.election.borrow_mut().won(now, &victory) {
@@ -311,6 +319,17 @@
     tokio::task::spawn_local(work(shared.clone(), eras.clone(), token, stored));
 }
 
+/// Era of the last term; at the first start of the whole system there was none, so that nobody is
+/// waited for.
+fn last_era(duties: &State, stored: &Stored, era: u64) -> Option<u64> {
+    match &stored.journal {
+        Some(journal) => Some(journal.era),
+        // A store that has come back since may have lost the journal.
+        None if duties.rules.is_first_start && duties.first_era.get() == Some(era) => Some(era),
+        None => None,
+    }
+}
+
 async fn renew(shared: &Shared, duties: &State, eras: &Eras, lease: u64) {
     let sent = clock::now();
     let result = bounded((duties.calls.renew)(lease)).await;
@@ -543,7 +562,7 @@
         };
         let autoscaler = self.autoscalers.entry(service.to_owned());
         let autoscaler = autoscaler.or_insert_with(|| Autoscaler::new(slots, ORDINARY_SHARE));
-        autoscaler.observe(now, calls);
+        autoscaler.observe(now, calls, stocks);
         let orders = autoscaler.plan(now, scaling, stocks);
         for order in orders {
             if !self.order(service, order, calls, stocks).await {
