Rename what crashes replicas: fingerprint, crash, quarantine

Whole terms of one module after the field's use: a fingerprint in place of a content, crashes in place of ends, quarantined in place of held, merge and digest in place of hear and tell; with docs, glossary, log events (fingerprint_quarantined, fingerprint_released, quarantine_stored) and the gauge fingerprints_quarantined. The key and the fields of the store's item keep their names, as gateways of other releases read them.

--- a/core/src/gateway/content.rs
+++ b/core/src/gateway/fingerprint.rs
@@ -1,4 +1,4 @@
-//! What a call asks for, told apart from the try that asks for it.
+//! Identity of a request across retries.
 
 use derive_more::Display;
 use serde::Deserialize;
@@ -6,16 +6,16 @@
 
 use crate::rendezvous;
 
-/// Short hash of who asks for what. Two tries of one caller with the same method, address and body
-/// have the same, whatever their ids and whichever gateways they come by.
+/// Short hash of a request. Retries of one caller with the same method, address and body have the same
+/// one, whatever their ids and gateways.
 ///
-/// The organisation is part of it, so that what one of them sends says nothing of another's calls;
-/// keys are not, since an organisation may change them at any time.
+/// The organisation is part of it, so that one organisation can't quarantine another's requests; API
+/// keys are not, since they may change at any time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[display("{_0:016x}")]
-pub struct Content(pub u64);
+pub struct Fingerprint(pub u64);
 
-/// What a [`Content`] is made of.
+/// Input of a [`Fingerprint`].
 #[derive(Clone, Copy, Debug)]
 pub struct Source<'a> {
     /// Organisation by name, if the route asks for one.
@@ -30,12 +30,12 @@
     pub body: &'a [u8],
 }
 
-impl Content {
-    /// The content of a call.
-    pub fn of(source: &Source<'_>) -> Content {
+impl Fingerprint {
+    /// The fingerprint of a request.
+    pub fn of(source: &Source<'_>) -> Fingerprint {
         let organisation = source.organisation.unwrap_or_default().as_bytes();
         let address = [source.method, source.host, source.path].map(str::as_bytes);
         let [method, host, path] = address;
-        Content(rendezvous::hash(&[organisation, method, host, path, source.body]))
+        Fingerprint(rendezvous::hash(&[organisation, method, host, path, source.body]))
     }
 }
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -1,9 +1,9 @@
 //! One gateway: from a call's head to a replica, and everything it believes.
 
 mod attempts;
-mod contents;
 mod keeper;
 mod plans;
+mod poison;
 mod reads;
 mod stop;
 
@@ -21,12 +21,12 @@
 use super::config::Config;
 use super::config::Engine;
 use super::config::Route;
-use super::content::Content;
 use super::directory;
 use super::directory::Directory;
 use super::directory::Entry;
 use super::directory::Heartbeat;
 use super::engine::Common;
+use super::fingerprint::Fingerprint;
 use super::fleet::Claim;
 use super::fleet::Fleet;
 use super::fleet::Need;
@@ -95,7 +95,7 @@
     /// Service that the call goes to.
     pub service: String,
     /// What it asks for; set once its body was read.
-    pub content: Option<Content>,
+    pub fingerprint: Option<Fingerprint>,
     /// When its head was read.
     pub arrived: Time,
     /// When its caller, or its route, stops waiting.
@@ -224,7 +224,7 @@
         self.hear_version(now, heartbeat.version);
         self.directory.hear(now, heartbeat);
         self.fleet.learn(now, &heartbeat.loads);
-        self.quarantine.hear(now, &heartbeat.suspects);
+        self.quarantine.merge(now, &heartbeat.suspects);
         self.hear_paces(&heartbeat.paces);
         self.hear_plans(now, &heartbeat.plans)
     }
@@ -246,7 +246,7 @@
             loads: self.fleet.tell(now),
             paces: self.tell_paces(),
             plans: self.plans.tell(now),
-            suspects: self.quarantine.tell(now),
+            suspects: self.quarantine.digest(now),
             version: self.version(),
             proof_age: self.freshness.age(now).map(|s| s.0),
         }
@@ -348,7 +348,7 @@
             organisation,
             rank,
             service: target(route, &ask.id),
-            content: None,
+            fingerprint: None,
             arrived,
             deadline: arrived + patience,
             tried: Vec::new(),
@@ -449,7 +449,7 @@
             return Ok(());
         }
         let mut renewed = self.resolve(now, grant.arrived, ask)?;
-        renewed.content = grant.content;
+        renewed.fingerprint = grant.fingerprint;
         renewed.tried = std::mem::take(&mut grant.tried);
         renewed.attempts = grant.attempts;
         *grant = renewed;
--- a/core/tests/gateway/quarantine.rs
+++ b/core/tests/gateway/quarantine.rs
@@ -5,15 +5,15 @@
 use laburnumwheel_core::gateway::Gateway;
 use laburnumwheel_core::gateway::Grant;
 use laburnumwheel_core::gateway::ask::Ask;
-use laburnumwheel_core::gateway::content::Content;
-use laburnumwheel_core::gateway::content::Source;
+use laburnumwheel_core::gateway::fingerprint::Fingerprint;
+use laburnumwheel_core::gateway::fingerprint::Source;
 use laburnumwheel_core::gateway::fleet::Claim;
 use laburnumwheel_core::gateway::fleet::Load;
 use laburnumwheel_core::gateway::fleet::Outcome;
-use laburnumwheel_core::gateway::quarantine::ENDS;
-use laburnumwheel_core::gateway::quarantine::End;
-use laburnumwheel_core::gateway::quarantine::MOST;
-use laburnumwheel_core::gateway::quarantine::MOST_TOLD;
+use laburnumwheel_core::gateway::quarantine::CRASHES;
+use laburnumwheel_core::gateway::quarantine::Crash;
+use laburnumwheel_core::gateway::quarantine::MAX_FINGERPRINTS;
+use laburnumwheel_core::gateway::quarantine::MAX_SHARED_RECORDS;
 use laburnumwheel_core::gateway::quarantine::Quarantine;
 use laburnumwheel_core::gateway::quarantine::Record;
 use laburnumwheel_core::gateway::quarantine::SETTLED;
@@ -32,25 +32,25 @@
 use crate::support::ask;
 use crate::support::gateway;
 
-const DEADLY: Content = Content(1);
-const HARMLESS: Content = Content(2);
+const DEADLY: Fingerprint = Fingerprint(1);
+const HARMLESS: Fingerprint = Fingerprint(2);
 /// Time from one heartbeat to the next, and peers that get it, as the shell has them.
 const HEARTBEAT: Span = Span::millis(250);
 const FANOUT: usize = 4;
 /// Time in which all gateways must know of the last end.
 const WINDOW: Span = Span::secs(3);
-/// Longest that a content may be held after three ends.
+/// Longest that a fingerprint may be held after three ends.
 const HOLD: Span = Span::secs(600);
 
 fn at(seconds: u64) -> Time {
     START + Span::secs(seconds)
 }
 
-/// One that saw `content` end these replicas, one a second.
-fn after_ends(content: Content, replicas: &[u32]) -> Quarantine {
+/// One that saw `fingerprint` end these replicas, one a second.
+fn after_ends(fingerprint: Fingerprint, replicas: &[u32]) -> Quarantine {
     let mut quarantine = Quarantine::default();
     for (second, replica) in (0..).zip(replicas) {
-        quarantine.broke(at(second), content, Digest(*replica));
+        quarantine.record_crash(at(second), fingerprint, Digest(*replica));
     }
     quarantine
 }
@@ -65,10 +65,10 @@
     let twice_the_same = after_ends(DEADLY, &[1, 2, 2, 1]);
     let three = after_ends(DEADLY, &[1, 2, 3]);
 
-    assert_eq!(two.holds(at(3), DEADLY), None);
-    assert_eq!(twice_the_same.holds(at(4), DEADLY), None);
-    assert!(three.holds(at(3), DEADLY).is_some());
-    assert_eq!(three.holds(at(3), HARMLESS), None);
+    assert_eq!(two.remaining(at(3), DEADLY), None);
+    assert_eq!(twice_the_same.remaining(at(4), DEADLY), None);
+    assert!(three.remaining(at(3), DEADLY).is_some());
+    assert_eq!(three.remaining(at(3), HARMLESS), None);
 }
 
 /// A report is cut off with its engine three times, each time for another reason, and the fourth engine
@@ -76,12 +76,12 @@
 #[test]
 fn a_whole_answer_clears_a_content_and_what_others_still_tell_of_it() {
     let mut quarantine = after_ends(HARMLESS, &[1, 2, 3]);
-    let told = quarantine.tell(at(3));
+    let told = quarantine.digest(at(3));
 
-    quarantine.answered(at(4), HARMLESS);
-    quarantine.hear(at(5), &told);
+    quarantine.record_answer(at(4), HARMLESS);
+    quarantine.merge(at(5), &told);
 
-    assert_eq!(quarantine.holds(at(5), HARMLESS), None);
+    assert_eq!(quarantine.remaining(at(5), HARMLESS), None);
 }
 
 /// Connections break while the replicas live, as when all links of a gateway are reset. Whoever is
@@ -89,13 +89,13 @@
 #[test]
 fn a_replica_that_is_heard_of_later_has_not_ended() {
     let mut quarantine = after_ends(HARMLESS, &[1, 2, 3]);
-    let told = quarantine.tell(at(3));
+    let told = quarantine.digest(at(3));
 
     quarantine.reconsider(at(4), |replica, _| replica == Digest(2));
-    quarantine.hear(at(5), &told);
+    quarantine.merge(at(5), &told);
 
-    assert_eq!(quarantine.holds(at(5), HARMLESS), None);
-    assert!(quarantine.tell(at(5)).iter().all(|record| record.ends.len() == 2));
+    assert_eq!(quarantine.remaining(at(5), HARMLESS), None);
+    assert!(quarantine.digest(at(5)).iter().all(|record| record.crashes.len() == 2));
 }
 
 /// A long answer was at each of the engines that a draft ended, as it is sent on after each end.
@@ -104,23 +104,23 @@
 fn ends_that_another_content_explains_do_not_count() {
     let mut quarantine = after_ends(DEADLY, &[1, 2, 3, 4]);
     for (second, replica) in (0..).zip([1, 2, 3]) {
-        quarantine.broke(at(second), HARMLESS, Digest(replica));
+        quarantine.record_crash(at(second), HARMLESS, Digest(replica));
     }
 
-    assert!(quarantine.holds(at(5), DEADLY).is_some());
-    assert_eq!(quarantine.holds(at(5), HARMLESS), None);
+    assert!(quarantine.remaining(at(5), DEADLY).is_some());
+    assert_eq!(quarantine.remaining(at(5), HARMLESS), None);
 }
 
-/// Two deadly contents that come at the same time are both held, although they met at one engine.
+/// Two deadly fingerprints that come at the same time are both held, although they met at one engine.
 #[test]
 fn two_deadly_contents_are_both_held() {
     let mut quarantine = after_ends(DEADLY, &[1, 2, 3]);
     for (second, replica) in (10..).zip([3, 4, 5, 6]) {
-        quarantine.broke(at(second), HARMLESS, Digest(replica));
+        quarantine.record_crash(at(second), HARMLESS, Digest(replica));
     }
 
-    assert!(quarantine.holds(at(20), DEADLY).is_some());
-    assert!(quarantine.holds(at(20), HARMLESS).is_some());
+    assert!(quarantine.remaining(at(20), DEADLY).is_some());
+    assert!(quarantine.remaining(at(20), HARMLESS).is_some());
 }
 
 /// Whatever was held wrongly is tried again after ten minutes; what ends one more replica then is held
@@ -130,10 +130,10 @@
     let mut quarantine = after_ends(DEADLY, &[1, 2, 3]);
     let third = at(2);
 
-    let last = quarantine.holds(third + HOLD - Span(1), DEADLY);
-    let over = quarantine.holds(third + HOLD, DEADLY);
-    quarantine.broke(third + HOLD, DEADLY, Digest(4));
-    let again = quarantine.holds(third + HOLD, DEADLY);
+    let last = quarantine.remaining(third + HOLD - Span(1), DEADLY);
+    let over = quarantine.remaining(third + HOLD, DEADLY);
+    quarantine.record_crash(third + HOLD, DEADLY, Digest(4));
+    let again = quarantine.remaining(third + HOLD, DEADLY);
 
     assert_eq!(last, Some(Span(1)));
     assert_eq!(over, None);
@@ -145,9 +145,9 @@
     let mut quarantine = after_ends(DEADLY, &[1, 2]);
 
     quarantine.reconsider(at(700), nobody);
-    quarantine.broke(at(701), DEADLY, Digest(3));
+    quarantine.record_crash(at(701), DEADLY, Digest(3));
 
-    assert_eq!(quarantine.holds(at(701), DEADLY), None);
+    assert_eq!(quarantine.remaining(at(701), DEADLY), None);
 }
 
 #[test]
@@ -156,11 +156,12 @@
 
     let first = quarantine.reconsider(at(3), nobody);
     let second = quarantine.reconsider(at(4), nobody);
-    quarantine.answered(at(5), DEADLY);
+    quarantine.record_answer(at(5), DEADLY);
     let third = quarantine.reconsider(at(5), nobody);
 
-    let told =
-        |verdicts: &[Verdict]| verdicts.iter().map(|v| (v.content, v.held)).collect::<Vec<_>>();
+    let told = |verdicts: &[Verdict]| {
+        verdicts.iter().map(|v| (v.fingerprint, v.quarantined)).collect::<Vec<_>>()
+    };
     assert_eq!(told(&first), [(DEADLY, true)]);
     assert_eq!(told(&second), []);
     assert_eq!(told(&third), [(DEADLY, false)]);
@@ -171,17 +172,17 @@
 #[test]
 fn memory_and_heartbeats_are_bounded() {
     let mut quarantine = after_ends(DEADLY, &[1, 2, 3]);
-    for content in 10..20_000 {
-        quarantine.broke(at(3), Content(content), Digest(7));
+    for fingerprint in 10..20_000 {
+        quarantine.record_crash(at(3), Fingerprint(fingerprint), Digest(7));
     }
     quarantine.reconsider(at(3), nobody);
 
-    let told = quarantine.tell(at(4));
+    let told = quarantine.digest(at(4));
 
-    assert_eq!(quarantine.remembered(), MOST);
-    assert_eq!(told.len(), MOST_TOLD);
-    assert_eq!(told[0].content, DEADLY);
-    assert!(quarantine.holds(at(4), DEADLY).is_some());
+    assert_eq!(quarantine.tracked(), MAX_FINGERPRINTS);
+    assert_eq!(told.len(), MAX_SHARED_RECORDS);
+    assert_eq!(told[0].fingerprint, DEADLY);
+    assert!(quarantine.remaining(at(4), DEADLY).is_some());
 }
 
 proptest! {
@@ -191,56 +192,56 @@
         ends in proptest::collection::vec((0u64..4, 0u32..6), 0..16),
         seed: u64,
     ) {
-        let record = |(content, replica): &(u64, u32)| Record {
-            content: Content(*content),
-            ends: vec![End { replica: Digest(*replica), age_ms: u64::from(*replica) * 1_000 }],
+        let record = |(fingerprint, replica): &(u64, u32)| Record {
+            fingerprint: Fingerprint(*fingerprint),
+            crashes: vec![Crash { replica: Digest(*replica), age_ms: u64::from(*replica) * 1_000 }],
             answered_ms: None,
         };
         let records: Vec<Record> = ends.iter().map(record).collect();
         let mut rng = SmallRng::seed_from_u64(seed);
         let (mut one, mut other) = (Quarantine::default(), Quarantine::default());
 
-        one.hear(at(10), &records);
+        one.merge(at(10), &records);
         for _ in 0..8 * records.len() {
-            other.hear(at(10), &[records[rng.random_range(0..records.len())].clone()]);
+            other.merge(at(10), &[records[rng.random_range(0..records.len())].clone()]);
         }
-        other.hear(at(10), &records);
+        other.merge(at(10), &records);
 
-        for content in (0..4).map(Content) {
-            prop_assert_eq!(one.holds(at(10), content), other.holds(at(10), content));
+        for fingerprint in (0..4).map(Fingerprint) {
+            prop_assert_eq!(one.remaining(at(10), fingerprint), other.remaining(at(10), fingerprint));
         }
     }
 }
 
-/// Gateways that gossip: three of them see one end each, and all of them must hold the content before
+/// Gateways that gossip: three of them see one end each, and all of them must hold the fingerprint before
 /// the window is over. One heartbeat in twenty is lost.
 fn time_until_all_hold(count: usize, seed: u64) -> (Span, usize) {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut gateways = vec![Quarantine::default(); count];
-    for (place, replica) in (0..ENDS).map(|i| (i * count / ENDS, i as u32)) {
-        gateways[place].broke(START, DEADLY, Digest(replica));
+    for (place, replica) in (0..CRASHES).map(|i| (i * count / CRASHES, i as u32)) {
+        gateways[place].record_crash(START, DEADLY, Digest(replica));
     }
     let (mut now, mut largest) = (START, 0);
     while now.since(START) < Span(2 * WINDOW.0) {
         now = now + HEARTBEAT;
         for from in 0..count {
-            let told = gateways[from].tell(now);
+            let told = gateways[from].digest(now);
             largest = largest.max(postcard::to_stdvec(&told).unwrap().len());
             for _ in 0..FANOUT {
                 let to = rng.random_range(0..count);
                 if !rng.random_bool(0.05) {
-                    gateways[to].hear(now, &told);
+                    gateways[to].merge(now, &told);
                 }
             }
         }
-        if gateways.iter().all(|g| g.holds(now, DEADLY).is_some()) {
+        if gateways.iter().all(|g| g.remaining(now, DEADLY).is_some()) {
             break;
         }
     }
     (now.since(START), largest)
 }
 
-/// The same content comes by another gateway each time, so no gateway sees more than one end of it.
+/// The same fingerprint comes by another gateway each time, so no gateway sees more than one end of it.
 /// All must know before the next tries come, at any size of the fleet.
 #[test]
 fn all_gateways_of_a_fleet_hold_a_content_within_the_window() {
@@ -254,8 +255,8 @@
     }
 }
 
-fn content(organisation: &str, body: &str) -> Content {
-    Content::of(&Source {
+fn fingerprint(organisation: &str, body: &str) -> Fingerprint {
+    Fingerprint::of(&Source {
         organisation: Some(organisation),
         method: "POST",
         host: "a.example",
@@ -267,26 +268,31 @@
 /// What one organisation sends must not have another's calls refused.
 #[test]
 fn contents_of_two_organisations_are_two() {
-    assert_eq!(content("museum", "a"), content("museum", "a"));
-    assert_ne!(content("museum", "a"), content("dealer", "a"));
-    assert_ne!(content("museum", "a"), content("museum", "b"));
+    assert_eq!(fingerprint("museum", "a"), fingerprint("museum", "a"));
+    assert_ne!(fingerprint("museum", "a"), fingerprint("dealer", "a"));
+    assert_ne!(fingerprint("museum", "a"), fingerprint("museum", "b"));
 }
 
-/// A call of `content`, sent to an engine.
-fn sent(gateway: &mut Gateway, now: Time, call: &Ask, content: Content) -> Option<(Grant, Claim)> {
+/// A call of `fingerprint`, sent to an engine.
+fn sent(
+    gateway: &mut Gateway,
+    now: Time,
+    call: &Ask,
+    fingerprint: Fingerprint,
+) -> Option<(Grant, Claim)> {
     gateway.confirm_view(now);
     let mut grant = gateway.admit(now, call).unwrap();
-    grant.content = Some(content);
+    grant.fingerprint = Some(fingerprint);
     let mut pick = gateway.pick(now, call, &mut grant, &[]).ok()?;
     gateway.sent(now, call, &mut grant, &mut pick);
     Some((grant, pick.claim))
 }
 
-/// Sends calls of `content` until none is sent any more, each of which ends its engine.
-fn ended(gateway: &mut Gateway, call: &Ask, content: Content) -> BTreeSet<String> {
+/// Sends calls of `fingerprint` until none is sent any more, each of which ends its engine.
+fn ended(gateway: &mut Gateway, call: &Ask, fingerprint: Fingerprint) -> BTreeSet<String> {
     let mut engines = BTreeSet::new();
     for second in 0..10 {
-        let Some((grant, claim)) = sent(gateway, at(second), call, content) else {
+        let Some((grant, claim)) = sent(gateway, at(second), call, fingerprint) else {
             break;
         };
         let listing = &gateway.fleet().get(claim.replica).unwrap().listing;
@@ -308,10 +314,10 @@
 
     gateway.confirm_view(at(20));
     let mut grant = gateway.admit(at(20), &call).unwrap();
-    grant.content = Some(DEADLY);
+    grant.fingerprint = Some(DEADLY);
     let refusal = gateway.pick(at(20), &call, &mut grant, &[]).unwrap_err();
 
-    assert_eq!(engines.len(), ENDS);
+    assert_eq!(engines.len(), CRASHES);
     assert_eq!((refusal.reason, refusal.not_run), (Reason::Quarantined, true));
     assert!(refusal.retry_after > Span(0) && refusal.retry_after <= HOLD);
     assert!(sent(&mut gateway, at(20), &call, HARMLESS).is_some());
@@ -323,13 +329,13 @@
     let mut gateway = gateway(12);
     let call = ask("draft", &[(1, 500)]);
     let mut claims = Vec::new();
-    while claims.len() < ENDS {
+    while claims.len() < CRASHES {
         let (grant, claim) = sent(&mut gateway, START, &call, HARMLESS).unwrap();
         gateway.broke(START, &grant, &claim);
         gateway.unsent(START, &mut grant.clone(), claim.replica, Outcome::Unreachable);
         claims.push(claim);
     }
-    let before = gateway.contents_held(START);
+    let before = gateway.fingerprints_quarantined(START);
 
     let later = START + SETTLED + Span::millis(1);
     for claim in &claims {
@@ -338,10 +344,10 @@
     gateway.reconsider(later);
 
     assert_eq!(before, 1);
-    assert_eq!(gateway.contents_held(later), 0);
+    assert_eq!(gateway.fingerprints_quarantined(later), 0);
 }
 
-/// All gateways end at once, and those that start know what the store holds. It must hold the content
+/// All gateways end at once, and those that start know what the store holds. It must hold the fingerprint
 /// soon, be written once and not by each gateway in turn, and let go of what was answered.
 #[test]
 fn the_store_keeps_what_is_held_until_it_is_answered() {
@@ -356,7 +362,7 @@
     let again = after.to_keep(at(20), &kept);
     after.confirm_view(at(20));
     let mut grant = after.admit(at(20), &call).unwrap();
-    grant.content = Some(DEADLY);
+    grant.fingerprint = Some(DEADLY);
     after.answered(at(30), &grant);
 
     assert!(held);
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -112,9 +112,9 @@
     }
 }
 
-/// The call's content, as logs name it.
-pub fn content_of(grant: &Grant) -> String {
-    grant.content.map_or_else(String::new, |content| content.to_string())
+/// The call's fingerprint, as logs name it.
+pub fn fingerprint_of(grant: &Grant) -> String {
+    grant.fingerprint.map_or_else(String::new, |fingerprint| fingerprint.to_string())
 }
 
 /// A whole answer of a replica.
@@ -206,7 +206,7 @@
         let line = Line::new("attempt_failed")
             .with("request", String::from_utf8_lossy(&self.ask.id))
             .with("route", &self.grant.route.name)
-            .with("content", content_of(&self.grant))
+            .with("fingerprint", fingerprint_of(&self.grant))
             .with("replica", replica)
             .with("fault", fault)
             .with("attempt", self.grant.attempts)
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -16,8 +16,8 @@
 use hyper::header::HeaderValue;
 use laburnumwheel_core::gateway::Pick;
 use laburnumwheel_core::gateway::config::Limits;
-use laburnumwheel_core::gateway::content;
-use laburnumwheel_core::gateway::content::Content;
+use laburnumwheel_core::gateway::fingerprint;
+use laburnumwheel_core::gateway::fingerprint::Fingerprint;
 use laburnumwheel_core::gateway::fleet::Outcome;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::gateway::refusal::Refusal;
@@ -204,7 +204,7 @@
     };
     let (method, uri) = (head.method, head.uri);
     let uri = uri.path_and_query().map_or(uri.clone(), |p| p.clone().into());
-    grant.content = Some(Content::of(&content::Source {
+    grant.fingerprint = Some(Fingerprint::of(&fingerprint::Source {
         organisation: grant.organisation.as_deref(),
         method: method.as_str(),
         host: &ask.host,
--- a/gateway/src/flaw.rs
+++ b/gateway/src/flaw.rs
@@ -27,7 +27,7 @@
     /// A gateway.
     Gateway,
     /// Contents under which replicas ended.
-    Contents,
+    Quarantine,
 }
 
 /// What is wrong with an entry.
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -24,9 +24,9 @@
 use tokio::sync::oneshot;
 
 use crate::clock;
-use crate::contents;
 use crate::duty;
 use crate::log::Line;
+use crate::quarantine;
 use crate::shared::Shared;
 
 /// Time from one heartbeat to the next.
@@ -233,13 +233,13 @@
     }
 }
 
-/// Looks at contents under which replicas end, and tells the decider what was seen, or decides, for ever.
+/// Reevaluates the quarantine, and sends reports to the decider or decides, for ever.
 pub async fn report(shared: Shared) {
     loop {
         let period = shared.gateway.borrow().reporting_period();
         tokio::time::sleep(clock::duration(period)).await;
         let verdicts = shared.gateway.borrow_mut().reconsider(clock::now());
-        contents::tell(&shared, &verdicts);
+        quarantine::log(&shared, &verdicts);
         let report = shared.gateway.borrow_mut().report(clock::now());
         if let Some((decider, report)) = report
             && let Ok(address) = decider.parse::<SocketAddr>()
--- a/gateway/src/contents.rs
+++ b/gateway/src/quarantine.rs
@@ -1,14 +1,12 @@
-//! Contents under which replicas end: told in the log, and kept in the store for gateways that start.
+//! Logs and stores the quarantine of requests that crash replicas.
 //!
-//! Gateways tell one another; what all of them know is lost when all of them end, and the same content
-//! would end the replicas of the next ones. So what is held back stands in the store as well. Times
-//! stand there as times of day: an age would begin anew with each reader, and a content would be held
-//! for as long as gateways start now and then. A clock that is off by seconds is little beside the hold.
+//! Gossip is lost when all gateways end at once, so the records also lie in the store. They hold times of
+//! day there: an age would begin anew with each reader.
 
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use laburnumwheel_core::gateway::content::Content;
+use laburnumwheel_core::gateway::fingerprint::Fingerprint;
 use laburnumwheel_core::gateway::quarantine;
 use laburnumwheel_core::gateway::quarantine::Verdict;
 use laburnumwheel_core::incarnation::Digest;
@@ -21,30 +19,32 @@
 use crate::store;
 use crate::store::Reply;
 
-/// A replica that ended while it ran a call.
+/// A replica that crashed while it ran a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct End {
-    /// Run of the replica.
+pub struct Crash {
+    /// Incarnation of the replica.
     pub replica: Digest,
     /// When, in Unix milliseconds.
     pub at: u64,
 }
 
-/// A content that is held back.
+/// A quarantined fingerprint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
-    /// The content.
-    pub content: Content,
-    /// Replicas that ended under it.
-    pub ends: Vec<End>,
+    /// The fingerprint.
+    #[serde(rename = "content")]
+    pub fingerprint: Fingerprint,
+    /// Replicas that crashed while running it.
+    #[serde(rename = "ends")]
+    pub crashes: Vec<Crash>,
 }
 
-/// What the store holds.
+/// The records as the store holds them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Stored {
     /// Its last change; 0 before the first.
     pub revision: u64,
-    /// The contents.
+    /// The records.
     pub records: Vec<Record>,
 }
 
@@ -54,11 +54,13 @@
 
 /// Records with ages in the place of times of day; what lies in the future has just been.
 fn aged(records: &[Record], now_ms: u64) -> Vec<quarantine::Record> {
-    let end =
-        |end: &End| quarantine::End { replica: end.replica, age_ms: now_ms.saturating_sub(end.at) };
+    let crash = |crash: &Crash| quarantine::Crash {
+        replica: crash.replica,
+        age_ms: now_ms.saturating_sub(crash.at),
+    };
     let record = |record: &Record| quarantine::Record {
-        content: record.content,
-        ends: record.ends.iter().map(end).collect(),
+        fingerprint: record.fingerprint,
+        crashes: record.crashes.iter().map(crash).collect(),
         answered_ms: None,
     };
     records.iter().map(record).collect()
@@ -66,24 +68,24 @@
 
 /// Records with times of day in the place of ages.
 fn dated(records: &[quarantine::Record], now_ms: u64) -> Vec<Record> {
-    let end =
-        |end: &quarantine::End| End { replica: end.replica, at: now_ms.saturating_sub(end.age_ms) };
+    let crash = |crash: &quarantine::Crash| Crash {
+        replica: crash.replica,
+        at: now_ms.saturating_sub(crash.age_ms),
+    };
     let record = |record: &quarantine::Record| Record {
-        content: record.content,
-        ends: record.ends.iter().map(end).collect(),
+        fingerprint: record.fingerprint,
+        crashes: record.crashes.iter().map(crash).collect(),
     };
     records.iter().map(record).collect()
 }
 
-/// Takes in what the store holds.
+/// Merges the stored records.
 pub fn recall(shared: &Shared, stored: &Stored) {
     let records = aged(&stored.records, unix_ms());
     shared.gateway.borrow_mut().recall(clock::now(), &records);
 }
 
-/// Has the store hold what it has to, if that is not what it holds.
-///
-/// Another gateway may have written meanwhile; the next read shows what is still missing.
+/// Stores the records if the stored ones are out of date. A conflicting write shows in the next read.
 pub async fn keep(
     shared: &Shared,
     stored: &Stored,
@@ -96,7 +98,7 @@
     };
     let result = store::bounded(write(dated(&records, now_ms), stored.revision)).await;
     shared.metrics.store_call("keep", result.is_ok());
-    let line = Line::new("contents_kept").with("contents", records.len());
+    let line = Line::new("quarantine_stored").with("fingerprints", records.len());
     shared.log(match result {
         Ok(()) => line.with("outcome", "written"),
         Err(e) => line.with("outcome", e),
@@ -104,10 +106,11 @@
 }
 
 /// Logs verdicts that have changed.
-pub fn tell(shared: &Shared, verdicts: &[Verdict]) {
+pub fn log(shared: &Shared, verdicts: &[Verdict]) {
     for verdict in verdicts {
-        let event = if verdict.held { "content_held" } else { "content_released" };
-        let line = Line::new(event).with("content", verdict.content);
-        shared.log(line.with("ends", verdict.ends));
+        let event =
+            if verdict.quarantined { "fingerprint_quarantined" } else { "fingerprint_released" };
+        let line = Line::new(event).with("fingerprint", verdict.fingerprint);
+        shared.log(line.with("crashes", verdict.crashes));
     }
 }
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -22,8 +22,6 @@
 use rand::seq::SliceRandom;
 
 use crate::clock;
-use crate::contents;
-use crate::contents::Stored;
 use crate::duty;
 use crate::era;
 use crate::era::Eras;
@@ -33,6 +31,8 @@
 use crate::flaw::Subject;
 use crate::log::Line;
 use crate::peers;
+use crate::quarantine;
+use crate::quarantine::Stored;
 use crate::shared::Shared;
 use crate::view;
 
@@ -78,7 +78,7 @@
     /// Everything that could be used.
     pub view: View,
     /// Contents under which replicas ended, as gateways before have left them.
-    pub contents: Stored,
+    pub fingerprints: Stored,
     /// Whether there is a leader's record.
     pub has_leader: bool,
     /// Bounds and prices of the replicas that may be ordered, by service.
@@ -131,8 +131,8 @@
     pub read: Box<dyn FnMut() -> Reply<Reading>>,
     /// Writes the gateway's entry under a new lease of this length; returns the lease.
     pub announce: Box<dyn FnMut(Entry, Duration) -> Reply<u64>>,
-    /// Writes these contents in the place of those that were read with this revision.
-    pub keep: Box<dyn FnMut(Vec<contents::Record>, u64) -> Reply<()>>,
+    /// Writes these fingerprints in the place of those that were read with this revision.
+    pub keep: Box<dyn FnMut(Vec<quarantine::Record>, u64) -> Reply<()>>,
     /// Renews a lease.
     pub renew: Box<dyn FnMut(u64) -> Reply<()>>,
     /// Ends a lease, and the entry with it.
@@ -175,8 +175,8 @@
     pub eras: Eras,
     /// Reads everything.
     pub read: Box<dyn FnMut() -> Reply<Reading>>,
-    /// Writes contents under which replicas ended.
-    pub keep: Box<dyn FnMut(Vec<contents::Record>, u64) -> Reply<()>>,
+    /// Writes fingerprints under which replicas ended.
+    pub keep: Box<dyn FnMut(Vec<quarantine::Record>, u64) -> Reply<()>>,
 }
 
 /// Reads everything within the time that a whole read may take.
@@ -215,7 +215,7 @@
                 let stored = take_reading(&shared, sent, reading);
                 // The readers write for all: a few, so that a fleet does not write the same at once.
                 if is_reader {
-                    contents::keep(&shared, &stored, &mut following.keep).await;
+                    quarantine::keep(&shared, &stored, &mut following.keep).await;
                 }
                 let waits = shared.gateway.borrow().version() == 0;
                 let pause = if waits { WAITING } else { PERIOD };
@@ -322,7 +322,7 @@
         .collect()
 }
 
-/// Takes in what a read of the store found; returns what it holds of contents.
+/// Takes in what a read of the store found; returns what it holds of fingerprints.
 fn take_reading(shared: &Shared, sent: Time, mut reading: Reading) -> Stored {
     if let Some(duties) = &shared.duties {
         duties.observe(sent, reading.has_leader);
@@ -331,7 +331,7 @@
         duties.count_stocks(duty::Count { at: sent, scaling, stocks });
     }
     // First of all, so that a gateway which has just started knows them when it serves.
-    contents::recall(shared, &reading.contents);
+    quarantine::recall(shared, &reading.fingerprints);
     reading.view.replicas = shared.gateway.borrow().amend(sent, reading.view.replicas);
     // A version that can't be read may be the one that takes a key away. The last one that could
     // be read stays in force, and its proof of freshness ages as if the store were out of reach:
@@ -344,7 +344,7 @@
     flaw::tell(shared, &shared.flaws, &reading.flaws);
     let known = Known::new(reading.view, shared.views.borrow().newest());
     take(shared, sent, known, Source::Store, readable);
-    reading.contents
+    reading.fingerprints
 }
 
 /// Takes a view in; `proves` if it shows which configuration is the newest.
