Let ordinary engines stand in where there are no spot instances

A refused order of spot instances now brings up to half of the maximum as ordinary engines, which go once spot instances serve again. Replicas that were not yet registered when the leader first looked were left out of the first peak (64 in place of 89); all that are there before the first spot instance count now.

--- a/core/src/gateway/autoscaler.rs
+++ b/core/src/gateway/autoscaler.rs
@@ -3,7 +3,8 @@
 //! Demand is the calls at a service's engines, held at its peak and forgotten slowly, so that bursts in
 //! a row do not boot and drain engines in turn. Spot instances serve it, spread evenly and with as many
 //! to spare as one failure domain holds, because all of a domain's may be reclaimed at once; ordinary
-//! ones stay as a floor. Ordinary engines are only given up for spot instances that already serve.
+//! ones stay as a floor, and stand in where there are no spot instances to be had. They are only given up
+//! for spot instances that already serve.
 
 use std::collections::BTreeMap;
 
@@ -21,6 +22,8 @@
 const HYSTERESIS: f64 = 0.05;
 /// Time beyond the boot after which replicas that were ordered are taken as lost.
 const BOOT_SLACK: Span = Span::millis(1_500);
+/// Time for which a refused order of spot instances shows that there are none.
+const DRY: Span = Span::secs(3);
 /// Time from a refused order to the next.
 const RETRY: Span = Span::secs(1);
 
@@ -108,6 +111,8 @@
     /// When the peak was seen; `None` before the first look.
     peak_at: Option<Time>,
     needed: u32,
+    /// Ordinary replicas in each failure domain that spot instances have yet to replace.
+    unreplaced: BTreeMap<String, u32>,
     placed: BTreeMap<(String, Kind), Placed>,
 }
 
@@ -121,6 +126,7 @@
             peak: 0.0,
             peak_at: None,
             needed: 0,
+            unreplaced: BTreeMap::new(),
             placed: BTreeMap::new(),
         }
     }
@@ -131,11 +137,12 @@
 
     /// Takes in how many calls the engines have, running or waiting.
     ///
-    /// What is there at the first look counts as a peak: a new leader has seen no demand yet, and those
-    /// before it, or the operator, have.
+    /// What is there before any spot instance, or at the first look, counts as a peak: a new leader has
+    /// seen no demand yet, and those before it, or the operator, have.
     pub fn observe(&mut self, now: Time, calls: f64, stocks: &Stocks) {
-        if self.peak_at.is_none() {
-            self.peak = f64::from(sure(stocks)) * self.calls_per_engine();
+        let has_spot = stocks.values().any(|stock| stock.spot > 0);
+        if self.peak_at.is_none() || !has_spot {
+            self.peak = self.peak.max(f64::from(sure(stocks)) * self.calls_per_engine());
             self.peak_at = Some(now);
         }
         let held = self.peak_held(now);
@@ -163,7 +170,7 @@
         self.need(now);
         let mut orders = Vec::new();
         for (domain, stock) in stocks {
-            let target = self.target(scaling, stocks.len() as u32, stock);
+            let target = self.target(now, scaling, stocks.len() as u32, domain, stock);
             for (kind, desired) in target {
                 let order = Order { domain: domain.clone(), kind, desired };
                 if self.is_due(now, scaling, stock, &order) {
@@ -183,19 +190,42 @@
     }
 
     /// What a failure domain is to have of each kind.
-    fn target(&self, scaling: &Scaling, domains: u32, stock: &Stock) -> [(Kind, u32); 2] {
+    fn target(
+        &mut self,
+        now: Time,
+        scaling: &Scaling,
+        domains: u32,
+        domain: &str,
+        stock: &Stock,
+    ) -> [(Kind, u32); 2] {
         let share = self.ordinary_share * f64::from(self.needed) / f64::from(domains.max(1));
         let floor = (share.ceil() as u32).clamp(scaling.min, scaling.max);
         // As many as serve the demand without one of the failure domains.
         let others = domains.saturating_sub(1).max(1);
         let spot = self.needed.div_ceil(others).saturating_sub(floor).min(scaling.max - floor);
         let missing = spot.saturating_sub(stock.spot);
-        // Engines are given up one for one as others serve in their place.
-        let ordinary = (floor + missing).min(stock.ordinary.max(floor));
+        let is_dry = self.is_dry(now, domain);
+        let is_new = !self.placed.contains_key(&(domain.to_owned(), Kind::Ordinary));
+        let unreplaced = self.unreplaced.entry(domain.to_owned()).or_default();
+        if is_new {
+            *unreplaced = stock.ordinary.max(*unreplaced);
+        } else if is_dry {
+            // Half of the room, so that spot instances find the other half when they are back.
+            *unreplaced = missing.min(scaling.max / 2).max(*unreplaced);
+        } else if stock.spot >= *unreplaced {
+            *unreplaced = 0;
+        }
+        let ordinary = unreplaced.saturating_sub(stock.spot).max(floor);
         let room = scaling.max.saturating_sub(ordinary);
         [(Kind::Ordinary, ordinary), (Kind::Spot, spot.min(room))]
     }
 
+    /// Whether no spot instances are to be had in a failure domain.
+    fn is_dry(&self, now: Time, domain: &str) -> bool {
+        let placed = self.placed.get(&(domain.to_owned(), Kind::Spot));
+        placed.is_some_and(|p| p.outcome == Outcome::Refused && now.since(p.at) < DRY)
+    }
+
     fn is_due(&self, now: Time, scaling: &Scaling, stock: &Stock, order: &Order) -> bool {
         let there = stock.of(order.kind);
         let Some(placed) = self.placed.get(&(order.domain.clone(), order.kind)) else {
--- a/core/tests/gateway/autoscaler.rs
+++ b/core/tests/gateway/autoscaler.rs
@@ -169,6 +169,34 @@
     assert!(world.stocks["b"].spot > 0);
 }
 
+#[test]
+fn ordinary_engines_stand_in_where_no_spot_instances_are_to_be_had() {
+    let mut world = World::new(even(30, 0));
+    world.run(30, 400.0);
+    let all = ["a", "b", "c"].map(str::to_owned);
+    world.unavailable.extend(all);
+    world.reclaim("b");
+    world.run(8, 400.0);
+    let during = world.stocks["b"].ordinary;
+
+    world.unavailable.clear();
+    world.run(20, 400.0);
+
+    assert!(during >= 20, "{during}");
+    assert_eq!(world.stocks["b"].ordinary, world.stocks["a"].ordinary);
+}
+
+#[test]
+fn replicas_that_register_late_count_as_well() {
+    let mut world = World::new(even(10, 0));
+    world.step(0.0);
+    world.stocks = even(30, 0);
+
+    world.run(20, 0.0);
+
+    assert!(world.autoscaler.needed() >= 90, "{}", world.autoscaler.needed());
+}
+
 #[test]
 fn bursts_in_a_row_do_not_boot_and_drain_engines_in_turn() {
     let mut world = World::new(even(30, 0));
