--- a/core/src/gateway/autoscaler.rs
+++ b/core/src/gateway/autoscaler.rs
@@ -16,6 +16,8 @@
 
 /// Share of its slots that an engine has taken at the peak, with room for what boots too late.
 const TARGET_OCCUPANCY: f64 = 0.35;
+/// Share of its slots from which on an engine has no room for urgent calls.
+const CRITICAL_OCCUPANCY: f64 = 0.7;
 /// Time after which a peak counts half.
 const PEAK_HALF_LIFE: Span = Span::secs(600);
 /// Growth of the peak below which nothing new is ordered.
@@ -107,6 +109,8 @@
 pub struct Autoscaler {
     slots: u32,
     ordinary_share: f64,
+    /// Calls at the engines now.
+    calls: f64,
     peak: f64,
     /// When the peak was seen; `None` before the first look.
     peak_at: Option<Time>,
@@ -123,6 +127,7 @@
         Autoscaler {
             slots: slots.max(1),
             ordinary_share,
+            calls: 0.0,
             peak: 0.0,
             peak_at: None,
             needed: 0,
@@ -145,6 +150,7 @@
             self.peak = self.peak.max(f64::from(sure(stocks)) * self.calls_per_engine());
             self.peak_at = Some(now);
         }
+        self.calls = calls;
         let held = self.peak_held(now);
         if calls >= held {
             self.peak = calls;
@@ -168,9 +174,11 @@
             return Vec::new();
         }
         self.need(now);
+        let is_short = self.is_short(stocks);
         let mut orders = Vec::new();
         for (domain, stock) in stocks {
-            let target = self.target(now, scaling, stocks.len() as u32, domain, stock);
+            let is_dry = is_short && self.is_dry(now, domain);
+            let target = self.target(is_dry, scaling, stocks.len() as u32, domain, stock);
             for (kind, desired) in target {
                 let order = Order { domain: domain.clone(), kind, desired };
                 if self.is_due(now, scaling, stock, &order) {
@@ -189,10 +197,10 @@
         }
     }
 
-    /// What a failure domain is to have of each kind.
+    /// What a failure domain is to have of each kind; `is_dry` if ordinary replicas are to stand in.
     fn target(
         &mut self,
-        now: Time,
+        is_dry: bool,
         scaling: &Scaling,
         domains: u32,
         domain: &str,
@@ -204,7 +212,6 @@
         let others = domains.saturating_sub(1).max(1);
         let spot = self.needed.div_ceil(others).saturating_sub(floor).min(scaling.max - floor);
         let missing = spot.saturating_sub(stock.spot);
-        let is_dry = self.is_dry(now, domain);
         let is_new = !self.placed.contains_key(&(domain.to_owned(), Kind::Ordinary));
         let unreplaced = self.unreplaced.entry(domain.to_owned()).or_default();
         if is_new {
@@ -220,6 +227,12 @@
         [(Kind::Ordinary, ordinary), (Kind::Spot, spot.min(room))]
     }
 
+    /// Whether the engines that are there have no room.
+    fn is_short(&self, stocks: &Stocks) -> bool {
+        let there: u32 = stocks.values().map(|stock| stock.ordinary + stock.spot).sum();
+        self.calls > CRITICAL_OCCUPANCY * f64::from(self.slots * there)
+    }
+
     /// Whether no spot instances are to be had in a failure domain.
     fn is_dry(&self, now: Time, domain: &str) -> bool {
         let placed = self.placed.get(&(domain.to_owned(), Kind::Spot));
--- a/core/src/gateway/delta.rs
+++ b/core/src/gateway/delta.rs
@@ -1,7 +1,7 @@
 //! The difference between two views, as gateways hand it on.
 //!
-//! It says from which parts it begins and which digest comes out. Whoever applies it to something
-//! else, or gets other bytes than were sent, sees by the digest that the result is wrong.
+//! It names the digests of its base and of its result, so applying it to another base, or a corrupted
+//! copy of it, is detected.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -67,7 +67,7 @@
     pub paces: Vec<pace::Sighting>,
     /// What gateways agree on, by service.
     pub plans: Vec<Plan>,
-    /// Contents under which replicas ended.
+    /// Recent changes of the quarantine.
     pub suspects: Vec<quarantine::Record>,
     /// Version of its configuration.
     pub version: u64,
@@ -192,9 +192,9 @@
         (!own.is_some_and(before)).then(|| first.entry.peer_address.clone())
     }
 
-    /// The keeper of an engine, with its address for datagrams; `None` if that is this gateway,
+    /// Owner of an engine, with its address for datagrams; `None` if that is this gateway,
     /// `own`.
-    pub fn keeper(&self, now: Time, own: &str, engine: Digest) -> Option<(u32, &str)> {
+    pub fn owner(&self, now: Time, own: &str, engine: Digest) -> Option<(u32, &str)> {
         let score = |gateway: u32| rendezvous::score(u64::from(engine.0), u64::from(gateway));
         let own = score(short(own));
         let live = self.members.values().filter(|m| m.is_live(now));
@@ -225,12 +225,12 @@
         Some(member.entry.peer_address.as_str())
     }
 
-    /// Whether a gateway was heard of lately.
+    /// Whether a gateway is alive.
     pub fn lives(&self, now: Time, gateway: u32) -> bool {
         self.members.values().any(|m| m.short == gateway && m.is_live(now))
     }
 
-    /// Gateways that live as far as was heard of late.
+    /// Number of live peers.
     pub fn heard(&self, now: Time) -> usize {
         self.members.values().filter(|m| m.is_live(now)).count()
     }
@@ -252,7 +252,7 @@
         let alive = |m: &&Member| match m.heard {
             Some(_) => m.open && (!hears || m.is_live(now)),
             // Entries outlive their gateways by the length of a lease. One that others would have
-            // heard of by now, had it lived, is such an entry: a gateway that has just started itself
+            // seen by now, had it been alive, is such an entry: a gateway that has just started itself
             // knows no better, and its callers would lose a second each.
             None => m.open && m.listed && (!hears || now.since(m.since) < SILENT),
         };
--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -12,8 +12,8 @@
 use crate::gateway::ask::Part;
 use crate::gateway::gossip;
 use crate::gateway::gossip::Sighting;
-use crate::gateway::ledger::Change;
-use crate::gateway::ledger::Notice;
+use crate::gateway::occupancy::Change;
+use crate::gateway::occupancy::Update;
 use crate::incarnation::Digest;
 use crate::time::Span;
 use crate::time::Time;
@@ -46,9 +46,9 @@
     by_service: BTreeMap<String, Vec<Key<Replica>>>,
     /// Runs that are gone, and since when.
     gone: BTreeMap<Digest, Time>,
-    /// Calls sent to engines so far; numbers them in the keepers' ledgers.
+    /// Calls sent to engines so far; numbers them for their owners.
     calls: u32,
-    notices: Vec<Notice>,
+    updates: Vec<Update>,
 }
 
 impl Fleet {
@@ -113,7 +113,7 @@
         self.calls = self.calls.wrapping_add(1);
         claim.call = u64::from(self.calls);
         if engine {
-            self.tell_keeper(claim, Change::Sent(claim.reading_ms as f32));
+            self.notify_owner(claim, Change::Sent(claim.reading_ms as f32));
         }
         if let Some(replica) = self.replicas.get_mut(claim.replica) {
             if replica.own == 0 {
@@ -131,16 +131,16 @@
         self.replicas.get(key).is_some_and(|r| r.engine)
     }
 
-    fn tell_keeper(&mut self, claim: &Claim, change: Change) {
+    fn notify_owner(&mut self, claim: &Claim, change: Change) {
         if let Some(replica) = self.replicas.get(claim.replica) {
             let engine = replica.digest();
-            self.notices.push(Notice { engine, call: claim.call, change });
+            self.updates.push(Update { engine, call: claim.call, change });
         }
     }
 
-    /// What the keepers of engines have to be told; calls are numbered by this gateway.
-    pub fn take_notices(&mut self) -> Vec<Notice> {
-        std::mem::take(&mut self.notices)
+    /// Updates for the owners of engines; calls are numbered by this gateway.
+    pub fn drain_updates(&mut self) -> Vec<Update> {
+        std::mem::take(&mut self.updates)
     }
 
     /// Notes that something came from a replica.
@@ -217,7 +217,7 @@
         claim.read = true;
         claim.event = now;
         if self.is_engine(claim.replica) {
-            self.tell_keeper(claim, Change::Read);
+            self.notify_owner(claim, Change::Read);
         }
         if let Some(replica) = self.replicas.get_mut(claim.replica) {
             replica.reading_ms = (replica.reading_ms - claim.reading_ms).max(0.0);
@@ -231,7 +231,7 @@
     pub fn done(&mut self, now: Time, mut claim: Claim, outcome: Outcome) {
         let key = claim.replica;
         if self.is_engine(key) {
-            self.tell_keeper(&claim, Change::Ended);
+            self.notify_owner(&claim, Change::Ended);
         }
         if !claim.read {
             claim.read = true;
--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -3,7 +3,7 @@
 use crate::arena::Key;
 use crate::gateway::ask::Part;
 use crate::gateway::directory;
-use crate::gateway::ledger::Standing;
+use crate::gateway::occupancy::Snapshot;
 use crate::gateway::pace;
 use crate::gateway::pace::Pace;
 use crate::incarnation::Digest;
@@ -31,7 +31,7 @@
 const HOMES: usize = 2;
 /// Part of a prompt's shared head that its second home is taken to have cached.
 const AT_SECOND: f64 = 0.3;
-/// Engines whose keepers are asked for a call that may go to any engine.
+/// Owners queried for a call that may go to any engine.
 const ASKED: usize = 2;
 /// Milliseconds that each running request adds to the first event of one that joins.
 const RUNNING_MS: f64 = 0.3;
@@ -51,8 +51,8 @@
     pub parts: &'a [Part],
     /// How the call uses engines; `None` for plain services.
     pub engine: Option<Use>,
-    /// What keepers said of engines; if there is any, the call goes to one of these.
-    pub standings: &'a [Standing],
+    /// Snapshots of owners; if there are any, the call goes to one of these engines.
+    pub snapshots: &'a [Snapshot],
 }
 
 /// How a call uses engines.
@@ -62,7 +62,7 @@
     pub slots: u32,
     /// The call is a stream that long prompts would disturb.
     pub sensitive: bool,
-    /// Engines set apart for such streams.
+    /// Engines of the isolated pool.
     pub lane: usize,
     /// Epoch of the plan that says so; 0 without one.
     pub epoch: u32,
@@ -99,15 +99,15 @@
     pub report_age: Option<Span>,
     /// The replica keeps the shared head of the prompt.
     pub home: bool,
-    /// Engines set apart for streams that long prompts would disturb.
+    /// Engines of the isolated pool.
     pub lane: usize,
     /// Epoch of the plan that says so; 0 if this gateway knows of none and goes by what it saw.
     pub epoch: u32,
-    /// The load is what the replica's keeper said.
+    /// The load is from the owner's snapshot.
     pub kept: bool,
     /// Short hash of the service's name.
     pub(in crate::gateway) service: u32,
-    /// Number of the call in the keeper's ledger.
+    /// Number of the call at the owner.
     pub(super) call: u64,
     /// When the attempt was sent.
     pub sent: Time,
@@ -117,7 +117,7 @@
     pub(in crate::gateway) pause: Span,
     /// When the newest event came.
     pub(in crate::gateway) event: Time,
-    /// The call is a stream that is kept apart from long prompts.
+    /// The call is a stream of the isolated pool.
     pub sensitive: bool,
 }
 
@@ -158,9 +158,9 @@
         scored.into_iter().min_by(|a, b| a.0.total_cmp(&b.0))
     }
 
-    /// Short hashes of the engines whose keepers are worth asking about a call: those that keep
-    /// its long shared head, else the best as far as this gateway knows.
-    pub fn worth_asking(
+    /// Engines to query about a call: the homes of its long shared prefix, else the best by what this
+    /// gateway knows.
+    pub fn candidates_to_query(
         &self,
         now: Time,
         need: &Need<'_>,
@@ -219,18 +219,18 @@
         let service = directory::short(need.service);
         let at_home = need.engine.is_some_and(|u| own_shared(need.parts, &u) >= LONG_SHARED);
         let eligible = candidates.iter().filter(|(key, _)| !at_home || homes.contains(key));
-        let standing =
-            |r: &Replica| need.standings.iter().find(|s| s.engine == r.digest() && s.is_sound());
-        let any = eligible.clone().any(|(_, r)| standing(r).is_some());
-        let eligible = eligible.filter(|(_, r)| !any || standing(r).is_some());
+        let snapshot =
+            |r: &Replica| need.snapshots.iter().find(|s| s.engine == r.digest() && s.is_sound());
+        let any = eligible.clone().any(|(_, r)| snapshot(r).is_some());
+        let eligible = eligible.filter(|(_, r)| !any || snapshot(r).is_some());
         let scored = eligible.map(|(key, replica)| {
-            let standing = standing(replica);
+            let snapshot = snapshot(replica);
             let (work, expected_ms) = match need.engine {
-                Some(u) => engine_ms(now, need, &u, replica, Home::of(&homes, *key), standing),
+                Some(u) => engine_ms(now, need, &u, replica, Home::of(&homes, *key), snapshot),
                 None => (0.0, plain_ms(now, replica)),
             };
             let reading_ms = need.engine.map_or(0.0, |u| u.pace.reading_ms(work));
-            let load = standing.map_or(replica.running(now), |s| f64::from(s.calls));
+            let load = snapshot.map_or(replica.running(now), |s| f64::from(s.calls));
             let reading_others = match need.engine {
                 Some(u) => READING_OTHERS * reading_ms * load.min(f64::from(u.slots)),
                 None => 0.0,
@@ -250,12 +250,12 @@
                 home: homes[0] == *key,
                 lane: need.engine.map_or(0, |u| u.lane),
                 epoch: need.engine.map_or(0, |u| u.epoch),
-                kept: standing.is_some(),
+                kept: snapshot.is_some(),
                 service,
                 call: 0,
                 sent: now,
                 read: false,
-                alone: standing.is_some_and(|s| s.unread_ms <= 0.0),
+                alone: snapshot.is_some_and(|s| s.unread_ms <= 0.0),
                 pause: need.engine.map_or(Span(0), |u| u.pause),
                 event: now,
                 sensitive,
@@ -290,8 +290,7 @@
 /// Which engines are looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Side {
-    /// Those that the call belongs to: the lane for streams that are kept apart, the others for all
-    /// other calls.
+    /// The call's own: the isolated pool for its streams, the others for all other calls.
     Own,
     /// The others.
     Other,
@@ -367,7 +366,7 @@
     u: &Use,
     replica: &Replica,
     home: Home,
-    standing: Option<&Standing>,
+    snapshot: Option<&Snapshot>,
 ) -> (f64, f64) {
     let total: u64 = need.parts.iter().map(|p| u64::from(p.tokens)).sum();
     let shared = total - need.parts.last().map_or(0, |p| u64::from(p.tokens));
@@ -381,8 +380,8 @@
     };
     let work = pace::work(cached, total.saturating_sub(cached));
     let reading = u.pace.reading_ms(work);
-    if let Some(standing) = standing {
-        return (work, kept_ms(u, reading, standing));
+    if let Some(snapshot) = snapshot {
+        return (work, kept_ms(u, reading, snapshot));
     }
     let running = replica.running(now);
     let over = (running - f64::from(u.slots)).max(0.0);
@@ -393,16 +392,16 @@
     (work, reading + queue + beside * running)
 }
 
-/// Expected time to the first event at an engine whose keeper was asked, in milliseconds: all
-/// prompts there are read before it, or so many calls end that a place is free, whichever is later.
-fn kept_ms(u: &Use, reading_ms: f64, standing: &Standing) -> f64 {
+/// Expected time to the first event by an owner's snapshot, in milliseconds: until all prompts there
+/// are read, or enough calls have ended, whichever is later.
+fn kept_ms(u: &Use, reading_ms: f64, snapshot: &Snapshot) -> f64 {
     let ahead = if u.last { 1.0 } else { AHEAD_OF_URGENT };
     // Most calls in the lane are as urgent as this one, which passes none of them.
     let among_equals = u.sensitive && u.lane > 0;
     let behind = if among_equals { 1.0 } else { ahead };
-    let over = (f64::from(standing.calls) + 1.0 - f64::from(u.slots)).max(0.0);
-    let place = over * f64::from(standing.interval_ms);
-    (behind * place).max(ahead * f64::from(standing.unread_ms)) + reading_ms
+    let over = (f64::from(snapshot.calls) + 1.0 - f64::from(u.slots)).max(0.0);
+    let place = over * f64::from(snapshot.interval_ms);
+    (behind * place).max(ahead * f64::from(snapshot.unread_ms)) + reading_ms
 }
 
 fn plain_ms(now: Time, replica: &Replica) -> f64 {
--- a/core/src/gateway/gaps.rs
+++ b/core/src/gateway/gaps.rs
@@ -6,7 +6,7 @@
 
 use crate::time::Span;
 
-/// Lengths that are told apart: steps of a quarter of a power of two from 4 ms to 4 s.
+/// Buckets of the histogram: steps of a quarter of a power of two from 4 ms to 4 s.
 const LENGTHS: usize = 40;
 const SHORTEST_MS: f64 = 4.0;
 const PER_DOUBLING: f64 = 4.0;
@@ -14,15 +14,11 @@
 const HALF_LIFE: f64 = 2_000.0;
 /// Gaps from which on they are gone by; before, a prior decides.
 const ENOUGH: f64 = 500.0;
-/// Gaps longer than allowed that a stream has, from which on it is kept apart: one in ten streams
-/// is late then. Off by two, one in five or in twenty.
+/// Expected number of gaps beyond the allowed pause from which on a stream is isolated.
 const LATE: f64 = 0.1;
-/// Part of that below which streams that were kept apart are no longer.
+/// Part of that below which isolated streams no longer are.
 const STILL_LATE: f64 = 0.25;
-/// Milliseconds of a step beside a long prompt that are assumed until enough gaps were seen: a
-/// chunk of 2,048 tokens at the 0.012 ms a token that `pace` begins with, and 6 ms of decoding. With
-/// 42 ms, the longest of such steps, drafts filled the lane in its first seconds and half of the
-/// questions came late beside them; at half of this, nothing is kept apart until gaps were seen.
+/// Step time beside a long prompt, in milliseconds, until enough gaps were seen.
 const PRIOR_STEP_MS: u64 = 30;
 
 /// Gaps between events of a service's streams.
--- a/core/src/gateway/gossip.rs
+++ b/core/src/gateway/gossip.rs
@@ -52,7 +52,7 @@
     at: Time,
 }
 
-/// Demand of all gateways, each as it was last heard of.
+/// Demand of all gateways, each as last seen.
 #[derive(Debug, Default)]
 pub struct Demands {
     all: BTreeMap<u32, Stamped<Demand>>,
--- a/core/src/gateway/journal.rs
+++ b/core/src/gateway/journal.rs
@@ -24,8 +24,7 @@
         self.reports.iter().find(|report| report.window == window)
     }
 
-    /// Whether a report of this window may be fixed: none was sent by any leader, as far as the journal
-    /// tells.
+    /// Whether a report of this window may be fixed: no leader of the journal has sent one.
     pub fn is_open(&self, window: Window) -> bool {
         window > self.last_window
     }
--- a/core/src/gateway/lane.rs
+++ b/core/src/gateway/lane.rs
@@ -1,4 +1,4 @@
-//! Engines set apart for streams that long prompts would disturb.
+//! Isolated pool of engines for streams that long prompts would disturb.
 //!
 //! An engine reads a prompt in chunks between the steps of its running requests. While it reads a
 //! long one, every step takes about five times as long, and a stream whose pauses must be short
@@ -10,7 +10,7 @@
 use crate::time::Span;
 use crate::time::Time;
 
-/// Part of an engine's slots that sensitive streams fill before they take one more engine. Keepers
+/// Part of an engine's slots that sensitive streams fill before they take one more engine. Owners
 /// know which engine of the lane has places, so little need be spare; against 0.8, reports on time
 /// rose by 2 to 12 in 100 in four bursts.
 const FILL: f64 = 0.9;
--- a/core/src/gateway/leader.rs
+++ b/core/src/gateway/leader.rs
@@ -83,7 +83,7 @@
     pub granted: Span,
     /// Position of the write of the leader's record.
     pub position: Position,
-    /// Era of the last known term before; `None` if nothing tells.
+    /// Era of the last known term before; `None` if there is no record of it.
     pub last_era: Option<u64>,
 }
 
@@ -152,6 +152,7 @@
 struct Term {
     token: Token,
     lease: u64,
+    began: Time,
     valid_until: Time,
     acts_from: Time,
     renew_at: Time,
@@ -202,15 +203,25 @@
         self.rules
     }
 
-    /// Takes in whether a read of the store that began at `sent` found a leader's record.
-    pub fn observe(&mut self, sent: Time, has_leader: bool) {
+    /// Takes in the revision of the leader's record, if there is one, that a read of the store found at
+    /// `now`; it began at `sent`.
+    ///
+    /// A leader whose record is gone has lost its lease, whatever renewals say: the number of a lease may
+    /// be another gateway's after a return of the store.
+    pub fn observe(&mut self, now: Time, sent: Time, record: Option<u64>) {
         if self.observed.is_some_and(|at| sent < at) {
             return;
         }
+        if let Role::Leader(term) = self.role {
+            if sent >= term.began && record != Some(term.token.revision()) {
+                self.lose(now, End::LeaseEnded);
+            }
+            return;
+        }
         self.observed = Some(sent);
-        self.absent_since = match has_leader {
-            true => None,
-            false => self.absent_since.or(Some(sent)),
+        self.absent_since = match record {
+            Some(_) => None,
+            None => self.absent_since.or(Some(sent)),
         };
     }
 
@@ -282,6 +293,7 @@
         self.role = Role::Leader(Term {
             token,
             lease: victory.lease,
+            began: now,
             valid_until,
             acts_from: now + wait + self.rules.settle,
             renew_at: victory.sent + self.renewal(),
--- a/core/src/gateway/model.rs
+++ b/core/src/gateway/model.rs
@@ -16,7 +16,7 @@
     pub(super) pace: Pace,
     /// Gaps between events outside the lane.
     pub(super) gaps: Gaps,
-    /// Engines set apart.
+    /// Isolated pool.
     pub(super) lane: Lane,
     /// Streams by the pause that they may have.
     streams: BTreeMap<Span, Streams>,
--- a/core/src/gateway/ledger.rs
+++ b/core/src/gateway/occupancy.rs
@@ -1,13 +1,10 @@
-//! Which calls are at an engine, as its keeper knows.
+//! Calls in flight at an engine, as its owner counts them.
 //!
-//! Load reports of engines are half a second old before all gateways have them, and in a burst of
-//! long prompts every gateway then sends to the engine that was free half a second ago. So each
-//! engine has one gateway as its keeper, the first by rendezvous of those that live: whoever sends
-//! a call there tells the keeper, and tells it again when the prompt has been read and when the
-//! call has ended. Before a long prompt is sent, the keepers of its possible engines are asked.
-//!
-//! A ledger is a hint and no lock: a keeper that dies takes it along, the next one begins with an
-//! empty one, and whoever gets no answer in time goes by the reports.
+//! Load reports of engines are too old in a burst: every gateway would send to the engine that was free
+//! when the last report was made. So each engine has an owner among the live gateways, by rendezvous
+//! hash, which all gateways notify of calls sent, read and ended, and query before a long prompt is sent.
+//! An owner's occupancy is a hint, not a lock: it is lost with its gateway, and a query without an answer
+//! falls back to the reports.
 
 use std::collections::BTreeMap;
 
@@ -18,23 +15,20 @@
 use crate::time::Span;
 use crate::time::Time;
 
-/// An entry whose end was never told counts no longer than this: as long as the longest streams.
+/// Drops in-flight entries whose completion message was lost.
 const LONGEST: Span = Span::secs(15);
-/// A keeper that has kept an engine for less than this does not know of all calls there: most
-/// streams of long prompts last about a second.
+/// Minimum ownership time before an occupancy snapshot is considered complete.
 const SETTLED: Span = Span::millis(1_500);
 /// Weight of the newest interval between two ends at an engine.
 const INTERVAL_WEIGHT: f64 = 0.1;
-/// Interval between two ends at an engine before any was seen, and the bounds of what is believed,
-/// in milliseconds: sixteen places of about a second each.
+/// Interval between two ends at an engine before any was seen, and its bounds, in milliseconds.
 const INTERVAL_MS: f64 = 60.0;
 const INTERVAL_FROM_MS: f64 = 15.0;
 const INTERVAL_TO_MS: f64 = 250.0;
 
-/// Longest time to read one prompt that is believed, in milliseconds: many times that of the longest
-/// prompts, which take under a second.
+/// Upper bound on the prefill time of one prompt, in milliseconds.
 const MOST_UNREAD_MS: f64 = 10_000.0;
-/// Largest number of a standing that is believed, in milliseconds: longer than any call lasts.
+/// Upper bound on the times in a snapshot, in milliseconds.
 const MOST_MS: f32 = 1e6;
 
 /// What happened to a call at an engine.
@@ -48,10 +42,10 @@
     Ended,
 }
 
-/// One change, as it is told to the engine's keeper.
+/// One change, as it is sent to the engine's owner.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Notice {
-    /// Run of the engine.
+pub struct Update {
+    /// Incarnation of the engine.
     pub engine: Digest,
     /// The call: its gateway's short hash in the upper half, and a number of that gateway's.
     pub call: u64,
@@ -59,10 +53,10 @@
     pub change: Change,
 }
 
-/// What a keeper knows of an engine.
+/// Occupancy of one engine.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Standing {
-    /// Run of the engine.
+pub struct Snapshot {
+    /// Incarnation of the engine.
     pub engine: Digest,
     /// Calls there, running and waiting.
     pub calls: u16,
@@ -72,9 +66,8 @@
     pub interval_ms: f32,
 }
 
-impl Standing {
-    /// Whether its numbers can be those of an engine. A single one that is no number would make
-    /// every comparison of costs false.
+impl Snapshot {
+    /// Whether its numbers are plausible. A single NaN would make every comparison of costs false.
     pub fn is_sound(&self) -> bool {
         let possible = 0.0..=MOST_MS;
         possible.contains(&self.unread_ms) && possible.contains(&self.interval_ms)
@@ -96,13 +89,13 @@
     interval_ms: f64,
 }
 
-/// All engines that this gateway keeps, or has kept lately.
+/// Engines that this gateway owns, or owned lately.
 #[derive(Debug, Default)]
-pub struct Ledger {
+pub struct Occupancy {
     engines: BTreeMap<Digest, Engine>,
 }
 
-impl Ledger {
+impl Occupancy {
     fn engine(&mut self, now: Time, engine: Digest) -> &mut Engine {
         self.engines.entry(engine).or_insert_with(|| Engine {
             since: now,
@@ -112,30 +105,30 @@
         })
     }
 
-    /// Takes a change in.
-    pub fn note(&mut self, now: Time, notice: &Notice) {
-        let engine = self.engine(now, notice.engine);
-        match notice.change {
+    /// Records a change.
+    pub fn note(&mut self, now: Time, update: &Update) {
+        let engine = self.engine(now, update.engine);
+        match update.change {
             Change::Sent(ms) => {
                 let ms = if ms.is_nan() { 0.0 } else { f64::from(ms) };
                 let entry = Entry { at: now, unread_ms: ms.clamp(0.0, MOST_UNREAD_MS) };
-                engine.entries.insert(notice.call, entry);
+                engine.entries.insert(update.call, entry);
             }
             Change::Read => {
-                if let Some(entry) = engine.entries.get_mut(&notice.call) {
+                if let Some(entry) = engine.entries.get_mut(&update.call) {
                     entry.unread_ms = 0.0;
                 }
             }
-            Change::Ended => engine.end(now, notice.call),
+            Change::Ended => engine.end(now, update.call),
         }
     }
 
-    /// What is known of an engine; `None` while too little is.
-    pub fn standing(&mut self, now: Time, engine: Digest) -> Option<Standing> {
+    /// Snapshot of an engine; `None` before it is complete.
+    pub fn snapshot(&mut self, now: Time, engine: Digest) -> Option<Snapshot> {
         let kept = self.engine(now, engine);
         kept.entries.retain(|_, entry| now.since(entry.at) < LONGEST);
         let settled = now.since(kept.since) >= SETTLED;
-        settled.then(|| Standing {
+        settled.then(|| Snapshot {
             engine,
             calls: kept.entries.len().min(usize::from(u16::MAX)) as u16,
             unread_ms: kept.entries.values().map(|e| e.unread_ms).sum::<f64>() as f32,
@@ -143,14 +136,14 @@
         })
     }
 
-    /// Forgets the calls of gateways that are gone.
+    /// Drops the calls of removed gateways.
     pub fn retain(&mut self, mut lives: impl FnMut(u32) -> bool) {
         for engine in self.engines.values_mut() {
             engine.entries.retain(|call, _| lives((call >> 32) as u32));
         }
     }
 
-    /// Forgets engines that are not `kept` by this gateway any more.
+    /// Drops engines that this gateway no longer owns.
     pub fn release(&mut self, mut kept: impl FnMut(Digest) -> bool) {
         self.engines.retain(|engine, _| kept(*engine));
     }
--- a/core/src/gateway/outage.rs
+++ b/core/src/gateway/outage.rs
@@ -38,7 +38,7 @@
 
 impl Outage {
     /// Notes a list that was asked for at `sent` and came at `now` and lacks entries of replicas in
-    /// use; tells whether these may have lapsed.
+    /// use; returns whether these may have lapsed.
     ///
     /// The store may have hung until the answer came, so silence is counted up to `now`, and only
     /// a list that was asked for after the return is complete. Where most of all entries are
@@ -53,7 +53,7 @@
         !self.is_over(sent)
     }
 
-    /// Notes an answer to a call that was sent at `sent`; tells whether whatever it lacks is gone.
+    /// Records an answer to a call that was sent at `sent`; returns whether what it lacks is gone.
     pub fn is_over(&mut self, sent: Time) -> bool {
         self.asked = self.asked.max(Some(sent));
         self.returned = self.returned.filter(|at| sent < *at + RETURN);
--- a/core/src/gateway/pace.rs
+++ b/core/src/gateway/pace.rs
@@ -1,8 +1,7 @@
 //! How fast the engines of a service read prompts, learnt from first events.
 //!
-//! Whoever sends a call to an engine whose keeper knows of nothing unread there sees how long the
-//! prompt took. A line through many such sightings tells what a token costs and what a call costs
-//! besides; engines of any generation are learnt alike, and gateways share what they learnt.
+//! The time to the first event of a call that found nothing unread at its engine is the cost of its
+//! prompt. A line through many samples gives the cost per token and per call; gateways share it.
 
 use std::ops::RangeInclusive;
 
@@ -31,8 +30,7 @@
 /// A sighting counts as no further from what was expected than this part of it, so that a head that
 /// was evicted, or a straggler, moves the line little.
 const CLIP: f64 = 0.6;
-/// Tokens of work from which and up to which a sighting tells anything about their cost: shorter
-/// prompts cost a step and little more, and callers may claim any length.
+/// Range of work, in tokens, of samples that are used: shorter prompts cost little more than a step.
 const TELLING: RangeInclusive<f64> = 300.0..=1e6;
 /// Part of a peer's difference that is taken over at a time, where it has seen as much.
 const TAKEN: f64 = 0.5;
@@ -43,7 +41,7 @@
     new + new * (cached as f64 + new / 2.0) / ATTENTION_TOKENS
 }
 
-/// What one gateway tells others of the engines of a service.
+/// Prefill speed of a service's engines, as gateways gossip it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Sighting {
     /// Short hash of the service's name.
--- a/core/src/gateway/plan.rs
+++ b/core/src/gateway/plan.rs
@@ -1,11 +1,10 @@
-//! Which streams are kept apart, and on how many engines: one decision for all gateways.
+//! Size and members of the isolated pool of each service, decided once for all gateways.
 //!
-//! Engines set apart for urgent streams serve their purpose only if all gateways mean the same ones.
-//! One gateway, the first of those that live in an order that all know, adds up what all have seen
-//! (see [`super::tally`]) and publishes what follows as a [`Plan`] with an epoch. Heartbeats carry it
-//! on, and whoever hears of a later epoch takes it. Nothing is locked and nobody waits: a decider
-//! that is gone is followed by the next one, which goes on from the last epoch, and a gateway that
-//! has never heard of a plan goes by what it sees itself.
+//! Engines isolated for urgent streams serve their purpose only if all gateways mean the same ones.
+//! One gateway, the first live one in a common order, sums up the reports of all (see
+//! [`super::tally`]) and publishes a [`Plan`] with an epoch, which heartbeats spread. A later epoch
+//! replaces an earlier one. Nothing is locked: the next decider continues from the last epoch, and a
+//! gateway without a plan goes by its own observations.
 
 use std::collections::BTreeMap;
 
@@ -21,12 +20,10 @@
 use crate::time::Span;
 use crate::time::Time;
 
-/// A gateway has been the decider for this long before it publishes: most gateways that see it as
-/// such have told it by then what they have in progress. Off by two, the first plan of a new decider
-/// comes that much later, or leaves out streams of half of the gateways.
+/// Time before a new decider publishes its first plan; most gateways have reported to it by then.
 const SETTLED: Span = Span::millis(1_500);
-/// Streams in progress that a gateway told count no longer than this; it tells at least every second.
-const TOLD: Span = Span::millis(3_000);
+/// Lifetime of a gateway's count of streams in progress, which it reports at least every second.
+const REPORT_VALID: Span = Span::millis(3_000);
 /// Time after which what was seen counts half: a burst of a few seconds moves it, a single clump of
 /// arrivals does not.
 const HALF_LIFE: Span = Span::secs(5);
@@ -35,8 +32,7 @@
 /// Events of a stream before any was seen, and streams that this prior weighs as much as.
 const PRIOR_EVENTS: f64 = 30.0;
 const PRIOR_BEGUN: f64 = 1.0;
-/// Kinds of streams told apart by their pauses, at most: more than routes have; whatever a peer sends,
-/// a plan and a tally stay small.
+/// Upper bound on kinds of streams, by their pauses, in a plan or a tally.
 const MOST_KINDS: usize = 16;
 /// Services whose plans are known at a time, at most.
 const MOST_SERVICES: usize = 256;
@@ -50,7 +46,7 @@
     pub epoch: u32,
     /// Short hash of the decider's name, which decides between two of the same epoch.
     pub by: u32,
-    /// Engines set apart, from the first in the order of their hashes.
+    /// Size of the isolated pool, from the first engine in the order of their hashes.
     pub lane: u16,
     /// Pauses of the streams that go there, in milliseconds.
     pub apart: Vec<u32>,
@@ -59,7 +55,7 @@
 }
 
 impl Plan {
-    /// Whether streams that may pause for `pause` are kept apart.
+    /// Whether streams that may pause for `pause` go to the isolated pool.
     pub fn keeps_apart(&self, pause: Span) -> bool {
         self.apart.iter().any(|ms| u64::from(*ms) == pause.as_millis())
     }
@@ -69,13 +65,13 @@
     }
 }
 
-/// How a plan that was heard of stands to the known one.
+/// How a received plan compares to the known one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 #[display(rename_all = "snake_case")]
 pub enum Heard {
     /// It is the known one.
     Same,
-    /// It is an earlier one: whoever sent it lags.
+    /// It is an earlier one: its sender is stale.
     Older,
     /// It is a later one and was taken.
     Newer,
@@ -139,7 +135,7 @@
     kinds: BTreeMap<u32, Kind>,
     gaps: Gaps,
     lane: Lane,
-    /// Streams in progress by gateway and pause, and when they were told.
+    /// Streams in progress by gateway and pause, and when they were reported.
     open: BTreeMap<u32, (Time, BTreeMap<u32, u16>)>,
 }
 
@@ -165,8 +161,7 @@
 }
 
 impl Planner {
-    /// Notes at `now` whether this gateway is the decider. Whoever was not begins with nothing: what
-    /// it knows from a former time may be old.
+    /// Records at `now` whether this gateway is the decider. A new decider starts empty.
     pub fn is_decider(&mut self, now: Time, decides: bool) {
         if !decides {
             *self = Planner::default();
@@ -181,7 +176,7 @@
         self.since.is_some()
     }
 
-    /// Takes in what a gateway has seen. Whoever is not the decider passes it over.
+    /// Merges a gateway's report; a gateway that does not decide ignores it.
     pub fn absorb(&mut self, now: Time, report: &Report) {
         if self.since.is_none() {
             return;
@@ -194,8 +189,8 @@
         }
     }
 
-    /// What follows at `now`; `None` while too little is known, or if it changes nothing. `reach` tells
-    /// for a number of usable engines how many listed ones that are from the first on.
+    /// The next plan; `None` while too little is known, or if nothing changes. `reach` converts a number
+    /// of usable engines to a number of listed ones.
     pub fn decide(
         &mut self,
         now: Time,
@@ -264,7 +259,7 @@
         }
         self.gaps.fade(keeps);
         self.lane.fade_to(keeps);
-        self.open.retain(|_, (at, _)| now.since(*at) < TOLD);
+        self.open.retain(|_, (at, _)| now.since(*at) < REPORT_VALID);
     }
 
     /// Pauses of the streams that come late beside long prompts, in milliseconds.
@@ -282,7 +277,7 @@
     }
 
     fn streams(&self, now: Time, apart: &[u32]) -> u32 {
-        let told = self.open.values().filter(|(at, _)| now.since(*at) < TOLD);
+        let told = self.open.values().filter(|(at, _)| now.since(*at) < REPORT_VALID);
         let open = told.flat_map(|(_, open)| open.iter());
         open.filter(|(pause, _)| apart.contains(pause)).map(|(_, n)| u32::from(*n)).sum()
     }
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! One gateway: from a call's head to a replica, and everything it believes.
 
 mod attempts;
-mod keeper;
+mod owner;
 mod plans;
 mod poison;
 mod reads;
@@ -34,9 +34,9 @@
 use super::fleet::Use;
 use super::freshness::Freshness;
 use super::gossip::Demand;
-use super::ledger::Ledger;
-use super::ledger::Standing;
 use super::model::Model;
+use super::occupancy::Occupancy;
+use super::occupancy::Snapshot;
 use super::outage::Outage;
 use super::pace;
 use super::plan::Board;
@@ -149,11 +149,11 @@
     tallies: BTreeMap<u32, Tally>,
     common: Common,
     quarantine: Quarantine,
-    ledger: Ledger,
+    occupancy: Occupancy,
     tidied: Time,
     outage: Outage,
     returned: Return,
-    /// Newest version that peers told of in this gateway's first seconds.
+    /// Newest version in peers' heartbeats of this gateway's first seconds.
     told_version: u64,
     stop: Option<Stop>,
 }
@@ -175,7 +175,7 @@
             tallies: BTreeMap::new(),
             common: Common::default(),
             quarantine: Quarantine::default(),
-            ledger: Ledger::default(),
+            occupancy: Occupancy::default(),
             tidied: now,
             outage: Outage::default(),
             returned: Return::default(),
@@ -293,7 +293,7 @@
         &self.fleet
     }
 
-    /// Gateways that were heard of lately, themselves or by others.
+    /// Number of live peers.
     pub fn gateways_heard(&self, now: Time) -> usize {
         self.directory.heard(now)
     }
@@ -323,8 +323,7 @@
             return Err(Refusal::not_run(Reason::NoConfiguration, ELSEWHERE));
         };
         let Some(route) = config.route(&ask.host, &ask.path) else {
-            // The route may be newer than what a gateway that is cut off knows; told that there is
-            // none, the caller would never ask again.
+            // The route may be newer than a stale configuration, and callers do not retry a 404.
             let refusal = if self.is_current(now) {
                 Refusal::not_run(Reason::NoRoute, Span(0))
             } else {
@@ -364,8 +363,8 @@
         config.service(&grant.service)?.engine
     }
 
-    /// Chooses a replica for the next attempt of a call, by what keepers said of engines, if any
-    /// did, and by what this gateway knows.
+    /// Chooses a replica for the next attempt of a call, by the owners' snapshots, if any, and by what
+    /// this gateway knows.
     ///
     /// The key, the route and the proof of both are looked at once more: the call may have waited.
     ///
@@ -377,12 +376,12 @@
         now: Time,
         ask: &Ask,
         grant: &mut Grant,
-        standings: &[Standing],
+        snapshots: &[Snapshot],
     ) -> Result<Pick, Refusal> {
         self.confirm(now, ask, grant)?;
         let engine = self.engine(grant);
         let engine = engine.map(|e| self.engine_use(now, ask, grant, &e));
-        let need = need(ask, grant, engine, standings);
+        let need = need(ask, grant, engine, snapshots);
         let domain = &self.settings.entry.domain;
         let claim = self.fleet.choose(now, &need, domain, &grant.tried);
         let claim = claim.ok_or(Refusal::not_run(Reason::NoReplica, BUSY))?;
@@ -395,14 +394,13 @@
             engine: engine.is_some(),
         };
         grant.weighed = Some(pick.clone());
-        // Who asked the keeper knows what the others have sent by now.
+        // A snapshot already counts what the other gateways have sent.
         let dither = match claim.kept {
             true => 1.0,
             false => self.rng.random_range(DITHER_FROM..DITHER_TO),
         };
         let longest = engine.map(|u| longest_wait_ms(&grant.route, u.last));
-        // A call that a replica had already is not refused for load: its caller would lose what
-        // it has, and could not be told that nothing ran.
+        // A call that may have run is not refused for load, as the refusal could not say that it has not.
         let first = grant.attempts == 0;
         if first && longest.is_some_and(|longest| claim.expected_ms * dither > longest) {
             return Err(Refusal::not_run(Reason::Overloaded, self.spread()));
@@ -501,9 +499,9 @@
     ask: &'a Ask,
     grant: &'a Grant,
     engine: Option<Use>,
-    standings: &'a [Standing],
+    snapshots: &'a [Snapshot],
 ) -> Need<'a> {
-    Need { service: &grant.service, parts: &ask.parts, engine, standings }
+    Need { service: &grant.service, parts: &ask.parts, engine, snapshots }
 }
 
 /// Longest expected wait for a first event with which a call is sent on, in milliseconds: beyond
--- a/core/src/gateway/state/plans.rs
+++ b/core/src/gateway/state/plans.rs
@@ -1,5 +1,4 @@
-//! A gateway as one that tells the decider what it sees, as one that goes by the plans, and as the
-//! decider itself.
+//! Reports to the decider, decisions, and the use of plans.
 
 use super::Gateway;
 use super::Grant;
@@ -102,7 +101,7 @@
         self.plans.get(directory::short(service))
     }
 
-    /// Whether a call's stream is kept apart from long prompts, and on how many engines.
+    /// Whether a call's stream goes to the isolated pool, and the pool's size.
     pub(super) fn lane_of(
         &mut self,
         now: Time,
--- a/core/src/gateway/state/reads.rs
+++ b/core/src/gateway/state/reads.rs
@@ -56,9 +56,9 @@
 
     /// Whether keys may be honoured at `now`.
     ///
-    /// One that has just started can't tell whether the store went back right before. If it reads an
-    /// older version than its peers serve by, keys that were taken away would count again. Later on
-    /// peers are not believed: a stranger's datagram could have the whole fleet refuse its callers.
+    /// A gateway that has just started can't know of a rollback right before. If it reads an older version
+    /// than its peers have, revoked keys would be valid again. Later on peers are not believed: a forged
+    /// datagram could make the whole fleet refuse its callers.
     pub(super) fn is_current(&self, now: Time) -> bool {
         let is_new = now.since(self.began) < STARTING;
         let knows_newest = !is_new || self.version() >= self.told_version;
--- a/core/src/gateway/state/stop.rs
+++ b/core/src/gateway/state/stop.rs
@@ -1,4 +1,4 @@
-//! A planned stop: what still begins, what is closed, and what is told at the end.
+//! Graceful shutdown: which calls still begin, and how the others end.
 
 use super::ELSEWHERE;
 use super::Gateway;
--- a/core/src/gateway/tally.rs
+++ b/core/src/gateway/tally.rs
@@ -1,9 +1,7 @@
-//! What a gateway has seen of the engines' streams since it last told.
+//! Sums over the engines' streams since the last report.
 //!
-//! Of hundreds of gateways each serves a handful of the most urgent streams a minute. What it sees
-//! alone says little, and estimates of their own set hundreds of gateways at odds. So each counts
-//! what it sees and tells the sums to the gateway that decides for all (see [`super::plan`]). What
-//! is lost with a datagram is missing from a sample, and nothing else.
+//! In a large fleet each gateway serves too few urgent streams for an estimate of its own, so gateways
+//! send sums to one decider (see [`super::plan`]). A lost datagram only makes the sample smaller.
 
 use std::collections::BTreeMap;
 
@@ -35,7 +33,7 @@
     pub streams: Vec<Stream>,
     /// Gaps between events beside long prompts: class of length (see [`gaps`]) and number.
     pub gaps: Vec<(u8, u16)>,
-    /// Milliseconds that ended streams which are kept apart took to read.
+    /// Prefill time of ended streams of the isolated pool, in milliseconds.
     pub reading_ms: f32,
     /// Milliseconds that these lasted.
     pub life_ms: f32,
@@ -43,7 +41,7 @@
     pub all_reading_ms: f32,
 }
 
-/// What one gateway tells the one that decides.
+/// Report of one gateway to the decider.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Short hash of the gateway's name.
@@ -60,7 +58,7 @@
     reading_ms: f64,
     life_ms: f64,
     all_reading_ms: f64,
-    /// Streams in progress as they were told last.
+    /// Streams in progress as last reported.
     told: u32,
 }
 
@@ -100,7 +98,7 @@
     }
 
     /// Counts a call that ended: its prompt took `reading_ms`. `life` is how long it lasted, if it is
-    /// a stream that is kept apart.
+    /// a stream of the isolated pool.
     pub fn ends(&mut self, reading_ms: f64, life: Option<Span>) {
         self.all_reading_ms += reading_ms;
         if let Some(life) = life {
--- a/core/src/gateway/usage.rs
+++ b/core/src/gateway/usage.rs
@@ -152,7 +152,7 @@
     /// Cuts what was counted since the last time into batches, and forgets old windows.
     pub fn flush(&mut self, wall: WallTime, token: u64) {
         let current = self.rules.window_at(wall);
-        // An empty batch tells a window without requests from one whose counts are lost.
+        // An empty batch distinguishes a window without requests from one whose counts are lost.
         let previous = current.saturating_sub(1);
         if previous > self.vouched {
             self.vouched = previous;
--- a/core/src/gateway/view.rs
+++ b/core/src/gateway/view.rs
@@ -52,7 +52,7 @@
 
 /// Something that has a place of its own in a view.
 pub(super) trait Item: Clone + PartialEq + Serialize {
-    /// What tells it from others of its kind.
+    /// Identity among items of its kind.
     type Key: Ord;
     /// Kind of item, so that equal bytes of different kinds count as different.
     const KIND: u8;
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -22,7 +22,7 @@
 use laburnumwheel_core::gateway::ask::Ask;
 use laburnumwheel_core::gateway::fleet::Claim;
 use laburnumwheel_core::gateway::fleet::Outcome;
-use laburnumwheel_core::gateway::ledger::Standing;
+use laburnumwheel_core::gateway::occupancy::Snapshot;
 use laburnumwheel_core::gateway::refusal::Refusal;
 use laburnumwheel_core::time::Time;
 
@@ -147,7 +147,7 @@
     pub fn end(&self, outcome: Outcome) {
         if !self.ended.replace(true) {
             self.shared.gateway.borrow_mut().done(clock::now(), self.claim, outcome);
-            self.shared.notices_waiting.notify_one();
+            self.shared.updates_waiting.notify_one();
         }
     }
 
@@ -161,7 +161,7 @@
     pub fn event(&mut self) {
         let first = self.shared.gateway.borrow_mut().event(clock::now(), &mut self.claim);
         if first {
-            self.shared.notices_waiting.notify_one();
+            self.shared.updates_waiting.notify_one();
         }
     }
 }
@@ -224,18 +224,18 @@
         if !self.touched {
             self.shared.gateway.borrow().may_begin(now, &self.grant).map_err(Failure::Denied)?;
         }
-        let inquiries = self.shared.gateway.borrow_mut().inquiries(now, &self.ask, &self.grant);
-        let standings = peers::standings(&self.shared, inquiries).await;
-        let mut pick = self.pick(&standings).map_err(Failure::Denied)?;
+        let queries = self.shared.gateway.borrow_mut().queries(now, &self.ask, &self.grant);
+        let snapshots = peers::snapshots(&self.shared, queries).await;
+        let mut pick = self.pick(&snapshots).map_err(Failure::Denied)?;
         let channel = self.connect(&pick).await?;
         self.confirm(&pick)?;
         let request = self.request(&pick, last_event);
         self.send(&mut pick, channel, request).await
     }
 
-    fn pick(&mut self, standings: &[Standing]) -> Result<Pick, Refusal> {
+    fn pick(&mut self, snapshots: &[Snapshot]) -> Result<Pick, Refusal> {
         let mut gateway = self.shared.gateway.borrow_mut();
-        gateway.pick(clock::now(), &self.ask, &mut self.grant, standings)
+        gateway.pick(clock::now(), &self.ask, &mut self.grant, snapshots)
     }
 
     async fn connect(&mut self, pick: &Pick) -> Result<Channel, Failure> {
@@ -250,10 +250,9 @@
         }
     }
 
-    /// Whether a kept connection will do. A stream that breaks off with it is told as unknown and
-    /// not repeated, as it would be on one of its own; callers ask again, and an engine that drops a
-    /// resting connection is rare beside the streams that begin sooner. What a plain service has done
-    /// for a call that may run once must be known, so that gets a connection of its own.
+    /// Whether a pooled connection will do. A plain call that may run once gets its own: on a pooled one
+    /// that the replica has just dropped, nobody could say whether it ran. Streams that break off are
+    /// answered as unknown either way.
     fn may_use_kept(&self, pick: &Pick) -> bool {
         self.grant.route.idempotent || (pick.engine && self.grant.route.streams)
     }
@@ -316,7 +315,7 @@
     ) -> Result<Begun, Failure> {
         let now = clock::now();
         self.shared.gateway.borrow_mut().sent(now, &self.ask, &mut self.grant, pick);
-        self.shared.notices_waiting.notify_one();
+        self.shared.updates_waiting.notify_one();
         let shared = self.shared.clone();
         let mut in_flight = InFlight { shared, claim: pick.claim, ended: Cell::new(false) };
         let answer = channel.sender.send_request(request);
@@ -413,8 +412,7 @@
     /// Notes that an attempt failed.
     pub fn fail(&mut self, in_flight: &InFlight, replica: &str, fault: Fault) -> Failure {
         self.touched |= !fault.not_run();
-        // A plain call runs as soon as it arrives, so one whose answer was lost has most likely run.
-        if !self.grant.route.streams && !fault.not_run() && fault != Fault::Stopped {
+        if self.has_likely_run(fault) {
             self.meter(in_flight.claim.sent);
         }
         if fault == Fault::Broken {
@@ -426,6 +424,16 @@
         Failure::Fault(fault, None)
     }
 
+    /// Whether a replica has most likely begun a call whose answer did not come. A plain call runs as soon
+    /// as it arrives; an engine that lets a call wait keeps the connection.
+    fn has_likely_run(&self, fault: Fault) -> bool {
+        match fault {
+            Fault::Broken | Fault::Misattributed => true,
+            Fault::TimedOut | Fault::Silent => !self.grant.route.streams,
+            _ => false,
+        }
+    }
+
     /// Waits for something of a replica, until the time is over, or the process ends and the caller
     /// has no answer yet, or the replica has been silent for so long that the call is better off
     /// elsewhere and may go there.
--- a/gateway/src/channel.rs
+++ b/gateway/src/channel.rs
@@ -62,7 +62,7 @@
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(std::io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
-        // Its error reaches whoever waits for the answer.
+        // Its error reaches the caller of `send_request`.
         let _ = connection.await;
     });
     Ok(Channel { sender, task: task.abort_handle() })
--- a/gateway/src/duty.rs
+++ b/gateway/src/duty.rs
@@ -183,10 +183,11 @@
         }
     }
 
-    /// Takes in whether a read of the store that began at `sent` found a leader's record.
-    pub fn observe(&self, sent: Time, has_leader: bool) {
-        self.election.borrow_mut().observe(sent, has_leader);
-        if !has_leader {
+    /// Takes in the revision of the leader's record, if there is one, that a read of the store found;
+    /// it began at `sent`.
+    pub fn observe(&self, sent: Time, record: Option<u64>) {
+        self.election.borrow_mut().observe(clock::now(), sent, record);
+        if record.is_none() {
             self.woken.notify_one();
         }
     }
--- a/gateway/src/era.rs
+++ b/gateway/src/era.rs
@@ -69,7 +69,7 @@
                 None
             }
         };
-        // A store that states none would be told of with each answer.
+        // Logged once, not with each answer.
         if oddity != self.0.last_oddity.replace(oddity) {
             self.0.untold.borrow_mut().extend(oddity);
         }
@@ -90,7 +90,7 @@
 /// The rises that come from now on.
 #[derive(Debug)]
 pub struct Rises {
-    /// The era that was told last. A rise may come while nobody waits for one.
+    /// The era returned last. A rise may come while nobody waits for one.
     seen: Option<u64>,
     newest: watch::Receiver<Option<u64>>,
 }
--- a/gateway/src/flaw.rs
+++ b/gateway/src/flaw.rs
@@ -1,4 +1,4 @@
-//! Entries of the store that can't be used, told once and not at each read.
+//! Malformed entries of the store, logged once and not at each read.
 //!
 //! Other writers share the store. What they leave there, or spoil, must cost nothing but the entry
 //! itself: a read that finds such entries is sound, and each of them is logged and counted when it
@@ -12,8 +12,7 @@
 use crate::log::Line;
 use crate::shared::Shared;
 
-/// Flawed entries that are remembered; one that stays is told again only if it was pushed out. A
-/// careless writer leaves a handful; this many take some ten kilobytes.
+/// Upper bound on tracked entries.
 const MOST: usize = 64;
 
 /// What an entry would have named.
@@ -26,7 +25,7 @@
     Replica,
     /// A gateway.
     Gateway,
-    /// Contents under which replicas ended.
+    /// Records of the quarantine.
     Quarantine,
 }
 
@@ -59,11 +58,11 @@
     pub kind: Kind,
 }
 
-/// Flawed entries that have been told.
+/// Malformed entries that have been logged.
 #[derive(Debug, Default)]
 pub struct Told {
     flaws: BTreeMap<(Subject, String), Kind>,
-    /// There are more than are remembered, and that has been told.
+    /// There are more than are tracked, and that has been logged.
     more: bool,
 }
 
@@ -74,17 +73,17 @@
     pub came: Vec<Flaw>,
     /// Readable again, or gone.
     pub went: Vec<Flaw>,
-    /// Number of those that are too many to be told, when they become too many.
+    /// Number of entries beyond the tracked ones, when there begin to be any.
     pub more: Option<usize>,
 }
 
 impl Told {
-    /// Takes the flaws of a sound read in; returns what has to be told.
+    /// Merges the malformed entries of a sound read; returns what to log.
     pub fn update(&mut self, found: &[Flaw]) -> Changes {
         let mut now: BTreeMap<(Subject, String), Kind> =
             found.iter().map(|f| ((f.subject, f.key.clone()), f.kind)).collect();
         let count = now.len();
-        // Always the first in order, so that those which stay are not told in turn.
+        // Always the first in order, so that entries which stay are not logged in turn.
         if let Some((cut, _)) = now.iter().nth(MOST) {
             let cut = cut.clone();
             now.split_off(&cut);
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -154,7 +154,7 @@
             rng: RefCell::new(SmallRng::seed_from_u64(self.settings.seed)),
             lines_waiting: Notify::new(),
             duties,
-            notices_waiting: Notify::new(),
+            updates_waiting: Notify::new(),
             socket,
             gateway: RefCell::new(Gateway::new(self.settings, clock::now())),
         });
@@ -174,7 +174,7 @@
         spawn(Box::pin(peers::beat(shared.clone())));
         spawn(Box::pin(peers::hear(shared.clone())));
         spawn(Box::pin(peers::report(shared.clone())));
-        spawn(Box::pin(peers::tell_keepers(shared.clone())));
+        spawn(Box::pin(peers::notify_owners(shared.clone())));
         spawn(Box::pin(duty::lead(shared.clone(), eras)));
         spawn(Box::pin(duty::exchange(shared.clone())));
         spawn(Box::pin(server::serve(shared.clone(), callers, call::serve)));
@@ -206,7 +206,7 @@
             });
             let io = hyper_util::rt::TokioIo::new(stream);
             let mut builder = hyper::server::conn::http1::Builder::new();
-            // Whoever asked and left hears nothing; it asks again.
+            // A peer whose connection broke asks again.
             let _ = builder.auto_date_header(false).serve_connection(io, service).await;
         });
     }
@@ -237,8 +237,8 @@
     ///
     /// The end is that of the last connection, and not of the last call: a call is over when its
     /// answer is handed to its connection, and a process that ended then would cut off what a
-    /// caller on a slow link has yet to read. Whoever does not read is cut off at the end of the
-    /// grace time; calls that have no answer by then get one that tells whether they may have run.
+    /// caller on a slow link has yet to read. Callers that do not read are cut off at the end of the
+    /// grace time; calls without an answer by then get one that says whether they may have run.
     pub async fn stop(self) {
         let shared = self.shared;
         let began = clock::now();
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! The gateway's process: sockets, timers and logs round [`laburnumwheel_core::gateway`].
 //!
 //! It relays opaque calls and event streams over HTTP/1.1. What the headers are called and where
-//! lists of replicas come from is told by a [`dialect::Dialect`] and a [`store::Store`], so the
+//! lists of replicas come from is defined by a [`dialect::Dialect`] and a [`store::Store`], so the
 //! gateway runs on any platform that can fill these in. Everything runs on one thread.
 
 pub mod attempt;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -9,7 +9,7 @@
 
 /// Series kept for organisations; the rest are summed under `other`.
 const MOST_ORGANISATIONS: usize = 64;
-/// Longest latency that is told apart, in milliseconds.
+/// Upper bound of the latency histograms, in milliseconds.
 const LONGEST_MS: u64 = 120_000;
 
 type Latencies = BTreeMap<String, Histogram<u32>>;
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -1,4 +1,4 @@
-//! Heartbeats, questions and notices between gateways, as datagrams.
+//! Heartbeats, questions and updates between gateways, as datagrams.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -7,8 +7,8 @@
 use laburnumwheel_core::gateway::directory;
 use laburnumwheel_core::gateway::directory::Heartbeat;
 use laburnumwheel_core::gateway::leader;
-use laburnumwheel_core::gateway::ledger::Notice;
-use laburnumwheel_core::gateway::ledger::Standing;
+use laburnumwheel_core::gateway::occupancy::Snapshot;
+use laburnumwheel_core::gateway::occupancy::Update;
 use laburnumwheel_core::gateway::plan::Heard;
 use laburnumwheel_core::gateway::tally::Report;
 use laburnumwheel_core::gateway::usage;
@@ -35,8 +35,7 @@
 const FANOUT: usize = 4;
 /// Longest wait for an answer: several round trips between failure domains.
 const ANSWER: Duration = Duration::from_millis(60);
-/// Longest wait for a keeper's answer: a few round trips between failure domains, and little
-/// beside the objective of a long prompt.
+/// Longest wait for an owner's snapshot; a few round trips between failure domains.
 const STANDING: Duration = Duration::from_millis(12);
 /// Largest datagram.
 const LARGEST: usize = 8_192;
@@ -51,11 +50,11 @@
     /// What the sender knows.
     Proof(Proof),
     /// How are these engines, which you keep?
-    Inquiry(u64, Vec<Digest>),
+    Query(u64, Vec<Digest>),
     /// How they are.
-    Standings(u64, Vec<Standing>),
+    Snapshots(u64, Vec<Snapshot>),
     /// What happened at engines that you keep.
-    Notices(Vec<Notice>),
+    Updates(Vec<Update>),
     /// What the sender has seen, for you to decide by.
     Report(Report),
     /// Counts of requests, held by the gateway with this short hash.
@@ -96,7 +95,7 @@
 #[derive(Debug, Default)]
 pub struct Questions {
     proofs: BTreeMap<u64, oneshot::Sender<Proof>>,
-    standings: BTreeMap<u64, oneshot::Sender<Vec<Standing>>>,
+    snapshots: BTreeMap<u64, oneshot::Sender<Vec<Snapshot>>>,
 }
 
 /// A reader's answer to a question.
@@ -125,47 +124,47 @@
     answer
 }
 
-/// Asks the keepers of engines, `inquiries` by address, how these are.
+/// Queries the owners of engines, by address.
 ///
 /// An answer that takes longer than it is worth is done without.
-pub async fn standings(
+pub async fn snapshots(
     shared: &Shared,
-    inquiries: BTreeMap<Option<String>, Vec<Digest>>,
-) -> Vec<Standing> {
-    let asked = inquiries.iter().map(|(keeper, engines)| inquire(shared, keeper, engines));
+    queries: BTreeMap<Option<String>, Vec<Digest>>,
+) -> Vec<Snapshot> {
+    let asked = queries.iter().map(|(owner, engines)| query_owner(shared, owner, engines));
     let answers = futures_util::future::join_all(asked).await;
     answers.into_iter().flatten().collect()
 }
 
-async fn inquire(shared: &Shared, keeper: &Option<String>, engines: &[Digest]) -> Vec<Standing> {
-    let Some(keeper) = keeper else {
-        return shared.gateway.borrow_mut().standings(clock::now(), engines);
+async fn query_owner(shared: &Shared, owner: &Option<String>, engines: &[Digest]) -> Vec<Snapshot> {
+    let Some(owner) = owner else {
+        return shared.gateway.borrow_mut().snapshots(clock::now(), engines);
     };
-    let Ok(address) = keeper.parse() else {
+    let Ok(address) = owner.parse() else {
         return Vec::new();
     };
     let question = shared.rng.borrow_mut().random();
     let (sender, answer) = oneshot::channel();
-    shared.questions.borrow_mut().standings.insert(question, sender);
-    let message = Message::Inquiry(question, engines.to_vec());
+    shared.questions.borrow_mut().snapshots.insert(question, sender);
+    let message = Message::Query(question, engines.to_vec());
     let answer = match post(&shared.socket, address, &message).await {
         true => tokio::time::timeout(STANDING, answer).await.ok().and_then(Result::ok),
         false => None,
     };
-    shared.questions.borrow_mut().standings.remove(&question);
+    shared.questions.borrow_mut().snapshots.remove(&question);
     let heard = if answer.is_some() { "answered" } else { "missed" };
-    shared.metrics.count("inquiries_total", format!("outcome=\"{heard}\""));
+    shared.metrics.count("owner_queries_total", format!("outcome=\"{heard}\""));
     answer.unwrap_or_default()
 }
 
-/// Tells the keepers of engines what happens there, for ever.
-pub async fn tell_keepers(shared: Shared) {
+/// Sends updates to the owners of engines, for ever.
+pub async fn notify_owners(shared: Shared) {
     loop {
-        shared.notices_waiting.notified().await;
-        let told = shared.gateway.borrow_mut().take_notices(clock::now());
-        for (keeper, notices) in told {
-            if let Ok(address) = keeper.parse::<SocketAddr>() {
-                post(&shared.socket, address, &Message::Notices(notices)).await;
+        shared.updates_waiting.notified().await;
+        let told = shared.gateway.borrow_mut().drain_updates(clock::now());
+        for (owner, updates) in told {
+            if let Ok(address) = owner.parse::<SocketAddr>() {
+                post(&shared.socket, address, &Message::Updates(updates)).await;
             }
         }
     }
@@ -289,24 +288,24 @@
             Message::Proof(proof) => {
                 let waiting = shared.questions.borrow_mut().proofs.remove(&proof.question);
                 if let Some(sender) = waiting {
-                    // Whoever asked may have given up.
+                    // The caller may have given up.
                     let _ = sender.send(proof);
                 }
             }
-            Message::Inquiry(question, engines) => {
+            Message::Query(question, engines) => {
                 let now = clock::now();
-                let standings = shared.gateway.borrow_mut().standings(now, &engines);
-                post(&shared.socket, from, &Message::Standings(question, standings)).await;
+                let snapshots = shared.gateway.borrow_mut().snapshots(now, &engines);
+                post(&shared.socket, from, &Message::Snapshots(question, snapshots)).await;
             }
-            Message::Standings(question, standings) => {
-                let waiting = shared.questions.borrow_mut().standings.remove(&question);
+            Message::Snapshots(question, snapshots) => {
+                let waiting = shared.questions.borrow_mut().snapshots.remove(&question);
                 if let Some(sender) = waiting {
-                    // Whoever asked may have given up.
-                    let _ = sender.send(standings);
+                    // The caller may have given up.
+                    let _ = sender.send(snapshots);
                 }
             }
-            Message::Notices(notices) => {
-                shared.gateway.borrow_mut().note(clock::now(), &notices);
+            Message::Updates(updates) => {
+                shared.gateway.borrow_mut().note(clock::now(), &updates);
             }
             Message::Report(report) => {
                 shared.gateway.borrow_mut().hear_report(clock::now(), &report);
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -42,8 +42,8 @@
     pub questions: RefCell<Questions>,
     /// Datagrams between gateways.
     pub socket: UdpSocket,
-    /// Wakes the task that tells the keepers of engines.
-    pub notices_waiting: Notify,
+    /// Wakes the task that sends updates to owners of engines.
+    pub updates_waiting: Notify,
     /// Lease of the gateway's entry in the store.
     pub lease: Cell<Option<u64>>,
     /// Open connections of callers.
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -77,16 +77,15 @@
 pub struct Reading {
     /// Everything that could be used.
     pub view: View,
-    /// Contents under which replicas ended, as gateways before have left them.
+    /// Stored records of the quarantine.
     pub fingerprints: Stored,
-    /// Whether there is a leader's record.
-    pub has_leader: bool,
+    /// Revision of the leader's record, if there is one.
+    pub leader: Option<u64>,
     /// Bounds and prices of the replicas that may be ordered, by service.
     pub scaling: Arc<BTreeMap<String, Scaling>>,
     /// Replicas, by service and failure domain.
     pub stocks: BTreeMap<String, Stocks>,
-    /// Entries that name nothing to use. Whoever reads the store tells of them; they are not handed
-    /// on.
+    /// Malformed entries. Only readers of the store log them; they are not passed on to peers.
     pub flaws: Vec<Flaw>,
 }
 
@@ -131,7 +130,7 @@
     pub read: Box<dyn FnMut() -> Reply<Reading>>,
     /// Writes the gateway's entry under a new lease of this length; returns the lease.
     pub announce: Box<dyn FnMut(Entry, Duration) -> Reply<u64>>,
-    /// Writes these fingerprints in the place of those that were read with this revision.
+    /// Replaces the records of the quarantine that were read with this revision.
     pub keep: Box<dyn FnMut(Vec<quarantine::Record>, u64) -> Reply<()>>,
     /// Renews a lease.
     pub renew: Box<dyn FnMut(u64) -> Reply<()>>,
@@ -175,7 +174,7 @@
     pub eras: Eras,
     /// Reads everything.
     pub read: Box<dyn FnMut() -> Reply<Reading>>,
-    /// Writes fingerprints under which replicas ended.
+    /// Writes the records of the quarantine.
     pub keep: Box<dyn FnMut(Vec<quarantine::Record>, u64) -> Reply<()>>,
 }
 
@@ -325,7 +324,7 @@
 /// Takes in what a read of the store found; returns what it holds of fingerprints.
 fn take_reading(shared: &Shared, sent: Time, mut reading: Reading) -> Stored {
     if let Some(duties) = &shared.duties {
-        duties.observe(sent, reading.has_leader);
+        duties.observe(sent, reading.leader);
         let scaling = Arc::clone(&reading.scaling);
         let stocks = std::mem::take(&mut reading.stocks);
         duties.count_stocks(duty::Count { at: sent, scaling, stocks });
@@ -362,7 +361,7 @@
     let changes = gateway.list(sent, now, known.view.replicas.clone(), known.view.gateways.clone());
     let version = gateway.version();
     shared.pool.retain(|replica| gateway.fleet().get(replica).is_some());
-    // Whoever does not read the store is seldom asked what has changed; views take memory.
+    // Peers seldom ask a gateway that does not read the store, and views take memory.
     let remembered = if gateway.readers(now).1 { REMEMBERED } else { 1 };
     drop(gateway);
     shared.views.borrow_mut().push(known, remembered);
