--- /dev/null
+++ b/gateway/src/duty/counts.rs
@@ -0,0 +1,66 @@
+//! Delivery of usage batches to the leader and to a backup.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use laburnumwheel_core::gateway::directory;
+
+use super::State;
+use super::own_wall;
+use crate::clock;
+use crate::peers;
+use crate::peers::Message;
+use crate::shared::Shared;
+
+/// Shortest time from one exchange of usage batches to the next.
+const EXCHANGE: Duration = Duration::from_millis(500);
+/// The same for each gateway of the fleet, so that the leader receives at most 500 datagrams a second.
+const EXCHANGE_EACH: Duration = Duration::from_millis(2);
+
+/// Hands what was counted to the leader and to a backup, for ever.
+pub async fn exchange(shared: Shared) {
+    let Some(duties) = &shared.duties else {
+        return;
+    };
+    if duties.rules.usage.is_none() {
+        return;
+    }
+    loop {
+        let gateways = shared.gateway.borrow().sharers() as u32;
+        tokio::time::sleep(EXCHANGE.max(EXCHANGE_EACH * gateways)).await;
+        hand_over(&shared, duties).await;
+    }
+}
+
+/// Sends batches that the leader or the backup have not acknowledged.
+pub(super) async fn hand_over(shared: &Shared, duties: &State) {
+    let now = clock::now();
+    duties.wall.borrow_mut().refresh(now, own_wall());
+    let wall = duties.wall.borrow().at(now);
+    let leader = duties.leader.get();
+    let token = leader.map_or(0, |notice| notice.token);
+    let (own, leader_address, backup) = {
+        let gateway = shared.gateway.borrow();
+        let own = directory::short(gateway.name());
+        let leader = leader.map(|notice| notice.gateway).filter(|leader| *leader != own);
+        let address = leader.and_then(|leader| gateway.directory().address(leader));
+        let backup = gateway.directory().backup(now, gateway.name(), leader);
+        let backup = backup.map(|(short, address)| (short, address.to_owned()));
+        (own, leader.zip(address.map(str::to_owned)), backup)
+    };
+    let mut messages = Vec::new();
+    if let Some(log) = duties.usage.borrow_mut().as_mut() {
+        log.flush(wall, token);
+        if let Some((leader, address)) = leader_address {
+            messages.push((address, log.for_leader(leader, token)));
+        }
+        if let Some((backup, address)) = backup {
+            messages.push((address, log.for_backup(backup)));
+        }
+    }
+    for (address, batches) in messages.into_iter().filter(|(_, batches)| !batches.is_empty()) {
+        if let Ok(address) = address.parse::<SocketAddr>() {
+            peers::post(&shared.socket, address, &Message::Usage(own, batches)).await;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/duty/lead.rs
@@ -0,0 +1,127 @@
+//! The election loop: campaigns, renewals and resignations.
+
+use laburnumwheel_core::gateway::directory;
+use laburnumwheel_core::gateway::leader;
+use laburnumwheel_core::gateway::leader::Notice;
+use laburnumwheel_core::gateway::leader::Step;
+use laburnumwheel_core::gateway::leader::Victory;
+
+use super::State;
+use super::Stored;
+use super::term;
+use crate::clock;
+use crate::era::Eras;
+use crate::log::Line;
+use crate::shared::Shared;
+use crate::store::Error;
+use crate::store::bounded;
+
+/// Campaigns, renews and resigns, for ever.
+pub async fn lead(shared: Shared, eras: Eras) {
+    let Some(duties) = &shared.duties else {
+        return;
+    };
+    loop {
+        let now = clock::now();
+        let era = eras.newest().unwrap_or(0);
+        if duties.first_era.get().is_none() {
+            duties.first_era.set(eras.newest());
+        }
+        let rank = shared.gateway.borrow().rank(now);
+        let step = duties.election.borrow_mut().step(now, era, rank);
+        log_ended(&shared, duties);
+        match step {
+            Step::Wait(span) => {
+                tokio::select! {
+                    () = tokio::time::sleep(clock::duration(span)) => {}
+                    () = duties.woken.notified() => {}
+                }
+            }
+            Step::Campaign => campaign(&shared, duties, &eras).await,
+            Step::Renew(lease) => renew(&shared, duties, &eras, lease).await,
+            Step::Release(lease) => {
+                let result = bounded((duties.calls.release)(lease)).await;
+                shared.metrics.store_call("release", result.is_ok());
+                duties.election.borrow_mut().released(clock::now());
+            }
+        }
+    }
+}
+
+fn log_ended(shared: &Shared, duties: &State) {
+    let ended = duties.election.borrow_mut().drain_ended();
+    for (token, end) in ended {
+        shared.metrics.count("terms_ended_total", format!("cause=\"{end}\""));
+        shared.log(Line::new("term_ended").with("token", token).with("cause", end));
+    }
+}
+
+async fn campaign(shared: &Shared, duties: &State, eras: &Eras) {
+    duties.election.borrow_mut().campaigning();
+    let sent = clock::now();
+    let acquired = bounded((duties.calls.acquire)(duties.rules.election.lease)).await;
+    shared.metrics.store_call("acquire", acquired.is_ok());
+    let acquired = match acquired {
+        Ok(acquired) => acquired,
+        Err(e) => {
+            shared.log(Line::new("campaign_lost").with("error", e));
+            duties.election.borrow_mut().defeated();
+            return;
+        }
+    };
+    let stored = bounded((duties.calls.read)()).await;
+    shared.metrics.store_call("journal", stored.is_ok());
+    let stored = match stored {
+        Ok(stored) if eras.newest().unwrap_or(0) == acquired.position.era => stored,
+        other => {
+            // The lease lapses by itself: nobody acts under it.
+            let error = other.err().map_or_else(|| "rollback".to_owned(), |e| e.to_string());
+            shared.log(Line::new("campaign_lost").with("error", error));
+            duties.election.borrow_mut().defeated();
+            return;
+        }
+    };
+    let victory = Victory {
+        sent,
+        lease: acquired.lease,
+        granted: acquired.granted,
+        position: acquired.position,
+        last_era: last_era(duties, &stored, acquired.position.era),
+    };
+    let now = clock::now();
+    if !duties.election.borrow_mut().won(now, &victory) {
+        shared.log(Line::new("campaign_lost").with("error", "position out of range"));
+        return;
+    }
+    let token = duties.token();
+    let gateway = directory::short(shared.gateway.borrow().name());
+    duties.notice(Notice { token, gateway });
+    shared.metrics.count("terms_total", String::new());
+    let line = Line::new("term_began").with("token", token).with("lease", acquired.lease);
+    shared.log(line.with("position", acquired.position));
+    tokio::task::spawn_local(term::work(shared.clone(), eras.clone(), token, stored));
+}
+
+/// Era of the last term; at the first start of the whole system there was none, so that nobody is
+/// waited for.
+fn last_era(duties: &State, stored: &Stored, era: u64) -> Option<u64> {
+    match &stored.journal {
+        Some(journal) => Some(journal.era),
+        // A store that has come back since may have lost the journal.
+        None if duties.rules.is_first_start && duties.first_era.get() == Some(era) => Some(era),
+        None => None,
+    }
+}
+
+async fn renew(shared: &Shared, duties: &State, eras: &Eras, lease: u64) {
+    let sent = clock::now();
+    let result = bounded((duties.calls.renew)(lease)).await;
+    shared.metrics.store_call("renew_leader", result.is_ok());
+    let (now, era) = (clock::now(), eras.newest().unwrap_or(0));
+    let mut election = duties.election.borrow_mut();
+    match result {
+        Ok(()) => election.renewed(now, sent, era),
+        Err(Error::Ended) => election.lose(now, leader::End::LeaseEnded),
+        Err(_) => election.renewal_failed(now),
+    }
+}
--- /dev/null
+++ b/gateway/src/duty/orders.rs
@@ -0,0 +1,95 @@
+//! Orders of replicas by the leader.
+
+use laburnumwheel_core::gateway::autoscaler::Autoscaler;
+use laburnumwheel_core::gateway::autoscaler::Order;
+use laburnumwheel_core::gateway::autoscaler::Scaling;
+use laburnumwheel_core::gateway::autoscaler::Stocks;
+use laburnumwheel_core::gateway::leader::Outcome;
+use laburnumwheel_core::time::Span;
+
+use super::term::Term;
+use crate::clock;
+use crate::log::Line;
+
+/// Time from one look at the demand for replicas to the next.
+const SCALING: Span = Span::millis(500);
+/// Age beyond which a count of the replicas is not gone by.
+const COUNT_VALID: Span = Span::millis(2_000);
+/// Share of the engines that stay if all spot instances are reclaimed.
+const ORDINARY_SHARE: f64 = 0.0;
+
+impl Term<'_> {
+    /// Orders the replicas that the demand asks for.
+    pub(super) async fn scale(&mut self) {
+        let now = clock::now();
+        if !self.duties.rules.scale || now.since(self.scaled_at) < SCALING {
+            return;
+        }
+        self.scaled_at = now;
+        let count = self.duties.count.borrow().clone();
+        if now.since(count.at) > COUNT_VALID {
+            return;
+        }
+        for (service, scaling) in count.scaling.iter() {
+            if let Some(stocks) = count.stocks.get(service) {
+                self.scale_service(service, scaling, stocks).await;
+            }
+        }
+    }
+
+    async fn scale_service(&mut self, service: &str, scaling: &Scaling, stocks: &Stocks) {
+        let now = clock::now();
+        let (calls, slots) = {
+            let gateway = self.shared.gateway.borrow();
+            (gateway.calls_at(now, service), gateway.slots(service))
+        };
+        let Some(slots) = slots else {
+            return;
+        };
+        let autoscaler = self.autoscalers.entry(service.to_owned());
+        let autoscaler = autoscaler.or_insert_with(|| Autoscaler::new(slots, ORDINARY_SHARE));
+        autoscaler.observe(now, calls, stocks);
+        let orders = autoscaler.plan(now, scaling, stocks);
+        for order in orders {
+            if !self.order(service, order, calls, stocks).await {
+                return;
+            }
+        }
+    }
+
+    /// Places an order; `false` if no more calls can be made now.
+    async fn order(&mut self, service: &str, order: Order, calls: f64, stocks: &Stocks) -> bool {
+        let now = clock::now();
+        let era = self.eras.newest().unwrap_or(0);
+        let permit = self.duties.election.borrow_mut().begin_call(now, era);
+        let Some(permit) = permit else {
+            return false;
+        };
+        let answer = (self.duties.calls.order)(service.to_owned(), order.clone(), permit).await;
+        let outcome = *answer.as_ref().unwrap_or(&Outcome::Unanswered);
+        let ended = clock::now();
+        self.duties.election.borrow_mut().end_call(ended, &permit, outcome);
+        self.duties.woken.notify_one();
+        let labels = format!("kind=\"{}\",outcome=\"{outcome}\"", order.kind);
+        self.shared.metrics.count("orders_total", labels);
+        let stock = stocks.get(&order.domain).cloned().unwrap_or_default();
+        let line = Line::new("replicas_ordered")
+            .with("service", service)
+            .with("domain", &order.domain)
+            .with("kind", order.kind)
+            .with("desired", order.desired)
+            .with("outcome", outcome)
+            .with("token", permit.token)
+            .with("ordinary", stock.ordinary)
+            .with("spot", stock.spot)
+            .with("reclaimed", stock.reclaimed)
+            .with("calls", calls.round());
+        let autoscaler = self.autoscalers.get_mut(service);
+        let needed = autoscaler.as_ref().map_or(0, |autoscaler| autoscaler.needed());
+        self.shared.log(line.with("needed", needed));
+        if let Some(autoscaler) = autoscaler {
+            autoscaler.placed(ended, &order, outcome, stocks);
+        }
+        outcome != Outcome::Unanswered
+    }
+}
--- /dev/null
+++ b/gateway/src/duty/term.rs
@@ -0,0 +1,218 @@
+//! One term of a leader: usage reports, fixed in the journal and then sent.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use laburnumwheel_core::gateway::autoscaler::Autoscaler;
+use laburnumwheel_core::gateway::journal::Journal;
+use laburnumwheel_core::gateway::leader;
+use laburnumwheel_core::gateway::leader::Outcome;
+use laburnumwheel_core::gateway::leader::Token;
+use laburnumwheel_core::gateway::usage::Report;
+use laburnumwheel_core::gateway::usage::Window;
+use laburnumwheel_core::gateway::wall::WallTime;
+use laburnumwheel_core::time::Time;
+
+use super::State;
+use super::Stored;
+use super::Write;
+use crate::clock;
+use crate::era::Eras;
+use crate::log::Line;
+use crate::shared::Shared;
+use crate::store::Error;
+use crate::store::bounded;
+
+/// Time from one look of the leader for something to do to the next.
+const WORK: Duration = Duration::from_millis(250);
+/// Failed writes of the journal in a row after which the leader resigns.
+const MAX_CONFLICTS: u32 = 3;
+
+/// One term of this gateway.
+pub(super) struct Term<'a> {
+    pub(super) shared: &'a Shared,
+    pub(super) duties: &'a State,
+    pub(super) eras: &'a Eras,
+    pub(super) token: u64,
+    pub(super) stored: Stored,
+    /// The journal in the store may differ from the known one.
+    pub(super) is_stale: bool,
+    pub(super) conflicts: u32,
+    pub(super) accepted: Window,
+    pub(super) left_out: Window,
+    pub(super) autoscalers: BTreeMap<String, Autoscaler>,
+    pub(super) scaled_at: Time,
+}
+
+/// Carries the duties out until the term ends.
+pub(super) async fn work(shared: Shared, eras: Eras, token: u64, stored: Stored) {
+    let Some(duties) = &shared.duties else {
+        return;
+    };
+    let (is_stale, conflicts, accepted, left_out) = (false, 0, 0, 0);
+    let (autoscalers, scaled_at) = (BTreeMap::new(), Time(0));
+    let mut term = Term {
+        shared: &shared,
+        duties,
+        eras: &eras,
+        token,
+        stored,
+        is_stale,
+        conflicts,
+        accepted,
+        left_out,
+        autoscalers,
+        scaled_at,
+    };
+    while duties.token() == token {
+        if duties.election.borrow().acting(clock::now()).is_some() {
+            term.report_usage().await;
+            term.scale().await;
+        }
+        tokio::time::sleep(WORK).await;
+    }
+}
+
+impl Term<'_> {
+    fn wall(&self) -> WallTime {
+        self.duties.wall.borrow().at(clock::now())
+    }
+
+    /// Fixes and sends the reports that are due.
+    async fn report_usage(&mut self) {
+        if !self.has_journal().await {
+            return;
+        }
+        let wall = self.wall();
+        let windows = match self.duties.usage.borrow().as_ref() {
+            Some(log) => log.reportable(wall),
+            None => return,
+        };
+        let accepted = self.accepted;
+        for window in windows.into_iter().filter(|w| *w > accepted) {
+            let fixed = self.stored.journal.as_ref().and_then(|j| j.report(window)).cloned();
+            let fixed = match fixed {
+                Some(report) => Some(report),
+                None => self.fix(window).await,
+            };
+            let Some(report) = fixed else {
+                if self.is_stale {
+                    return;
+                }
+                continue;
+            };
+            if !self.send(report).await {
+                return;
+            }
+        }
+    }
+
+    /// Whether the journal is known and is that of this term's era.
+    async fn has_journal(&mut self) -> bool {
+        if self.is_stale {
+            let stored = bounded((self.duties.calls.read)()).await;
+            self.shared.metrics.store_call("journal", stored.is_ok());
+            let Ok(stored) = stored else {
+                return false;
+            };
+            self.stored = stored;
+            self.is_stale = false;
+        }
+        let Some(token) = self.duties.election.borrow().acting(clock::now()) else {
+            return false;
+        };
+        let journal = self.stored.journal.clone().unwrap_or_default();
+        if self.stored.journal.is_some() && journal.era == token.era() {
+            return true;
+        }
+        // What the predecessor of another era has sent is not known, so nothing is sent of any window
+        // that it may have reported.
+        let last_window = match self.duties.usage.borrow().as_ref() {
+            Some(log) => log.last_reported(self.wall()),
+            None => 0,
+        };
+        self.write(token, journal.with_term(token.era(), last_window)).await
+    }
+
+    async fn write(&mut self, token: Token, journal: Journal) -> bool {
+        let write = Write { journal: journal.clone(), revision: self.stored.revision, token };
+        let result = bounded((self.duties.calls.write)(write)).await;
+        self.shared.metrics.store_call("journal", result.is_ok());
+        match result {
+            Ok(revision) if self.eras.newest().unwrap_or(0) == token.era() => {
+                self.stored = Stored { journal: Some(journal), revision };
+                self.conflicts = 0;
+                true
+            }
+            result => {
+                self.is_stale = true;
+                self.conflicts += 1;
+                if self.conflicts >= MAX_CONFLICTS && result == Err(Error::Refused(412)) {
+                    self.duties.election.borrow_mut().resign(leader::End::LeaseEnded);
+                }
+                false
+            }
+        }
+    }
+
+    /// Fixes what the report of a window says; `None` if nobody can vouch for it, or the write failed.
+    async fn fix(&mut self, window: Window) -> Option<Report> {
+        let (report, reporters) = {
+            let log = self.duties.usage.borrow();
+            let log = log.as_ref()?;
+            (log.report(window), log.reporters(window))
+        };
+        let is_open = self.stored.journal.as_ref().is_some_and(|j| j.is_open(window));
+        let gateways = self.shared.gateway.borrow().gateways_heard(clock::now()) + 1;
+        if !is_open || reporters * 2 < gateways {
+            self.leave_out(window, reporters);
+            return None;
+        }
+        let token = self.duties.election.borrow().acting(clock::now())?;
+        let journal = self.stored.journal.clone()?.with_report(report.clone());
+        if !self.write(token, journal).await {
+            return None;
+        }
+        let requests: u64 = report.counts.values().sum();
+        let line = Line::new("usage_fixed").with("window", window).with("requests", requests);
+        self.shared.log(line.with("gateways", reporters).with("token", self.token));
+        Some(report)
+    }
+
+    fn leave_out(&mut self, window: Window, reporters: usize) {
+        if window > self.left_out {
+            self.left_out = window;
+            self.shared.metrics.count("usage_windows_total", "outcome=\"left_out\"".to_owned());
+            let line = Line::new("usage_left_out").with("window", window);
+            self.shared.log(line.with("gateways", reporters).with("token", self.token));
+        }
+    }
+
+    /// Sends a report that is fixed; `false` if no more calls can be made now.
+    async fn send(&mut self, report: Report) -> bool {
+        let now = clock::now();
+        let era = self.eras.newest().unwrap_or(0);
+        let permit = self.duties.election.borrow_mut().begin_call(now, era);
+        let Some(permit) = permit else {
+            return false;
+        };
+        let window = report.window;
+        let answer = (self.duties.calls.report)(report, permit).await;
+        let outcome = *answer.as_ref().unwrap_or(&Outcome::Unanswered);
+        let ended = clock::now();
+        self.duties.election.borrow_mut().end_call(ended, &permit, outcome);
+        self.duties.woken.notify_one();
+        self.shared.metrics.count("usage_windows_total", format!("outcome=\"{outcome}\""));
+        let line = Line::new("usage_reported").with("window", window).with("outcome", outcome);
+        let line = line.with("token", permit.token);
+        let line = line.with("took_ms", ended.since(now).as_millis());
+        self.shared.log(match answer {
+            Ok(_) => line,
+            Err(e) => line.with("error", e),
+        });
+        if outcome == Outcome::Accepted {
+            self.accepted = window;
+        }
+        outcome == Outcome::Accepted
+    }
+}
