--- a/core/src/gateway/journal.rs
+++ b/core/src/gateway/journal.rs
@@ -7,6 +7,11 @@
 use super::usage::Report;
 use super::usage::Window;
 
+/// Upper bound on the encoded reports, in bytes; half of what the store takes as one value.
+const MAX_BYTES: usize = 512 << 10;
+/// Encoded size of a count without its name, in bytes.
+const COUNT_BYTES: usize = 12;
+
 /// What leaders leave to their successors. It outlasts every gateway.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Journal {
@@ -37,9 +42,18 @@
         journal.reports.sort_by_key(|report| report.window);
         let excess = journal.reports.len().saturating_sub(REPORTS_KEPT);
         journal.reports.drain(..excess);
+        while journal.reports.len() > 1 && journal.bytes() > MAX_BYTES {
+            journal.reports.remove(0);
+        }
         journal
     }
 
+    /// Size of the encoded reports, about.
+    fn bytes(&self) -> usize {
+        let names = self.reports.iter().flat_map(|report| report.counts.keys());
+        names.map(|name| name.len() + COUNT_BYTES).sum()
+    }
+
     /// The journal of a term in `era`, which leaves out all windows up to `last_window`.
     pub fn with_term(&self, era: u64, last_window: Window) -> Journal {
         let mut journal = self.clone();
--- a/core/tests/gateway/usage.rs
+++ b/core/tests/gateway/usage.rs
@@ -160,6 +160,17 @@
     assert!(!journal.is_open(last));
 }
 
+#[test]
+fn the_journal_fits_into_one_value_with_as_many_organisations_as_the_fleet_may_have() {
+    let counts: Counts = (0..18_000).map(|i| (format!("organisation-{i}"), 100_000)).collect();
+    let report = |window| Report { window, counts: counts.clone() };
+
+    let journal = (1..5).fold(Journal::default(), |j, w| j.with_report(report(w)));
+
+    assert!(serde_json::to_vec(&journal).unwrap().len() < 1 << 20);
+    assert!(journal.report(4).is_some());
+}
+
 proptest! {
     /// Whatever order batches and repeats come in, each request counts once.
     #[test]
