Order and give up at most 60 replicas a second

The autoscaler now has a budget of changes a second, and after a refusal asks for one replica until one is granted, so that refused orders take nothing from others. At 89 engines the whole replacement still takes under two seconds.

--- a/core/src/gateway/autoscaler.rs
+++ b/core/src/gateway/autoscaler.rs
@@ -22,6 +22,9 @@
 const PEAK_HALF_LIFE: Span = Span::secs(600);
 /// Growth of the peak below which nothing new is ordered.
 const HYSTERESIS: f64 = 0.05;
+/// Replicas that may be ordered or given up in a second. All gateways have to learn of each; thousands at
+/// once are known too late where links are narrow.
+const MAX_CHANGES_PER_S: f64 = 60.0;
 /// Time beyond the boot after which replicas that were ordered are taken as lost.
 const BOOT_SLACK: Span = Span::millis(1_500);
 /// Time for which a refused order of spot instances shows that there are none.
@@ -117,6 +120,9 @@
     needed: u32,
     /// Ordinary replicas in each failure domain that spot instances have yet to replace.
     unreplaced: BTreeMap<String, u32>,
+    /// Changes that may be ordered now, and when they were counted.
+    allowed: f64,
+    allowed_at: Option<Time>,
     placed: BTreeMap<(String, Kind), Placed>,
 }
 
@@ -132,6 +138,8 @@
             peak_at: None,
             needed: 0,
             unreplaced: BTreeMap::new(),
+            allowed: 0.0,
+            allowed_at: None,
             placed: BTreeMap::new(),
         }
     }
@@ -174,6 +182,7 @@
             return Vec::new();
         }
         self.need(now);
+        self.allow(now);
         let is_short = self.is_short(stocks);
         let mut orders = Vec::new();
         for (domain, stock) in stocks {
@@ -182,7 +191,7 @@
             for (kind, desired) in target {
                 let order = Order { domain: domain.clone(), kind, desired };
                 if self.is_due(now, scaling, stock, &order) {
-                    orders.push(order);
+                    orders.extend(self.limited(now, scaling, stock, order));
                 }
             }
         }
@@ -239,6 +248,42 @@
         placed.is_some_and(|p| p.outcome == Outcome::Refused && now.since(p.at) < DRY)
     }
 
+    fn allow(&mut self, now: Time) {
+        let since = self.allowed_at.replace(now);
+        let earned = since.map_or(1.0, |at| now.since(at).as_secs_f64()) * MAX_CHANGES_PER_S;
+        self.allowed = (self.allowed + earned).min(MAX_CHANGES_PER_S);
+    }
+
+    /// The part of an order that may be placed now, if any.
+    fn limited(
+        &mut self,
+        now: Time,
+        scaling: &Scaling,
+        stock: &Stock,
+        order: Order,
+    ) -> Option<Order> {
+        let there = stock.of(order.kind);
+        let placed = self.placed.get(&(order.domain.clone(), order.kind));
+        let pending = placed.filter(|p| {
+            p.outcome == Outcome::Accepted && now.since(p.at) < scaling.boot + BOOT_SLACK
+        });
+        let was_reclaimed = pending.is_some_and(|p| stock.reclaimed > p.reclaimed);
+        let from = match pending {
+            Some(placed) if !was_reclaimed => placed.desired,
+            _ => there,
+        };
+        // After a refusal one replica shows whether there are any again.
+        let was_refused = placed.is_some_and(|p| p.outcome == Outcome::Refused);
+        let most = if was_refused { 1 } else { self.allowed as u32 };
+        let change = from.abs_diff(order.desired).min(most);
+        if change == 0 && from != order.desired {
+            return None;
+        }
+        self.allowed = (self.allowed - f64::from(change)).max(0.0);
+        let desired = if order.desired > from { from + change } else { from - change };
+        Some(Order { desired, ..order })
+    }
+
     fn is_due(&self, now: Time, scaling: &Scaling, stock: &Stock, order: &Order) -> bool {
         let there = stock.of(order.kind);
         let Some(placed) = self.placed.get(&(order.domain.clone(), order.kind)) else {
