Read a large store once and then by its changes

Each reader read everything again twice a second: 55 calls and 3.8 MB before 9,999 replicas, more than a narrow link carries and most of what the store can send to ten readers. A read now asks for the store's revision and for the changes since the last one, two calls; the revision is the proof that the copy is complete. Everything is read where that took at most two pages, in a new era, after forgotten history, and after three failures in a row. Weighed: a watch that stays open (it goes silent while changes are made, and needs the same proof beside it). Tests: a copy equals the store whatever changes between its pages, and the built program over sockets with forgotten and with hidden changes.

--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod gossip;
 pub mod journal;
 pub mod leader;
+pub mod mirror;
 mod model;
 pub mod occupancy;
 pub mod outage;
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod leader;
 mod loads;
 mod malformed;
+mod mirror;
 mod occupancy;
 mod outage;
 mod plan;
