Start a fleet from a few seeds of each failure domain

A gateway without a configuration read the whole store, again every 1.1 s, and each counted as a reader until it had heartbeats of others. 985 of them ask for 3.7 GB at once over a link of 1 Gbit/s: each read takes longer than its proof is valid, all are repeated, and no gateway ever serves (0 of 985 ready when traffic begins, 57,825 calls).

Three gateways of each failure domain now register in the store as seeds, those with wide links first, and read it; all others list the seeds, one small call, and fetch their first view from one, which sends at most 16 at a time. Who gets no answer asks the seeds of all domains, takes a spare registration, and reads by itself last and ever more rarely. Listed gateways count as live until their first heartbeats are due, readers of equal weight are spread over failure domains, and gateways ask those of their own domain first. A gateway with a large view whose readers don't answer asks three rounds before it reads.

Weighed: the first entries of the list of gateways as seeds (a list that grows with the fleet, for each gateway); a wait by weight alone (nobody knows whether a wider host exists).

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -80,6 +80,29 @@
     pub proof_age: Option<u64>,
 }
 
+/// The gateways that read the store for all.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Readers {
+    /// Addresses of the other readers in this gateway's failure domain.
+    pub local: Vec<String>,
+    /// Addresses of the readers in other failure domains.
+    pub remote: Vec<String>,
+    /// Whether this gateway is a reader.
+    pub is_own: bool,
+}
+
+impl Readers {
+    /// Whether there is no other reader.
+    pub fn is_empty(&self) -> bool {
+        self.local.is_empty() && self.remote.is_empty()
+    }
+
+    /// Addresses of all other readers.
+    pub fn addresses(&self) -> impl Iterator<Item = &String> {
+        self.local.iter().chain(&self.remote)
+    }
+}
+
 #[derive(Debug)]
 struct Member {
     entry: Entry,
@@ -95,6 +118,14 @@
 }
 
 impl Member {
+    /// Whether the gateway may run although it has not sent a heartbeat yet. Without these, all
+    /// gateways that start together would be readers until they have received heartbeats.
+    fn is_starting(&self, now: Time) -> bool {
+        self.listed
+            && self.last_heartbeat.is_none()
+            && now.since(self.first_seen) < LIVENESS_TIMEOUT
+    }
+
     fn is_live(&self, now: Time) -> bool {
         self.last_heartbeat.is_some_and(|at| now.since(at) < LIVENESS_TIMEOUT)
     }
@@ -181,24 +212,40 @@
         self.members.values().map(|m| m.entry.peer_address.as_str())
     }
 
-    /// Addresses of the readers, the gateways that read the store for all, and whether this gateway
-    /// with entry `own` is a reader too.
+    /// The gateways that read the store for all, as seen by the gateway with entry `own`.
     ///
     /// Readers are the live gateways of the greatest weight, whose links are the widest and whose
-    /// proofs the most recent; gateways of equal weight are ordered by hash. If views differ for a
-    /// moment, a gateway at worst reads the store once too often, or requests a proof from a
-    /// gateway that is no reader itself.
-    pub fn readers(&self, now: Time, own: &Entry) -> (Vec<String>, bool) {
-        let rank = |hash: u32, entry: &Entry| (Reverse(entry.weight), hash);
-        let live = self.members.values().filter(|m| m.is_live(now));
-        let address = |m: &Member| m.entry.peer_address.clone();
-        let mut all: Vec<_> =
-            live.map(|m| (rank(m.short_hash, &m.entry), Some(address(m)))).collect();
-        all.push((rank(short_hash(&own.name), own), None));
-        all.sort();
-        all.truncate(MIN_READERS + all.len().isqrt() / READER_DIVISOR);
-        let is_reader = all.iter().any(|(_, address)| address.is_none());
-        (all.into_iter().filter_map(|(_, address)| address).collect(), is_reader)
+    /// proofs the most recent. Gateways of equal weight are taken from each failure domain in turn,
+    /// so that differences seldom cross domains, and then by hash. If views differ for a moment, a
+    /// gateway at worst reads the store once too often, or requests a proof from a gateway that is
+    /// no reader itself.
+    pub fn readers(&self, now: Time, own: &Entry) -> Readers {
+        let live = self.members.values().filter(|m| m.is_live(now) || m.is_starting(now));
+        let mut all: Vec<(u32, &Entry)> = live.map(|m| (m.short_hash, &m.entry)).collect();
+        all.push((short_hash(&own.name), own));
+        all.sort_unstable_by_key(|(hash, entry)| (Reverse(entry.weight), *hash));
+        let mut counts: BTreeMap<(u32, &str), usize> = BTreeMap::new();
+        let mut ranked: Vec<_> = all
+            .into_iter()
+            .map(|(hash, entry)| {
+                let count = counts.entry((entry.weight, &entry.domain)).or_default();
+                *count += 1;
+                ((Reverse(entry.weight), *count, hash), entry)
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|(rank, _)| *rank);
+        ranked.truncate(MIN_READERS + ranked.len().isqrt() / READER_DIVISOR);
+        let mut readers = Readers::default();
+        for (_, entry) in ranked {
+            if entry.name == own.name {
+                readers.is_own = true;
+            } else if entry.domain == own.domain {
+                readers.local.push(entry.peer_address.clone());
+            } else {
+                readers.remote.push(entry.peer_address.clone());
+            }
+        }
+        readers
     }
 
     /// Address of the decider, the gateway that decides the plans for all: the first in the order
--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! gateways that callers are sent to. Like the rest of the core it has no clock and no socket.
 
 pub mod autoscaler;
+pub mod bootstrap;
 pub mod budget;
 pub mod config;
 pub mod delta;
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -28,6 +28,7 @@
 use super::directory::Directory;
 use super::directory::Entry;
 use super::directory::Heartbeat;
+use super::directory::Readers;
 use super::engine::Popularity;
 use super::fingerprint::Fingerprint;
 use super::fleet::Claim;
@@ -198,8 +199,8 @@
         &self.settings.entry.name
     }
 
-    /// Addresses of the other gateways that read the store for all, and whether this one does too.
-    pub fn readers(&self, now: Time) -> (Vec<String>, bool) {
+    /// The gateways that read the store for all.
+    pub fn readers(&self, now: Time) -> Readers {
         self.directory.readers(now, &self.settings.entry)
     }
 
--- a/core/src/gateway/view.rs
+++ b/core/src/gateway/view.rs
@@ -226,6 +226,16 @@
         Snapshot { view: Arc::new(view), digest }
     }
 
+    /// Number of replicas and gateways.
+    pub fn len(&self) -> usize {
+        self.view.replicas.len() + self.view.gateways.len()
+    }
+
+    /// Whether there are neither replicas nor gateways.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// The whole snapshot as the base of a difference.
     pub fn base(&self) -> Base<'_> {
         Base {
--- a/core/tests/gateway/directory.rs
+++ b/core/tests/gateway/directory.rs
@@ -114,7 +114,8 @@
     for e in &others {
         directory.receive(START, &heartbeat(e, true));
     }
-    directory.readers(START, own)
+    let readers = directory.readers(START, own);
+    (readers.addresses().cloned().collect(), readers.is_own)
 }
 
 #[test]
@@ -182,3 +183,37 @@
 
     assert_eq!(select(&directory, Span::secs(3), None, "mixco"), ["a:1", "b:1"]);
 }
+
+/// Differences of views that cross failure domains are dear. If all readers are in one failure
+/// domain by chance, every other domain fetches each change from there.
+#[test]
+fn readers_of_equal_weight_are_spread_over_failure_domains() {
+    let gateway = |i: usize| Entry {
+        domain: format!("domain-{}", i % 5),
+        ..entry(&format!("gateway-{i}"))
+    };
+    let all: Vec<Entry> = (0..985).map(gateway).collect();
+    let mut directory = Directory::default();
+    directory.update(START, all[1..].to_vec());
+
+    let readers = directory.readers(START, &all[0]);
+
+    let count = readers.addresses().count() + usize::from(readers.is_own);
+    assert_eq!(count, 10);
+    assert_eq!(readers.local.len() + usize::from(readers.is_own), 2);
+}
+
+/// Gateways that start together list each other before the first heartbeats arrive. If these did
+/// not count, each gateway would be a reader, and all would read the store at once.
+#[test]
+fn listed_gateways_count_as_readers_until_their_first_heartbeats_are_due() {
+    let all: Vec<Entry> = (0..100).map(|i| entry(&format!("gateway-{i}"))).collect();
+    let mut directory = Directory::default();
+    directory.update(START, all[1..].to_vec());
+
+    let at_first = directory.readers(START, &all[0]);
+    let later = directory.readers(START + Span::secs(2), &all[0]);
+
+    assert_eq!(at_first.addresses().count() + usize::from(at_first.is_own), 5);
+    assert!(later.is_empty() && later.is_own);
+}
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway module, in virtual time and without a network.
 
 mod agreement;
+mod bootstrap;
 mod autoscaler;
 mod budget;
 mod delta;
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use tokio::sync::Notify;
 
 use crate::body::Payload;
+use crate::bootstrap;
 use crate::call;
 use crate::channel::Pool;
 use crate::clock;
@@ -149,9 +150,11 @@
             metrics: Metrics::default(),
             views: RefCell::default(),
             deltas: RefCell::default(),
+            transfers: Cell::new(0),
             flaws: RefCell::default(),
             pending: RefCell::default(),
             lease: Cell::new(None),
+            seed_lease: Cell::new(None),
             connections: Cell::new(0),
             connections_closing: Notify::new(),
             calls_ending: Notify::new(),
@@ -170,8 +173,14 @@
         let eras = self.store.eras;
         spawn(Box::pin(era::follow(shared.clone(), eras.clone())));
         let (read, write_quarantine) = (self.store.read, self.store.write_quarantine);
-        let follower = store::Follower { eras: eras.clone(), read, write_quarantine };
-        spawn(Box::pin(store::follow(shared.clone(), follower)));
+        let follower =
+            store::Follower { eras: eras.clone(), read, write_quarantine, reachable: true };
+        let seeds = bootstrap::Calls {
+            list: self.store.list_seeds,
+            register: self.store.register,
+            renew: Rc::clone(&self.store.renew),
+        };
+        spawn(Box::pin(store::follow(shared.clone(), entry.clone(), follower, seeds)));
         spawn(Box::pin(serve_plain(shared.clone(), views, view::respond)));
         let (announce, renew) = (self.store.announce, self.store.renew);
         let entry_task =
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod attempt;
 pub mod body;
+pub mod bootstrap;
 pub mod call;
 pub mod channel;
 pub mod clock;
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -186,10 +186,12 @@
 async fn send_proof(shared: &Shared, from: SocketAddr, request: u64) {
     let age = shared.gateway.borrow().proof_age(clock::now());
     let digest = shared.views.borrow().newest().map(|known| known.digest);
-    if let (Some(age), Some(digest)) = (age, digest) {
-        let proof = Proof { question: request, digest, age_us: age.0 };
-        send(&shared.socket, from, &Message::Proof(proof)).await;
-    }
+    let proof = match (age, digest) {
+        (Some(age), Some(digest)) => Proof { question: request, digest, age_us: age.0 },
+        // Tells a starting gateway that this one runs, although it proves nothing yet.
+        _ => Proof { question: request, digest: view::Digest::default(), age_us: u64::MAX },
+    };
+    send(&shared.socket, from, &Message::Proof(proof)).await;
 }
 
 /// Sends heartbeats, forever.
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -36,6 +36,8 @@
     pub views: RefCell<History>,
     /// Encoded differences between views.
     pub deltas: RefCell<Deltas>,
+    /// Whole views that are being sent to peers.
+    pub transfers: Cell<usize>,
     /// Malformed entries of the store that have been logged.
     pub flaws: RefCell<Tracker>,
     /// Requests to other gateways that wait for a response.
@@ -46,6 +48,8 @@
     pub updates_waiting: Notify,
     /// Id of the lease of the gateway's entry in the store.
     pub lease: Cell<Option<u64>>,
+    /// Id of the lease of the gateway's registration as a seed.
+    pub seed_lease: Cell<Option<u64>>,
     /// Number of open connections of callers.
     pub connections: Cell<usize>,
     /// Wakes the connections of callers when they must be closed.
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -18,7 +18,9 @@
 use hyper::body::Incoming;
 use laburnumwheel_core::gateway::autoscaler::Capacities;
 use laburnumwheel_core::gateway::autoscaler::Scaling;
+use laburnumwheel_core::gateway::bootstrap::Seed;
 use laburnumwheel_core::gateway::directory::Entry;
+use laburnumwheel_core::gateway::directory::Readers;
 use laburnumwheel_core::gateway::view::Snapshot;
 use laburnumwheel_core::rendezvous;
 use laburnumwheel_core::time::Span;
@@ -26,6 +28,7 @@
 use rand::Rng;
 use rand::seq::SliceRandom;
 
+use crate::bootstrap;
 use crate::clock;
 use crate::duty;
 use crate::era;
@@ -47,8 +50,13 @@
 /// take effect.
 const READ_INTERVAL: Duration = Duration::from_millis(550);
 const PROOF_INTERVAL: Duration = Duration::from_millis(550);
-/// Number of readers that a gateway asks for a proof before it reads the store itself.
-const MAX_READERS_ASKED: usize = 2;
+/// Number of readers that a gateway asks for a proof in one round.
+const MAX_READERS_ASKED: usize = 4;
+/// Entries of a view from which on a gateway that no reader answers asks again before it reads the
+/// store itself: a few hundred gateways that read such a list at once saturate the store's link.
+const LARGE_VIEW: usize = 1_000;
+/// Consecutive rounds without an answer after which a gateway reads a large view itself.
+const ROUNDS_UNTIL_READ: u32 = 3;
 /// Age above which a reader's proof is ignored: that reader has lost the store itself.
 const MAX_PROOF_AGE: Span = Span::millis(1_000);
 /// Time to the next try after a failed call; the store charges for refused calls too.
@@ -70,16 +78,12 @@
 /// Lifetime of the gateway's entry without renewal. The entry only makes the gateway known to
 /// others; heartbeats show whether it is alive. With 4 s and a renewal every 1.3 s, renewals were a
 /// third of all calls of 295 gateways; with 20 s, the store would list crashed gateways for 20 s.
-const LEASE: Duration = Duration::from_secs(10);
+pub(crate) const LEASE: Duration = Duration::from_secs(10);
 /// Time from one renewal to the next, so that two may be lost before the lease ends.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(3_300);
+pub(crate) const RENEWAL_INTERVAL: Duration = Duration::from_millis(3_300);
 /// Time over which gateways spread the announcement of their entries after a return of the store to
 /// an older copy: 440 gateways make two calls each, some 590 a second in all.
 const ANNOUNCE_SPREAD: Duration = Duration::from_millis(1_500);
-/// Time from one read to the next while the store holds no configuration: all gateways of a new
-/// fleet read then, as no reader can give proofs yet.
-const STARTUP_READ_INTERVAL: Duration = Duration::from_millis(1_100);
-
 /// Result of one read of the store.
 #[derive(Clone, Debug, Default)]
 pub struct Reading {
@@ -142,9 +146,13 @@
     /// Replaces the stored records of the quarantine if their revision is still this one.
     pub write_quarantine: Box<dyn FnMut(Vec<quarantine::Record>, u64) -> Reply<()>>,
     /// Renews a lease.
-    pub renew: Box<dyn FnMut(u64) -> Reply<()>>,
-    /// Ends a lease, which deletes the entry.
+    pub renew: bootstrap::Renew,
+    /// Ends a lease, which deletes the entries under it.
     pub withdraw: Box<dyn FnMut(u64) -> Reply<()>>,
+    /// Lists the seeds of a failure domain, or of all.
+    pub list_seeds: Box<dyn FnMut(Option<String>) -> Reply<Vec<Seed>>>,
+    /// Registers the gateway as a seed; see [`bootstrap::Calls::register`].
+    pub register: Box<dyn FnMut(Entry, u32, u64, Duration) -> Reply<u64>>,
 }
 
 /// Waits for one call of the store for at most 900 ms.
@@ -186,6 +194,8 @@
     pub read: Box<dyn FnMut() -> Reply<Reading>>,
     /// Same as [`Store::write_quarantine`].
     pub write_quarantine: Box<dyn FnMut(Vec<quarantine::Record>, u64) -> Reply<()>>,
+    /// Whether the last read succeeded.
+    pub reachable: bool,
 }
 
 /// Reads everything within [`READ_TIMEOUT`].
@@ -201,75 +211,99 @@
     Ok(reading)
 }
 
+/// Reads the store once and applies what it holds.
+///
+/// Only readers write the quarantine, so that a whole fleet does not write the same records at
+/// once.
+pub(crate) async fn read_and_apply(
+    shared: &Shared,
+    follower: &mut Follower,
+    is_reader: bool,
+) -> Result<(), Error> {
+    let sent = clock::now();
+    let result = read_all(follower).await;
+    era::log_oddities(shared, &follower.eras);
+    shared.metrics.count_store_call("read", result.is_ok());
+    let was_reachable = std::mem::replace(&mut follower.reachable, result.is_ok());
+    match result {
+        Ok(reading) => {
+            if !was_reachable {
+                shared.log(Line::new("store_regained"));
+            }
+            let stored = apply_reading(shared, sent, reading);
+            if is_reader {
+                quarantine::persist(shared, &stored, &mut follower.write_quarantine).await;
+            }
+            Ok(())
+        }
+        Err(e) => {
+            if was_reachable {
+                let age = shared.gateway.borrow().proof_age(clock::now());
+                let line = Line::new("store_lost").with("error", &e);
+                shared.log(line.with("proof_age_ms", age.map_or(-1, |a| a.as_millis() as i64)));
+            }
+            Err(e)
+        }
+    }
+}
+
 /// Keeps up with the store forever: a reader by reading it, any other gateway by asking a reader.
-pub async fn follow(shared: Shared, mut follower: Follower) {
-    let mut reachable = true;
+pub async fn follow(shared: Shared, entry: Entry, mut follower: Follower, seeds: bootstrap::Calls) {
+    bootstrap::run(&shared, entry, &mut follower, seeds).await;
+    let mut rounds_failed = 0;
     loop {
-        let (readers, is_reader) = shared.gateway.borrow().readers(clock::now());
-        if !is_reader && ask_readers(&shared, &readers).await {
-            tokio::time::sleep(jittered(&shared, PROOF_INTERVAL)).await;
-            continue;
-        }
-        let sent = clock::now();
-        let result = read_all(&mut follower).await;
-        era::log_oddities(&shared, &follower.eras);
-        shared.metrics.count_store_call("read", result.is_ok());
-        match result {
-            Ok(reading) => {
-                if !reachable {
-                    shared.log(Line::new("store_regained"));
-                }
-                reachable = true;
-                let stored = apply_reading(&shared, sent, reading);
-                // Only the readers write, so that a whole fleet does not write the same records at
-                // once.
-                if is_reader {
-                    quarantine::persist(&shared, &stored, &mut follower.write_quarantine).await;
-                }
-                let unconfigured = shared.gateway.borrow().version() == 0;
-                let pause = if unconfigured { STARTUP_READ_INTERVAL } else { READ_INTERVAL };
-                tokio::time::sleep(jittered(&shared, pause)).await;
+        let readers = shared.gateway.borrow().readers(clock::now());
+        let is_reader = readers.is_own;
+        if !is_reader {
+            if ask_readers(&shared, &readers).await {
+                rounds_failed = 0;
+                tokio::time::sleep(jittered(&shared, PROOF_INTERVAL)).await;
+                continue;
             }
-            Err(e) => {
-                if reachable {
-                    let age = shared.gateway.borrow().proof_age(clock::now());
-                    let line = Line::new("store_lost").with("error", &e);
-                    shared.log(line.with("proof_age_ms", age.map_or(-1, |a| a.as_millis() as i64)));
-                }
-                reachable = false;
-                // The store may refuse this gateway alone. Its peers still count it as a reader, so
-                // it keeps trying, and meanwhile follows another reader: otherwise its proof would
-                // expire, and it would refuse its callers while the others serve theirs.
-                let followed = is_reader && ask_readers(&shared, &readers).await;
-                let pause = if followed { PROOF_INTERVAL } else { RETRY_INTERVAL };
-                tokio::time::sleep(jittered(&shared, pause)).await;
+            rounds_failed += 1;
+            let is_large = shared.views.borrow().newest().is_some_and(|v| v.len() >= LARGE_VIEW);
+            if is_large && !readers.is_empty() && rounds_failed < ROUNDS_UNTIL_READ {
+                tokio::time::sleep(jittered(&shared, RETRY_INTERVAL)).await;
+                continue;
             }
         }
+        let pause = match read_and_apply(&shared, &mut follower, is_reader).await {
+            Ok(()) => READ_INTERVAL,
+            // The store may refuse this gateway alone. Its peers still count it as a reader, so it
+            // keeps trying, and meanwhile follows another reader: otherwise its proof would expire,
+            // and it would refuse its callers while the others serve theirs.
+            Err(_) if is_reader && ask_readers(&shared, &readers).await => PROOF_INTERVAL,
+            Err(_) => RETRY_INTERVAL,
+        };
+        tokio::time::sleep(jittered(&shared, pause)).await;
     }
 }
 
-/// Returns the readers in the order in which this gateway asks them: the same one first as long as
-/// it is alive, then the others at random.
+/// Returns the readers in the order in which this gateway asks them: those of its own failure
+/// domain before the others, and among these the same one first as long as it is alive.
 ///
 /// Readers read at different moments, so during frequent changes each sees states that others do
 /// not. A reader that does not know the state of the gateway that asks can't compute the
 /// difference, and sends whole lists.
-fn shuffled_readers(shared: &Shared, readers: &[String]) -> Vec<String> {
+fn order_readers(shared: &Shared, readers: &Readers) -> Vec<String> {
     let own = rendezvous::hash(&[shared.gateway.borrow().name().as_bytes()]);
     let score = |reader: &String| rendezvous::score(own, rendezvous::hash(&[reader.as_bytes()]));
-    let mut readers = readers.to_vec();
-    readers.sort_by_key(|reader| std::cmp::Reverse(score(reader)));
-    if let Some((_, others)) = readers.split_first_mut() {
+    let mut local = readers.local.clone();
+    local.sort_by_key(|reader| std::cmp::Reverse(score(reader)));
+    let mut remote = readers.remote.clone();
+    remote.sort_by_key(|reader| std::cmp::Reverse(score(reader)));
+    if let Some((_, others)) = remote.split_first_mut() {
         others.shuffle(&mut *shared.rng.borrow_mut());
     }
-    readers
+    local.extend(remote);
+    local
 }
 
 /// Asks readers whether anything has changed, and fetches the changes.
 ///
 /// Returns `false` if none of them gave a fresh proof; then the gateway must read the store itself.
-async fn ask_readers(shared: &Shared, readers: &[String]) -> bool {
-    for reader in shuffled_readers(shared, readers).iter().take(MAX_READERS_ASKED) {
+async fn ask_readers(shared: &Shared, readers: &Readers) -> bool {
+    for reader in order_readers(shared, readers).iter().take(MAX_READERS_ASKED) {
         let Ok(address) = reader.parse() else {
             continue;
         };
@@ -296,7 +330,7 @@
         shared.metrics.count("questions_total", format!("outcome=\"{outcome}\""));
         match fetched {
             Ok((sent, snapshot)) => {
-                apply(shared, sent, snapshot, Source::Peer, true);
+                apply_from_peer(shared, sent, snapshot);
                 return true;
             }
             Err(e) => {
@@ -333,6 +367,11 @@
         .collect()
 }
 
+/// Applies a view that was fetched from a peer.
+pub(crate) fn apply_from_peer(shared: &Shared, sent: Time, snapshot: Snapshot) {
+    apply(shared, sent, snapshot, Source::Peer, true);
+}
+
 /// Applies the result of a read of the store; returns the stored records of the quarantine.
 fn apply_reading(shared: &Shared, sent: Time, mut reading: Reading) -> quarantine::Entry {
     if let Some(duties) = &shared.duties {
@@ -381,7 +420,7 @@
     let version = gateway.version();
     shared.pool.retain(|replica| gateway.fleet().get(replica).is_some());
     // Views take memory, and peers seldom ask a gateway that is not a reader.
-    let views_kept = if gateway.readers(now).1 { VIEWS_KEPT } else { 1 };
+    let views_kept = if gateway.readers(now).is_own { VIEWS_KEPT } else { 1 };
     drop(gateway);
     shared.views.borrow_mut().push(snapshot, views_kept);
     let read_ms = now.since(sent).as_millis();
@@ -420,7 +459,7 @@
     entry: Entry,
     eras: Eras,
     mut announce: Box<dyn FnMut(Entry, Duration) -> Reply<u64>>,
-    mut renew: Box<dyn FnMut(u64) -> Reply<()>>,
+    renew: bootstrap::Renew,
 ) {
     let mut watcher = eras.watch();
     loop {
@@ -462,9 +501,10 @@
     }
 }
 
-/// Deletes the gateway's entry; if that fails, the entry disappears when its lease ends.
+/// Deletes the gateway's entry and registration as a seed; if that fails, they disappear when their
+/// leases end.
 pub async fn withdraw(shared: &Shared, mut withdraw: Box<dyn FnMut(u64) -> Reply<()>>) {
-    if let Some(lease) = shared.lease.take() {
+    for lease in [shared.lease.take(), shared.seed_lease.take()].into_iter().flatten() {
         let result = with_timeout(withdraw(lease)).await;
         shared.metrics.count_store_call("withdraw", result.is_ok());
     }
@@ -472,6 +512,6 @@
 
 /// Returns `period` with random jitter, so that gateways that started together do not call
 /// together.
-fn jittered(shared: &Shared, period: Duration) -> Duration {
+pub(crate) fn jittered(shared: &Shared, period: Duration) -> Duration {
     period.mul_f64(shared.rng.borrow_mut().random_range(0.85..1.15))
 }
--- a/gateway/src/view.rs
+++ b/gateway/src/view.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
+use futures_util::stream;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -34,6 +35,10 @@
 /// Upper bound on cached differences. After a change there is one for each earlier view that peers
 /// still have.
 const MAX_CACHED_DELTAS: usize = 16;
+/// Upper bound on whole views that are sent at a time.
+const MAX_TRANSFERS: usize = 16;
+/// Size of the pieces in which a whole view is sent, in bytes.
+const PIECE_BYTES: usize = 64 << 10;
 
 /// Cache of encoded differences to the newest view, as many peers request the same ones.
 #[derive(Debug, Default)]
@@ -58,20 +63,65 @@
 pub fn respond(shared: &Shared, request: &Request<Incoming>) -> Response<Payload> {
     let age = shared.gateway.borrow().proof_age(clock::now());
     let delta = age.and_then(|_| encode_delta(shared, parse_digest(request.uri().query())));
-    let (Some(age), Some(delta)) = (age, delta) else {
-        let mut response = Response::new(Payload::full(""));
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        return response;
+    let (Some(age), Some((delta, is_whole))) = (age, delta) else {
+        return unavailable();
     };
-    let mut bytes = age.0.to_le_bytes().to_vec();
-    bytes.extend_from_slice(&delta);
-    Response::new(Payload::full(bytes))
+    let age = Bytes::copy_from_slice(&age.0.to_le_bytes());
+    if !is_whole {
+        return Response::new(Payload::full([age, delta].concat()));
+    }
+    match Transfer::begin(shared) {
+        Some(transfer) => Response::new(transfer.payload(age, delta)),
+        None => unavailable(),
+    }
+}
+
+fn unavailable() -> Response<Payload> {
+    let mut response = Response::new(Payload::full(""));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
+}
+
+/// A whole view that is being sent; dropping it ends the transfer.
+struct Transfer(Shared);
+
+impl Transfer {
+    /// Begins a transfer, unless there are too many: if hundreds of gateways that start together
+    /// shared one link, none of them would have a view for a long time.
+    fn begin(shared: &Shared) -> Option<Transfer> {
+        let transfers = shared.transfers.get();
+        (transfers < MAX_TRANSFERS).then(|| {
+            shared.transfers.set(transfers + 1);
+            Transfer(shared.clone())
+        })
+    }
+
+    /// A body that ends the transfer once its last piece has been taken.
+    fn payload(self, head: Bytes, delta: Bytes) -> Payload {
+        let pieces = stream::unfold((self, Some(head), delta), |(transfer, head, mut rest)| async {
+            let piece = match head {
+                Some(head) => head,
+                None if rest.is_empty() => return None,
+                None => rest.split_to(rest.len().min(PIECE_BYTES)),
+            };
+            Some((Ok(piece), (transfer, None, rest)))
+        });
+        Payload::stream(pieces)
+    }
+}
+
+impl Drop for Transfer {
+    fn drop(&mut self) {
+        self.0.transfers.set(self.0.transfers.get() - 1);
+    }
 }
 
-fn encode_delta(shared: &Shared, known: Digest) -> Option<Bytes> {
+/// The encoded difference from the view that a peer knows, and whether that is an empty one.
+fn encode_delta(shared: &Shared, known: Digest) -> Option<(Bytes, bool)> {
     let views = shared.views.borrow();
     let newest = views.newest()?;
     let base = views.base(known);
+    let is_whole = base.digest.replicas == 0 && newest.digest.replicas != 0;
     let encode = || match Delta::between(base, newest).encode() {
         Ok(bytes) => Bytes::from(bytes),
         Err(e) => {
@@ -79,7 +129,8 @@
             Bytes::new()
         }
     };
-    Some(shared.deltas.borrow_mut().get((base.digest, newest.digest), encode))
+    let encoded = shared.deltas.borrow_mut().get((base.digest, newest.digest), encode);
+    Some((encoded, is_whole))
 }
 
 /// Parses the digest of a peer's view; absent or malformed parts are those of an empty view.
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -276,8 +276,10 @@
         }),
         announce: Box::new(|_, _| Box::pin(async { Ok(1) })),
         write_quarantine: Box::new(|_, _| Box::pin(async { Ok(()) })),
-        renew: Box::new(|_| Box::pin(async { Ok(()) })),
+        renew: Rc::new(|_| Box::pin(async { Ok(()) })),
         withdraw: Box::new(|_| Box::pin(async { Ok(()) })),
+        list_seeds: Box::new(|_| Box::pin(async { Ok(Vec::new()) })),
+        register: Box::new(|_, _, _, _| Box::pin(async { Ok(2) })),
     }
 }
 
--- a/gateway/tests/views.rs
+++ b/gateway/tests/views.rs
@@ -73,7 +73,7 @@
 }
 
 fn is_reader(running: &Running) -> bool {
-    running.shared.gateway.borrow().readers(clock::now()).1
+    running.shared.gateway.borrow().readers(clock::now()).is_own
 }
 
 /// Number of replicas to which a gateway may send calls.
