Keep gateways without a fresh proof from reading a large store at once

The overload goes on by itself: readers have no fresh proofs, so all others read too.

Seeds now count as readers until their first heartbeats are due. A gateway that gets no fresh proof from four readers asks two random gateways, and reads a list of over 1,000 entries only with a probability by which some four gateways of the fleet do. A gateway that hears nobody, and all of a small fleet, read at once as before.

--- a/core/src/gateway/bootstrap.rs
+++ b/core/src/gateway/bootstrap.rs
@@ -141,6 +141,11 @@
         self.registered
     }
 
+    /// Entries of the seeds that were listed last.
+    pub fn seeds(&self) -> Vec<Entry> {
+        self.seeds.iter().flatten().map(|seed| seed.entry.clone()).collect()
+    }
+
     /// The next step at `now`.
     pub fn next(&mut self, now: Time) -> Step {
         if !std::mem::replace(&mut self.waited, true) {
--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -121,9 +121,7 @@
     /// Whether the gateway may run although it has not sent a heartbeat yet. Without these, all
     /// gateways that start together would be readers until they have received heartbeats.
     fn is_starting(&self, now: Time) -> bool {
-        self.listed
-            && self.last_heartbeat.is_none()
-            && now.since(self.first_seen) < LIVENESS_TIMEOUT
+        self.last_heartbeat.is_none() && now.since(self.first_seen) < LIVENESS_TIMEOUT
     }
 
     fn is_live(&self, now: Time) -> bool {
@@ -157,6 +155,13 @@
         self.members.retain(|_, m| now.since(m.last_seen) < RETENTION);
     }
 
+    /// Adds gateways that are known from elsewhere before they are listed.
+    pub fn add(&mut self, now: Time, entries: impl IntoIterator<Item = Entry>) {
+        for entry in entries {
+            self.member(now, entry);
+        }
+    }
+
     /// Merges a heartbeat.
     pub fn receive(&mut self, now: Time, heartbeat: &Heartbeat) {
         let member = self.member(now, heartbeat.entry.clone());
--- a/core/src/gateway/state/reads.rs
+++ b/core/src/gateway/state/reads.rs
@@ -17,6 +17,11 @@
 /// Time after the start in which peers' heartbeats determine the newest version.
 const STARTUP: Span = Span::secs(10);
 
+/// Entries of a view up to which any gateway may read the store: a few pages.
+const SMALL_VIEW: usize = 1_000;
+/// Reads of a large view that all gateways without a fresh proof start together in one round.
+const FALLBACK_READS: f64 = 4.0;
+
 impl Gateway {
     /// Records a valid read of the store that was sent at `sent` and found `config`; returns
     /// whether it is a new configuration.
@@ -87,6 +92,25 @@
         self.fleet.update(now, replicas, keep_missing)
     }
 
+    /// Probability with which a gateway that is no reader, and got no fresh proof in this round,
+    /// reads the store's `entries` itself.
+    ///
+    /// If the store or the readers are slow for a second, no gateway of the fleet has a fresh proof.
+    /// If hundreds of them then read a large list, the store's link is saturated, the readers' own
+    /// reads fail too, and the overload goes on by itself.
+    pub fn fallback_probability(&self, now: Time, entries: usize) -> f64 {
+        if entries <= SMALL_VIEW {
+            return 1.0;
+        }
+        (FALLBACK_READS / self.live_peers(now).max(1) as f64).min(1.0)
+    }
+
+    /// Adds gateways that are known from elsewhere before they are listed.
+    pub fn add_gateways(&mut self, now: Time, entries: Vec<Entry>) {
+        let own = self.settings.entry.name.clone();
+        self.directory.add(now, entries.into_iter().filter(|e| e.name != own));
+    }
+
     /// Records a peer's proof that this gateway's view was current at `sent`. Returns the replicas
     /// that are closed now, because their entries are still missing after an outage of the store.
     pub fn confirm_view(&mut self, sent: Time) -> Vec<String> {
--- a/core/tests/gateway/directory.rs
+++ b/core/tests/gateway/directory.rs
@@ -217,3 +217,19 @@
     assert_eq!(at_first.addresses().count() + usize::from(at_first.is_own), 5);
     assert!(later.is_empty() && later.is_own);
 }
+
+/// The first view of a new fleet lists no gateway, because gateways announce themselves once they
+/// have it. If the seeds that it came from did not count, each gateway would read the store itself.
+#[test]
+fn seeds_count_as_readers_before_any_gateway_is_listed() {
+    let seeds = ["a", "b", "c"].map(|name| Entry { weight: 500, ..entry(name) });
+    let mut directory = Directory::default();
+    directory.add(START, seeds);
+    directory.update(START, Vec::new());
+
+    let mut readers = directory.readers(START, &entry("own"));
+    readers.local.sort();
+
+    assert_eq!(readers.local, ["a:2", "b:2", "c:2"]);
+    assert!(!readers.is_own);
+}
--- a/core/tests/gateway/outage.rs
+++ b/core/tests/gateway/outage.rs
@@ -1,8 +1,10 @@
 //! Missing entries of live replicas after an outage of the store.
 
 use laburnumwheel_core::gateway::Gateway;
+use laburnumwheel_core::gateway::directory;
 use laburnumwheel_core::gateway::directory::Heartbeat;
 use laburnumwheel_core::gateway::fleet::Listing;
+use laburnumwheel_core::gateway::gossip::Demand;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 
@@ -10,6 +12,7 @@
 use crate::support::entry;
 use crate::support::gateway;
 use crate::support::listing;
+use crate::support::settings;
 
 /// Time from sending a read of the store to receiving its result over a saturated link.
 const READ_TIME: Span = Span::millis(950);
@@ -186,3 +189,25 @@
 
     assert_eq!(retained.len(), 4);
 }
+
+/// The store is slow for a second, so no gateway has a fresh proof. If all of a large fleet then
+/// read it, none of the reads ends in time, and the fleet refuses its callers for good. A small
+/// fleet may read at once, and so may a gateway that hears nobody.
+#[test]
+fn few_gateways_of_a_large_fleet_read_the_store_without_a_fresh_proof() {
+    let mut gateway = Gateway::new(settings("own"), START);
+    let alone = gateway.fallback_probability(START, 11_000);
+    for name in (0..984).map(|i| format!("gateway-{i}")) {
+        let gateway_hash = directory::short_hash(&name);
+        let demand = Demand { gateway: gateway_hash, open: true, sensitive: 0, age_ms: 0 };
+        let entry = entry(&name);
+        let heartbeat = Heartbeat { entry, demands: vec![demand], ..heartbeat(Span(0)) };
+        gateway.receive(START, &heartbeat);
+    }
+
+    let expected_reads = 985.0 * gateway.fallback_probability(START, 11_000);
+
+    assert_eq!(alone, 1.0);
+    assert!((1.0..10.0).contains(&expected_reads), "{expected_reads}");
+    assert_eq!(gateway.fallback_probability(START, 400), 1.0);
+}
--- a/gateway/src/bootstrap.rs
+++ b/gateway/src/bootstrap.rs
@@ -76,6 +76,9 @@
             }
         }
     }
+    // Gateways announce themselves once they know a configuration, so the first view of a new fleet
+    // lists none of them, and each would count as a reader.
+    shared.gateway.borrow_mut().add_gateways(clock::now(), state.seeds());
 }
 
 /// Fetches the view from the first seed that has one. Returns `None` if that succeeded.
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -26,6 +26,7 @@
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 use rand::Rng;
+use rand::seq::IndexedRandom;
 use rand::seq::SliceRandom;
 
 use crate::bootstrap;
@@ -52,11 +53,8 @@
 const PROOF_INTERVAL: Duration = Duration::from_millis(550);
 /// Number of readers that a gateway asks for a proof in one round.
 const MAX_READERS_ASKED: usize = 4;
-/// Entries of a view from which on a gateway that no reader answers asks again before it reads the
-/// store itself: a few hundred gateways that read such a list at once saturate the store's link.
-const LARGE_VIEW: usize = 1_000;
-/// Consecutive rounds without an answer after which a gateway reads a large view itself.
-const ROUNDS_UNTIL_READ: u32 = 3;
+/// Other gateways that are asked for a proof if no reader has one.
+const MAX_PEERS_ASKED: usize = 2;
 /// Age above which a reader's proof is ignored: that reader has lost the store itself.
 const MAX_PROOF_AGE: Span = Span::millis(1_000);
 /// Time to the next try after a failed call; the store charges for refused calls too.
@@ -250,20 +248,14 @@
 /// Keeps up with the store forever: a reader by reading it, any other gateway by asking a reader.
 pub async fn follow(shared: Shared, entry: Entry, mut follower: Follower, seeds: bootstrap::Calls) {
     bootstrap::run(&shared, entry, &mut follower, seeds).await;
-    let mut rounds_failed = 0;
     loop {
         let readers = shared.gateway.borrow().readers(clock::now());
         let is_reader = readers.is_own;
         if !is_reader {
-            if ask_readers(&shared, &readers).await {
-                rounds_failed = 0;
-                tokio::time::sleep(jittered(&shared, PROOF_INTERVAL)).await;
-                continue;
-            }
-            rounds_failed += 1;
-            let is_large = shared.views.borrow().newest().is_some_and(|v| v.len() >= LARGE_VIEW);
-            if is_large && !readers.is_empty() && rounds_failed < ROUNDS_UNTIL_READ {
-                tokio::time::sleep(jittered(&shared, RETRY_INTERVAL)).await;
+            let followed = ask_readers(&shared, &readers).await || ask_peers(&shared).await;
+            if followed || !may_read(&shared) {
+                let pause = if followed { PROOF_INTERVAL } else { RETRY_INTERVAL };
+                tokio::time::sleep(jittered(&shared, pause)).await;
                 continue;
             }
         }
@@ -301,9 +293,30 @@
 
 /// Asks readers whether anything has changed, and fetches the changes.
 ///
-/// Returns `false` if none of them gave a fresh proof; then the gateway must read the store itself.
+/// Returns `false` if none of them gave a fresh proof.
 async fn ask_readers(shared: &Shared, readers: &Readers) -> bool {
-    for reader in order_readers(shared, readers).iter().take(MAX_READERS_ASKED) {
+    let mut readers = order_readers(shared, readers);
+    readers.truncate(MAX_READERS_ASKED);
+    ask(shared, &readers).await
+}
+
+/// Asks a few random gateways, which may reach a reader that this one does not reach.
+async fn ask_peers(shared: &Shared) -> bool {
+    let peers = shared.gateway.borrow().peer_addresses();
+    let peers: Vec<String> =
+        peers.choose_multiple(&mut *shared.rng.borrow_mut(), MAX_PEERS_ASKED).cloned().collect();
+    ask(shared, &peers).await
+}
+
+/// Whether this gateway, which is no reader and got no fresh proof, reads the store itself.
+fn may_read(shared: &Shared) -> bool {
+    let entries = shared.views.borrow().newest().map_or(0, |view| view.len());
+    let probability = shared.gateway.borrow().fallback_probability(clock::now(), entries);
+    shared.rng.borrow_mut().random_bool(probability)
+}
+
+async fn ask(shared: &Shared, gateways: &[String]) -> bool {
+    for reader in gateways {
         let Ok(address) = reader.parse() else {
             continue;
         };
