Do not let crashes of one request excuse another that crashes replicas too

By reading the code: crashes that a request shares with an earlier suspect did not count for it, so

- a long stream that three crashes had interrupted became a suspect, and explained two crashes of their cause, which was then sent until it had three others;
- of two crashing requests that met at two replicas each excused the other, and a quarantine that was in force ended when the other had more crashes.

An interruption after the first event now counts only if, a second later, nobody knows of a request that was not yet being answered there; and only a request that shares all of its crashes with others is a bystander.

--- a/core/src/gateway/quarantine.rs
+++ b/core/src/gateway/quarantine.rs
@@ -87,6 +87,9 @@
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     crashes: BTreeMap<Digest, Observation>,
+    /// Crashes of replicas that had already sent part of their answer, until it is known whether
+    /// another request explains them.
+    undecided: BTreeMap<Digest, Time>,
     answered: Option<Time>,
     /// Time of the last change.
     changed: Time,
@@ -130,12 +133,14 @@
             return false;
         }
         self.answered = Some(at);
+        self.undecided.retain(|_, crash| *crash > at + LIVENESS_DELAY);
         self.crashes.retain(|_, crash| crash.at > at + LIVENESS_DELAY);
         true
     }
 
     fn is_expired(&self, now: Time) -> bool {
         let last = self.crashes.values().map(|crash| crash.at).max().max(self.answered);
+        let last = last.max(self.undecided.values().copied().max());
         let retention = if self.has_enough_crashes() { QUARANTINED_RETENTION } else { RETENTION };
         last.is_none_or(|last| now.since(last) > retention)
     }
@@ -169,6 +174,41 @@
         }
     }
 
+    /// Records that the connection to `replica` broke after it had sent part of its answer to a
+    /// request.
+    ///
+    /// Most such requests are bystanders: long streams meet several crashes while other requests
+    /// cause them. As soon as three were counted against a stream, it seemed to explain the crashes
+    /// of their cause, which was then sent again. So the crash counts only if, once peers have
+    /// gossiped theirs, no request is known that had not begun to be answered there.
+    pub fn record_interruption(&mut self, now: Time, fingerprint: Fingerprint, replica: Digest) {
+        let suspect = self.suspects.entry(fingerprint).or_default();
+        if !suspect.crashes.contains_key(&replica) {
+            suspect.undecided.entry(replica).or_insert(now);
+        }
+    }
+
+    /// Decides on interruptions for which the crashes that peers recorded have arrived.
+    fn decide_interruptions(&mut self, now: Time) {
+        let crashed: BTreeSet<Digest> =
+            self.suspects.values().flat_map(|s| s.crashes.keys().copied()).collect();
+        for suspect in self.suspects.values_mut() {
+            let due = |at: Time| now.since(at) >= LIVENESS_DELAY;
+            let decided: Vec<(Digest, Time)> = suspect
+                .undecided
+                .iter()
+                .map(|(r, at)| (*r, *at))
+                .filter(|(_, at)| due(*at))
+                .collect();
+            for (replica, at) in decided {
+                suspect.undecided.remove(&replica);
+                if !crashed.contains(&replica) && suspect.add_crash(at, replica) {
+                    suspect.changed = now;
+                }
+            }
+        }
+    }
+
     /// Records a complete answer to a request.
     pub fn record_answer(&mut self, now: Time, fingerprint: Fingerprint) {
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
@@ -255,6 +295,7 @@
         now: Time,
         is_alive: impl Fn(Digest, Time) -> bool,
     ) -> Vec<Transition> {
+        self.decide_interruptions(now);
         for suspect in self.suspects.values_mut() {
             for (replica, crash) in &mut suspect.crashes {
                 crash.is_alive = crash.is_alive || is_alive(*replica, crash.at + LIVENESS_DELAY);
@@ -283,8 +324,9 @@
     }
 
     /// Recomputes the quarantines. Candidates are ordered by their number of crashes, then by the
-    /// time at which they reached the threshold. Crashes of a quarantined fingerprint do not count
-    /// against a later candidate that shares at least [`MIN_SHARED`] of them.
+    /// time at which they reached the threshold. A candidate is a bystander if it shares all of its
+    /// crashes with earlier ones, and at least [`MIN_SHARED`] with each of these. Crashing requests
+    /// that meet at a replica or two do not excuse each other.
     fn recompute(&mut self) {
         self.quarantined.clear();
         let mut candidates = Vec::new();
@@ -309,16 +351,13 @@
                 |cause: &&BTreeSet<Digest>| cause.intersection(&replicas).count() >= MIN_SHARED;
             let explained: BTreeSet<Digest> =
                 causes.iter().filter(shares).flatten().copied().collect();
-            let unexplained = crashes.iter().filter(|(_, replica)| !explained.contains(replica));
-            let unexplained: Vec<Time> = unexplained.map(|(at, _)| *at).collect();
-            if let Some(last) = unexplained.last()
-                && unexplained.len() >= CRASH_THRESHOLD
+            let is_explained = crashes.iter().all(|(_, replica)| explained.contains(replica));
+            if let Some((last, _)) = crashes.last()
+                && !is_explained
             {
-                let duration = Span(
-                    MIN_QUARANTINE.0
-                        << (unexplained.len() - CRASH_THRESHOLD).min(MAX_CRASHES - CRASH_THRESHOLD),
-                );
-                self.quarantined.insert(fingerprint, *last + duration);
+                let doublings =
+                    (crashes.len() - CRASH_THRESHOLD).min(MAX_CRASHES - CRASH_THRESHOLD);
+                self.quarantined.insert(fingerprint, *last + Span(MIN_QUARANTINE.0 << doublings));
                 causes.push(replicas);
             }
         }
--- a/core/src/gateway/state/poison.rs
+++ b/core/src/gateway/state/poison.rs
@@ -21,7 +21,12 @@
 impl Gateway {
     /// Records that the connection to a replica broke while it ran a request.
     pub fn record_crash(&mut self, now: Time, grant: &Grant, claim: &Claim) {
-        if let Some(fingerprint) = grant.fingerprint {
+        let Some(fingerprint) = grant.fingerprint else {
+            return;
+        };
+        if claim.first_event_seen {
+            self.quarantine.record_interruption(now, fingerprint, claim.incarnation);
+        } else {
             self.quarantine.record_crash(now, fingerprint, claim.incarnation);
         }
     }
--- a/core/tests/gateway/bootstrap.rs
+++ b/core/tests/gateway/bootstrap.rs
@@ -168,10 +168,10 @@
             Step::List(scope) => {
                 self.list_calls += 1;
                 let domain = self.hosts[index].entry.domain.clone();
-                let listed =
-                    self.registrations.values().filter(|s| {
-                        scope == Scope::Fleet || s.entry.domain == domain
-                    });
+                let listed = self
+                    .registrations
+                    .values()
+                    .filter(|s| scope == Scope::Fleet || s.entry.domain == domain);
                 let seeds = listed.cloned().collect();
                 self.hosts[index].bootstrap.record_list(Some(seeds));
                 now + CALL_TIME
--- a/core/tests/gateway/directory.rs
+++ b/core/tests/gateway/directory.rs
@@ -188,10 +188,8 @@
 /// domain by chance, every other domain fetches each change from there.
 #[test]
 fn readers_of_equal_weight_are_spread_over_failure_domains() {
-    let gateway = |i: usize| Entry {
-        domain: format!("domain-{}", i % 5),
-        ..entry(&format!("gateway-{i}"))
-    };
+    let gateway =
+        |i: usize| Entry { domain: format!("domain-{}", i % 5), ..entry(&format!("gateway-{i}")) };
     let all: Vec<Entry> = (0..985).map(gateway).collect();
     let mut directory = Directory::default();
     directory.update(START, all[1..].to_vec());
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -1,8 +1,8 @@
 //! Tests of the gateway module, in virtual time and without a network.
 
 mod agreement;
-mod bootstrap;
 mod autoscaler;
+mod bootstrap;
 mod budget;
 mod delta;
 mod directory;
--- a/core/tests/gateway/quarantine.rs
+++ b/core/tests/gateway/quarantine.rs
@@ -125,6 +125,72 @@
     assert!(quarantine.remaining(at(20), HARMLESS).is_some());
 }
 
+/// A long stream is interrupted by four crashes, two of which another request causes. Counted like
+/// its crashes, those of the stream would explain two of the cause's, and it would be sent again.
+#[test]
+fn a_stream_that_crashes_interrupted_does_not_explain_those_of_their_cause() {
+    let mut quarantine = Quarantine::default();
+    for (second, replica) in (0..).zip([1, 2, 3, 4]) {
+        quarantine.record_interruption(at(second), HARMLESS, Digest(replica));
+        if let 1 | 2 = replica {
+            quarantine.record_crash(at(second), CRASHING, Digest(replica));
+        }
+    }
+    quarantine.reevaluate(at(4), never_alive);
+    quarantine.record_crash(at(4), CRASHING, Digest(5));
+
+    assert!(quarantine.remaining(at(4), CRASHING).is_some());
+    quarantine.reevaluate(at(6), never_alive);
+    assert_eq!(quarantine.remaining(at(6), HARMLESS), None);
+}
+
+/// A request crashes each replica in the middle of its answer.
+#[test]
+fn interruptions_that_no_other_request_explains_quarantine_a_fingerprint() {
+    let mut quarantine = Quarantine::default();
+    for (second, replica) in (0..).zip([1, 2, 3]) {
+        quarantine.record_interruption(at(second), CRASHING, Digest(replica));
+    }
+
+    quarantine.reevaluate(at(2), never_alive);
+    let early = quarantine.remaining(at(2), CRASHING);
+    quarantine.reevaluate(at(3), never_alive);
+
+    assert_eq!(early, None);
+    assert!(quarantine.remaining(at(3), CRASHING).is_some());
+}
+
+/// A complete answer clears interruptions that are not decided yet.
+#[test]
+fn an_answer_clears_interruptions() {
+    let mut quarantine = Quarantine::default();
+    for replica in [1, 2, 3] {
+        quarantine.record_interruption(at(1), HARMLESS, Digest(replica));
+    }
+
+    quarantine.record_answer(at(1), HARMLESS);
+    quarantine.reevaluate(at(3), never_alive);
+
+    assert_eq!(quarantine.remaining(at(3), HARMLESS), None);
+}
+
+/// Two crashing requests are sent to the same two replicas by chance. Both must stay quarantined
+/// from their third crash on, although each explains two crashes of the other.
+#[test]
+fn crashing_fingerprints_that_share_two_crashes_do_not_excuse_each_other() {
+    let mut quarantine = after_crashes(CRASHING, &[1, 2, 3]);
+    let other = Fingerprint(77);
+    for (second, replica) in (0..).zip([1, 2, 4]) {
+        quarantine.record_crash(at(second), other, Digest(replica));
+    }
+    let both = [CRASHING, other].map(|fingerprint| quarantine.remaining(at(5), fingerprint));
+
+    quarantine.record_crash(at(5), other, Digest(5));
+
+    assert!(both.iter().all(Option::is_some));
+    assert!(quarantine.remaining(at(5), CRASHING).is_some());
+}
+
 /// A fingerprint may be sent again after ten minutes, in case it was quarantined wrongly. One more
 /// crash quarantines it for twice as long.
 #[test]
