Collect the liveness of a large fleet at its readers

Heartbeats go to four random gateways four times a second and carry the newest 100 demands: 37 KB/s sent by each gateway at any size (16 datagrams of 2.3 KB), over the 7 KB/s to be designed for, and at 985 gateways a demand is passed on too briefly to reach all (worked out: some tenth of the others look dead at any moment). From 400 gateways on, each states its demand with the question that it asks a reader anyway, readers exchange what they were told, and answers hold two bits for each listed gateway, the plans and recent quarantine records. Heartbeats become rarer with the size, 7.7 times at 985 gateways; fleets below 400 are as before.

A seed announces itself under the lease of its registration, which spares a call and its renewals.

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -181,9 +181,39 @@
         }
     }
 
-    /// Demand to gossip.
-    pub fn gossip(&self, now: Time) -> Vec<Demand> {
-        self.demands.gossip(now)
+    /// Merges the demand of a gateway that this one heard from directly.
+    pub fn receive_demand(&mut self, now: Time, demand: Demand) {
+        self.demands.receive(now, &[demand]);
+        let member = self.members.values_mut().find(|m| m.short_hash == demand.gateway);
+        if let Some(member) = member {
+            member.last_heartbeat = member.last_heartbeat.max(Some(now));
+            member.last_seen = now;
+            member.open = demand.open;
+        }
+    }
+
+    /// Records at `now` that a reader reports a gateway as live. The reader's knowledge may be as
+    /// old as the gateway's liveness lasts, so the report counts for half of that time.
+    pub fn record_live(&mut self, now: Time, name: &str, open: bool) {
+        let at = Some(now - Span(LIVENESS_TIMEOUT.0 / 2));
+        if let Some(member) = self.members.get_mut(name)
+            && member.last_heartbeat < at
+        {
+            member.last_heartbeat = at;
+            member.last_seen = now;
+            member.open = open;
+        }
+    }
+
+    /// Time of a gateway's last sign of life, and whether it accepted callers then.
+    pub fn last_sign(&self, name: &str) -> Option<(Time, bool)> {
+        let member = self.members.get(name)?;
+        Some((member.last_heartbeat?, member.open))
+    }
+
+    /// At most `limit` demands to gossip.
+    pub fn gossip(&self, now: Time, limit: usize) -> Vec<Demand> {
+        self.demands.gossip(now, limit)
     }
 
     /// Number of sensitive streams in progress at the other gateways.
--- a/core/src/gateway/gossip.rs
+++ b/core/src/gateway/gossip.rs
@@ -21,6 +21,10 @@
 /// Upper bound on entries of one kind in a heartbeat, so that it fits into a datagram.
 pub const MAX_ENTRIES: usize = 100;
 
+/// The same for demands in the heartbeats between readers of a large fleet: those of the gateways
+/// that ask a reader, and of as many more. With the loads they fill half a datagram.
+pub const MAX_COLLECTED: usize = 400;
+
 /// Observed load of a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Observation {
@@ -83,15 +87,15 @@
         self.by_gateway.retain(|_, d| now.since(d.at) < MAX_DEMAND_AGE);
     }
 
-    /// Demand to gossip, the newest first.
-    pub fn gossip(&self, now: Time) -> Vec<Demand> {
+    /// At most `limit` demands to gossip, the newest first.
+    pub fn gossip(&self, now: Time, limit: usize) -> Vec<Demand> {
         let mut recent: Vec<Demand> = self
             .by_gateway
             .values()
             .filter_map(|d| age_ms(now, d.at).map(|age_ms| Demand { age_ms, ..d.value }))
             .collect();
         recent.sort_by_key(|d| d.age_ms);
-        recent.truncate(MAX_ENTRIES);
+        recent.truncate(limit);
         recent
     }
 
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -37,6 +37,7 @@
 use super::fleet::Replica;
 use super::fleet::Requirements;
 use super::freshness::Freshness;
+use super::gossip;
 use super::gossip::Demand;
 use super::model::Model;
 use super::occupancy::Occupancy;
@@ -46,6 +47,7 @@
 use super::plan::Planner;
 use super::plan::Table;
 use super::prefill;
+use super::quarantine;
 use super::quarantine::Quarantine;
 use super::refusal::Reason;
 use super::refusal::Refusal;
@@ -246,13 +248,10 @@
 
     /// The heartbeat to send at `now`.
     pub fn heartbeat(&self, now: Time) -> Heartbeat {
-        let own = Demand {
-            gateway: directory::short_hash(&self.settings.entry.name),
-            open: self.is_open(now),
-            sensitive: self.fleet.sensitive_streams().min(u32::from(u16::MAX)) as u16,
-            age_ms: 0,
-        };
-        let mut demands = self.directory.gossip(now);
+        let own = self.demand(now);
+        let collects = self.is_in_large_fleet() && self.readers(now).is_own;
+        let limit = if collects { gossip::MAX_COLLECTED } else { gossip::MAX_ENTRIES };
+        let mut demands = self.directory.gossip(now, limit);
         demands.retain(|d| d.gateway != own.gateway);
         demands.insert(0, own);
         Heartbeat {
@@ -267,6 +266,34 @@
         }
     }
 
+    /// Demand of this gateway.
+    pub(super) fn demand(&self, now: Time) -> Demand {
+        Demand {
+            gateway: self.short_hash(),
+            open: self.is_open(now),
+            sensitive: self.fleet.sensitive_streams().min(u32::from(u16::MAX)) as u16,
+            age_ms: 0,
+        }
+    }
+
+    /// Merges the demand of another gateway.
+    pub(super) fn receive_demand(&mut self, now: Time, demand: Demand) {
+        self.directory.receive_demand(now, demand);
+    }
+
+    /// Records that a reader reports a listed gateway as live.
+    pub(super) fn record_live(&mut self, now: Time, name: &str, open: bool) {
+        self.directory.record_live(now, name, open);
+    }
+
+    pub(super) fn quarantine_gossip(&self, now: Time) -> Vec<quarantine::Record> {
+        self.quarantine.gossip(now)
+    }
+
+    pub(super) fn merge_quarantine(&mut self, now: Time, records: &[quarantine::Record]) {
+        self.quarantine.merge(now, records);
+    }
+
     /// Addresses to send heartbeats to.
     pub fn peer_addresses(&self) -> Vec<String> {
         self.directory.peer_addresses().map(str::to_owned).collect()
--- a/core/src/gateway/state/plans.rs
+++ b/core/src/gateway/state/plans.rs
@@ -86,7 +86,11 @@
 
     /// Merges the plans of a heartbeat. Returns how each compares to the known one, with the age of
     /// the plan.
-    pub(super) fn receive_plans(&mut self, now: Time, plans: &[Plan]) -> Vec<(Comparison, Span)> {
+    pub(in crate::gateway) fn receive_plans(
+        &mut self,
+        now: Time,
+        plans: &[Plan],
+    ) -> Vec<(Comparison, Span)> {
         let receive = |plan: &Plan| {
             let comparison = self.plans.receive(now, plan)?;
             Some((comparison, Span::millis(u64::from(plan.age_ms))))
--- a/gateway/src/bootstrap.rs
+++ b/gateway/src/bootstrap.rs
@@ -113,8 +113,8 @@
     Some(answer)
 }
 
-/// Renews a seed's lease until it has ended or the gateway stops. A registration that is lost is
-/// left to gateways that start later.
+/// Renews a seed's lease until it has ended, the gateway stops, or its entry is under the same
+/// lease. A registration that is lost is left to gateways that start later.
 async fn maintain(shared: Shared, eras: Eras, lease: u64, renew: Renew) {
     shared.seed_lease.set(Some(lease));
     let mut watcher = eras.watch();
@@ -124,7 +124,7 @@
             _ = watcher.next() => break,
             () = tokio::time::sleep(store::jittered(&shared, RENEWAL_INTERVAL)) => {}
         }
-        if shared.gateway.borrow().is_stopping() {
+        if shared.gateway.borrow().is_stopping() || shared.seed_lease.get().is_none() {
             return;
         }
         let result = store::with_timeout(renew(lease)).await;
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -11,6 +11,8 @@
 use laburnumwheel_core::gateway::directory;
 use laburnumwheel_core::gateway::directory::Heartbeat;
 use laburnumwheel_core::gateway::leader;
+use laburnumwheel_core::gateway::liveness::Poll;
+use laburnumwheel_core::gateway::liveness::Summary;
 use laburnumwheel_core::gateway::occupancy::Snapshot;
 use laburnumwheel_core::gateway::occupancy::Update;
 use laburnumwheel_core::gateway::plan::Comparison;
@@ -21,7 +23,7 @@
 use laburnumwheel_core::incarnation::Digest;
 use laburnumwheel_core::time::Span;
 use rand::Rng;
-use rand::seq::SliceRandom;
+use rand::seq::IndexedRandom;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::UdpSocket;
@@ -33,8 +35,8 @@
 use crate::quarantine;
 use crate::shared::Shared;
 
-/// Time from one heartbeat to the next.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause after a failure to receive.
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Peers that each heartbeat is sent to; in a larger fleet they are chosen at random each time.
 const FANOUT: usize = 4;
 /// Timeout of a proof request: several round trips between failure domains.
@@ -85,6 +87,15 @@
     decode_with_trailer(bytes).map(|(message, _)| message)
 }
 
+/// Encodes a message and, if there is one, the data after it, which earlier releases ignore.
+fn encode_with(message: &Message, data: Option<impl Serialize>) -> Option<Vec<u8>> {
+    let bytes = postcard::to_stdvec(message).ok()?;
+    match data {
+        Some(data) => postcard::to_extend(&data, bytes).ok(),
+        None => Some(bytes),
+    }
+}
+
 /// Decodes a datagram and its trailer; a missing or malformed trailer is `None`.
 ///
 /// # Errors
@@ -119,7 +130,11 @@
     let request = shared.rng.borrow_mut().random();
     let (sender, response) = oneshot::channel();
     shared.pending.borrow_mut().proofs.insert(request, sender);
-    let sent = send(socket, address, &Message::ProofRequest(request)).await;
+    let poll = shared.gateway.borrow().poll(clock::now());
+    let sent = match encode_with(&Message::ProofRequest(request), poll) {
+        Some(bytes) => socket.send_to(&bytes, address).await.is_ok(),
+        None => false,
+    };
     let proof = match sent {
         true => tokio::time::timeout(PROOF_TIMEOUT, response).await.ok().and_then(Result::ok),
         false => None,
@@ -183,7 +198,18 @@
     }
 }
 
-async fn send_proof(shared: &Shared, from: SocketAddr, request: u64) {
+/// Answers a question for a proof. A gateway of a large fleet, which stated its demand with the
+/// question, also gets a summary of what the other gateways stated.
+async fn send_proof(shared: &Shared, from: SocketAddr, request: u64, poll: Option<Poll>) {
+    if let Some(poll) = &poll {
+        shared.gateway.borrow_mut().receive_poll(clock::now(), poll);
+    }
+    let summary = poll.and_then(|_| {
+        let views = shared.views.borrow();
+        let newest = views.newest()?;
+        let gateways = &newest.view.gateways;
+        Some(shared.gateway.borrow().summary(clock::now(), newest.digest.gateways, gateways))
+    });
     let age = shared.gateway.borrow().proof_age(clock::now());
     let digest = shared.views.borrow().newest().map(|known| known.digest);
     let proof = match (age, digest) {
@@ -191,28 +217,57 @@
         // Tells a starting gateway that this one runs, although it proves nothing yet.
         _ => Proof { question: request, digest: view::Digest::default(), age_us: u64::MAX },
     };
-    send(&shared.socket, from, &Message::Proof(proof)).await;
+    if let Some(bytes) = encode_with(&Message::Proof(proof), summary) {
+        // A lost answer is asked for again.
+        let _ = shared.socket.send_to(&bytes, from).await;
+    }
+}
+
+/// Merges what a reader added to its proof.
+fn receive_summary(shared: &Shared, summary: &Summary) {
+    let views = shared.views.borrow();
+    let Some(newest) = views.newest() else {
+        return;
+    };
+    let (list, entries) = (newest.digest.gateways, &newest.view.gateways);
+    let comparisons =
+        shared.gateway.borrow_mut().receive_summary(clock::now(), list, entries, summary);
+    count_plans(shared, &comparisons);
 }
 
 /// Sends heartbeats, forever.
 pub async fn send_heartbeats(shared: Shared) {
     loop {
         send_heartbeat(&shared).await;
-        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+        let interval = {
+            let gateway = shared.gateway.borrow();
+            gateway.heartbeat_interval(gateway.readers(clock::now()).is_own)
+        };
+        tokio::time::sleep(clock::duration(interval)).await;
     }
 }
 
-/// Sends one heartbeat to a few peers.
+/// Sends one heartbeat to a few random peers; a reader of a large fleet also sends it to all other
+/// readers, which collect the liveness of gateways together.
 pub async fn send_heartbeat(shared: &Shared) {
-    let (heartbeat, mut peers) = {
+    let (heartbeat, peers) = {
         let gateway = shared.gateway.borrow();
-        (gateway.heartbeat(clock::now()), gateway.peer_addresses())
+        let now = clock::now();
+        let readers = gateway.readers(now);
+        let collects = readers.is_own && gateway.is_in_large_fleet();
+        let all = gateway.peer_addresses();
+        let fanout = if collects { 1 } else { FANOUT };
+        let mut peers: Vec<String> =
+            all.choose_multiple(&mut *shared.rng.borrow_mut(), fanout).cloned().collect();
+        if collects {
+            peers.extend(readers.addresses().cloned());
+        }
+        (gateway.heartbeat(now), peers)
     };
     let Some(bytes) = encode_heartbeat(shared, heartbeat) else {
         return;
     };
-    peers.shuffle(&mut *shared.rng.borrow_mut());
-    for peer in peers.iter().take(FANOUT) {
+    for peer in &peers {
         if let Ok(address) = peer.parse::<SocketAddr>() {
             // A heartbeat that can't be sent is replaced by the next one.
             let _ = shared.socket.send_to(&bytes, address).await;
@@ -275,11 +330,11 @@
             Ok(received) => received,
             Err(e) => {
                 shared.log(Line::new("heartbeat_failed").with("error", e));
-                tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+                tokio::time::sleep(RETRY_INTERVAL).await;
                 continue;
             }
         };
-        let (message, trailer) = match decode_with_trailer(&bytes[..n]) {
+        let (message, rest) = match postcard::take_from_bytes(&bytes[..n]) {
             Ok(decoded) => decoded,
             Err(e) => {
                 let line = Line::new("heartbeat_malformed").with("from", from);
@@ -289,12 +344,19 @@
         };
         match message {
             Message::Heartbeat(heartbeat) => {
+                let trailer = postcard::from_bytes(rest).ok();
                 receive_trailer(&shared, &heartbeat.entry.name, trailer);
                 let comparisons = shared.gateway.borrow_mut().receive(clock::now(), &heartbeat);
                 count_plans(&shared, &comparisons);
             }
-            Message::ProofRequest(request) => send_proof(&shared, from, request).await,
+            Message::ProofRequest(request) => {
+                let poll = postcard::from_bytes(rest).ok();
+                send_proof(&shared, from, request, poll).await;
+            }
             Message::Proof(proof) => {
+                if let Ok(summary) = postcard::from_bytes(rest) {
+                    receive_summary(&shared, &summary);
+                }
                 let waiting = shared.pending.borrow_mut().proofs.remove(&proof.question);
                 if let Some(sender) = waiting {
                     // The request may have timed out.
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -132,6 +132,9 @@
 /// A call of the store in progress.
 pub type Reply<T> = Pin<Box<dyn Future<Output = Result<T, Error>>>>;
 
+/// Writes the gateway's entry; see [`Store::announce`].
+pub type Announce = Box<dyn FnMut(Entry, Duration, Option<u64>) -> Reply<u64>>;
+
 /// The store's calls, as one platform makes them.
 pub struct Store {
     /// Eras that the store's responses have stated.
@@ -139,8 +142,9 @@
     /// Reads everything, in a state no older than the start of the call; limits the time of each
     /// request that this takes.
     pub read: Box<dyn FnMut() -> Reply<Reading>>,
-    /// Writes the gateway's entry under a new lease of this length; returns the id of the lease.
-    pub announce: Box<dyn FnMut(Entry, Duration) -> Reply<u64>>,
+    /// Writes the gateway's entry under the given lease, or a new one of this length; returns the id
+    /// of the lease.
+    pub announce: Announce,
     /// Replaces the stored records of the quarantine if their revision is still this one.
     pub write_quarantine: Box<dyn FnMut(Vec<quarantine::Record>, u64) -> Reply<()>>,
     /// Renews a lease.
@@ -471,7 +475,7 @@
     shared: Shared,
     entry: Entry,
     eras: Eras,
-    mut announce: Box<dyn FnMut(Entry, Duration) -> Reply<u64>>,
+    mut announce: Announce,
     renew: bootstrap::Renew,
 ) {
     let mut watcher = eras.watch();
@@ -480,7 +484,9 @@
             tokio::time::sleep(Duration::from_millis(100)).await;
             continue;
         }
-        let result = with_timeout(announce(entry.clone(), LEASE)).await;
+        // A seed already has a lease; with one for both, it is renewed by one call.
+        let seed_lease = shared.seed_lease.take();
+        let result = with_timeout(announce(entry.clone(), LEASE, seed_lease)).await;
         shared.metrics.count_store_call("announce", result.is_ok());
         let Ok(lease) = result else {
             tokio::time::sleep(jittered(&shared, RETRY_INTERVAL * 2)).await;
--- a/gateway/src/view.rs
+++ b/gateway/src/view.rs
@@ -98,14 +98,15 @@
 
     /// A body that ends the transfer once its last piece has been taken.
     fn payload(self, head: Bytes, delta: Bytes) -> Payload {
-        let pieces = stream::unfold((self, Some(head), delta), |(transfer, head, mut rest)| async {
-            let piece = match head {
-                Some(head) => head,
-                None if rest.is_empty() => return None,
-                None => rest.split_to(rest.len().min(PIECE_BYTES)),
-            };
-            Some((Ok(piece), (transfer, None, rest)))
-        });
+        let pieces =
+            stream::unfold((self, Some(head), delta), |(transfer, head, mut rest)| async {
+                let piece = match head {
+                    Some(head) => head,
+                    None if rest.is_empty() => return None,
+                    None => rest.split_to(rest.len().min(PIECE_BYTES)),
+                };
+                Some((Ok(piece), (transfer, None, rest)))
+            });
         Payload::stream(pieces)
     }
 }
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -274,7 +274,7 @@
                 Ok(Reading { view, ..Reading::default() })
             })
         }),
-        announce: Box::new(|_, _| Box::pin(async { Ok(1) })),
+        announce: Box::new(|_, _, _| Box::pin(async { Ok(1) })),
         write_quarantine: Box::new(|_, _| Box::pin(async { Ok(()) })),
         renew: Rc::new(|_| Box::pin(async { Ok(()) })),
         withdraw: Box::new(|_| Box::pin(async { Ok(()) })),
@@ -286,7 +286,7 @@
 /// A store that also lists the gateways that announce themselves.
 fn listing_store(contents: &Contents) -> Store {
     let listed = Rc::clone(contents);
-    let announce = move |entry: Entry, _| {
+    let announce = move |entry: Entry, _, _| {
         if let Some(view) = listed.borrow_mut().as_mut() {
             view.gateways.retain(|known| known.name != entry.name);
             view.gateways.push(entry);
