--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -342,7 +342,11 @@
             let fault = self.classify_foreign(&response, &metadata);
             return Err(self.fail(&in_flight, &pick.id, fault));
         }
-        in_flight.record_activity(Some(&metadata));
+        // Another incarnation at this address says nothing about the one that the call was sent to,
+        // which may have crashed under an earlier request.
+        if response.status() != StatusCode::MISDIRECTED_REQUEST {
+            in_flight.record_activity(Some(&metadata));
+        }
         let (head, body) = response.into_parts();
         let exchange =
             Exchange { head, metadata, body, in_flight, channel, replica: pick.id.clone() };
--- a/gateway/tests/calls.rs
+++ b/gateway/tests/calls.rs
@@ -18,6 +18,7 @@
 use crate::support::gateway;
 use crate::support::gateway_with;
 use crate::support::headers;
+use crate::support::listing;
 use crate::support::refusal;
 use crate::support::request;
 use crate::support::response;
@@ -313,3 +314,24 @@
         assert_eq!(call(&running, "/once/x", "call-1").await.0, 200);
     });
 }
+
+/// A replica has crashed under a request, and another one starts at its address before its entry
+/// ends. If the refusal by the new one counted as a sign of life of the crashed one, the crash would
+/// no longer count against the request, and it would be sent to further replicas.
+#[test]
+fn refusal_by_another_incarnation_is_no_sign_of_life_of_the_earlier_one() {
+    run(async {
+        let replaced = refusal().replace("503 Busy", "421 Misdirected");
+        let replica = Replica::start(write(replaced)).await;
+        let running = gateway_with(&[&replica]).await;
+        let before = clock::now();
+        let incarnation = listing("replica-0", replica.address).incarnation.digest();
+
+        let (status, _) = call(&running, "/once/x", "call-1").await;
+
+        assert_eq!(status, 503);
+        assert_eq!(replica.received.borrow().len(), 1);
+        let gateway = running.shared.gateway.borrow();
+        assert!(!gateway.fleet().active_since(incarnation, before));
+    });
+}
