Keep readers of a large fleet agreed on while its list of gateways changes

While gateways restart in turn the reader's list of gateways differs from that of its followers, so their bits of liveness were dropped; after 1.8 s all others seemed dead, and each gateway counted as a reader.

The question now states the digest of the asker's list, and the reader answers in that order as long as it remembers the list. A gateway of a large fleet to which most others seem dead takes all known ones for live. Reads without a fresh proof start at four in the whole fleet and double with each failed round. Changes are tried again after a read of everything has failed.

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -37,6 +37,9 @@
 /// root both loads grow alike. With 295 gateways, 7 readers answer 80 proof requests a second each;
 /// half as many readers would answer twice as many.
 const READER_DIVISOR: usize = 4;
+/// Number of gateways from which on a fleet is large: heartbeats alone do not tell a gateway which
+/// of the others are live, so readers collect and pass on their liveness.
+pub const LARGE_FLEET: usize = 400;
 /// Upper bound on the addresses returned to a caller.
 const MAX_ADDRESSES: usize = 16;
 
@@ -254,9 +257,16 @@
     /// so that differences seldom cross domains, and then by hash. If views differ for a moment, a
     /// gateway at worst reads the store once too often, or requests a proof from a gateway that is
     /// no reader itself.
+    ///
+    /// A gateway of a large fleet to which most others seem dead has more likely lost its source of
+    /// liveness, so it takes all known gateways for live. Otherwise hundreds of gateways that miss
+    /// the answers of their readers would all become readers.
     pub fn readers(&self, now: Time, own: &Entry) -> Readers {
-        let live = self.members.values().filter(|m| m.is_live(now) || m.is_starting(now));
-        let mut all: Vec<(u32, &Entry)> = live.map(|m| (m.short_hash, &m.entry)).collect();
+        let is_candidate = |m: &&Member| m.is_live(now) || m.is_starting(now);
+        let is_informed = self.members.len() < LARGE_FLEET
+            || 2 * self.members.values().filter(is_candidate).count() > self.members.len();
+        let candidates = self.members.values().filter(|m| !is_informed || is_candidate(m));
+        let mut all: Vec<(u32, &Entry)> = candidates.map(|m| (m.short_hash, &m.entry)).collect();
         all.push((short_hash(&own.name), own));
         all.sort_unstable_by_key(|(hash, entry)| (Reverse(entry.weight), *hash));
         let mut counts: BTreeMap<(u32, &str), usize> = BTreeMap::new();
--- a/core/src/gateway/liveness.rs
+++ b/core/src/gateway/liveness.rs
@@ -12,6 +12,7 @@
 use super::Gateway;
 use super::directory;
 use super::directory::Entry;
+use super::directory::LARGE_FLEET;
 use super::gossip::Demand;
 use super::plan::Comparison;
 use super::plan::Plan;
@@ -19,9 +20,6 @@
 use crate::time::Span;
 use crate::time::Time;
 
-/// Number of gateways from which on readers collect liveness. Below it each gateway hears of all
-/// others by heartbeats.
-const LARGE_FLEET: usize = 400;
 /// Time since the last sign of life for which a reader reports a gateway as live: two questions, of
 /// which one may be lost, and the exchange between readers.
 const REPORTED_FOR: Span = Span::millis(1_500);
@@ -34,6 +32,9 @@
 /// What a gateway of a large fleet states with its question for a proof.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Poll {
+    /// Digest of its list of gateways. While gateways come and go, the reader's newest list is
+    /// seldom the same.
+    pub list: u64,
     /// Demand of the gateway.
     pub demand: Demand,
     /// Its recent records of the quarantine.
@@ -77,9 +78,11 @@
         Span(HEARTBEAT_INTERVAL.0 * self.gateway_count() as u64 / GATEWAYS_PER_INTERVAL)
     }
 
-    /// What to state with a question for a proof; `None` in a small fleet.
-    pub fn poll(&self, now: Time) -> Option<Poll> {
-        let poll = || Poll { demand: self.demand(now), quarantine: self.quarantine_gossip(now) };
+    /// What to state with a question for a proof, with the digest of this gateway's list of
+    /// gateways; `None` in a small fleet.
+    pub fn poll(&self, now: Time, list: u64) -> Option<Poll> {
+        let poll =
+            || Poll { list, demand: self.demand(now), quarantine: self.quarantine_gossip(now) };
         self.is_in_large_fleet().then(poll)
     }
 
@@ -89,7 +92,8 @@
         self.merge_quarantine(now, &poll.quarantine);
     }
 
-    /// What to add to an answer; `entries` is the list of gateways with the digest `list`.
+    /// What to add to an answer; `entries` is the list of gateways that the question stated, whose
+    /// digest is `list`.
     pub fn summary(&self, now: Time, list: u64, entries: &[Entry]) -> Summary {
         let mut live = vec![0; entries.len().div_ceil(8)];
         let mut open = live.clone();
--- a/core/src/gateway/mirror.rs
+++ b/core/src/gateway/mirror.rs
@@ -84,6 +84,12 @@
         self.failures += 1;
     }
 
+    /// Records that everything could not be read either. Then changes are tried again first: a store
+    /// that loses a third of its answers completes a read of two calls long before one of fifty.
+    pub fn record_reread_failure(&mut self) {
+        self.failures = self.failures.min(MAX_FAILURES - 1);
+    }
+
     /// All items with their revisions, by key.
     pub fn items(&self) -> impl Iterator<Item = (&str, u64, &T)> {
         self.items.iter().map(|(key, (revision, value))| (key.as_str(), *revision, value))
--- a/core/src/gateway/state/reads.rs
+++ b/core/src/gateway/state/reads.rs
@@ -19,8 +19,11 @@
 
 /// Entries of a view up to which any gateway may read the store: a few pages.
 const SMALL_VIEW: usize = 1_000;
-/// Reads of a large view that all gateways without a fresh proof start together in one round.
+/// Reads of a large view that all gateways without a fresh proof start together in their first
+/// round.
 const FALLBACK_READS: f64 = 4.0;
+/// Upper bound on the doublings of these reads.
+const MAX_DOUBLINGS: u32 = 16;
 
 impl Gateway {
     /// Records a valid read of the store that was sent at `sent` and found `config`; returns
@@ -92,17 +95,19 @@
         self.fleet.update(now, replicas, keep_missing)
     }
 
-    /// Probability with which a gateway that is no reader, and got no fresh proof in this round,
-    /// reads the store's `entries` itself.
+    /// Probability with which a gateway that is no reader, and got no fresh proof in this round and
+    /// the `failed_rounds` before it, reads the store's `entries` itself.
     ///
     /// If the store or the readers are slow for a second, no gateway of the fleet has a fresh proof.
     /// If hundreds of them then read a large list, the store's link is saturated, the readers' own
-    /// reads fail too, and the overload goes on by itself.
-    pub fn fallback_probability(&self, now: Time, entries: usize) -> f64 {
+    /// reads fail too, and the overload goes on by itself. The probability doubles with each round,
+    /// so that a gateway which reaches the store and no other gateway serves again within seconds.
+    pub fn fallback_probability(&self, entries: usize, failed_rounds: u32) -> f64 {
         if entries <= SMALL_VIEW {
             return 1.0;
         }
-        (FALLBACK_READS / self.live_peers(now).max(1) as f64).min(1.0)
+        let reads = FALLBACK_READS * 2.0_f64.powi(failed_rounds.min(MAX_DOUBLINGS) as i32);
+        (reads / self.gateway_count() as f64).min(1.0)
     }
 
     /// Adds gateways that are known from elsewhere before they are listed.
--- a/core/tests/gateway/liveness.rs
+++ b/core/tests/gateway/liveness.rs
@@ -89,7 +89,7 @@
     /// Asks the first reader that answers.
     fn ask(&mut self, index: usize) {
         let readers = self.gateways[index].readers(self.now);
-        let poll = self.gateways[index].poll(self.now).unwrap();
+        let poll = self.gateways[index].poll(self.now, LIST).unwrap();
         for address in readers.addresses() {
             let reader = self.by_address[address];
             if !self.arrives(reader) {
@@ -184,3 +184,20 @@
     assert!(interval(1_970, false) >= Span::millis(3_800));
     assert_eq!(interval(985, true), Span::millis(250));
 }
+
+/// A gateway receives no answers of readers for two seconds, so all others seem dead. If it then
+/// counted as a reader, so would hundreds of others, and their reads would saturate the store.
+#[test]
+fn a_gateway_without_news_of_a_large_fleet_does_not_become_a_reader() {
+    let mut simulation = simulation();
+    simulation.run(Span::secs(4));
+    let own = GATEWAYS - 1;
+    let before = simulation.gateways[own].readers(simulation.now);
+
+    let later = simulation.now + Span::secs(3);
+    let readers = simulation.gateways[own].readers(later);
+
+    assert_eq!(simulation.gateways[own].live_peers(later), 0);
+    assert!(!readers.is_own);
+    assert_eq!(readers.addresses().count(), before.addresses().count());
+}
--- a/core/tests/gateway/mirror.rs
+++ b/core/tests/gateway/mirror.rs
@@ -112,3 +112,17 @@
     assert_eq!(before, Some(5));
     assert_eq!(mirror.position(ERA), None);
 }
+
+/// A store loses every third answer. A read of fifty calls then never completes, so changes must be
+/// tried again after one has failed.
+#[test]
+fn changes_are_tried_again_after_a_failed_read_of_everything() {
+    let mut mirror = mirror();
+    (0..3).for_each(|_| mirror.record_failure());
+    let before = mirror.position(ERA);
+
+    mirror.record_reread_failure();
+
+    assert_eq!(before, None);
+    assert_eq!(mirror.position(ERA), Some(0));
+}
--- a/core/tests/gateway/outage.rs
+++ b/core/tests/gateway/outage.rs
@@ -192,11 +192,11 @@
 
 /// The store is slow for a second, so no gateway has a fresh proof. If all of a large fleet then
 /// read it, none of the reads ends in time, and the fleet refuses its callers for good. A small
-/// fleet may read at once, and so may a gateway that hears nobody.
+/// fleet may read at once, and so may a gateway that knows no other or has long had no answer.
 #[test]
 fn few_gateways_of_a_large_fleet_read_the_store_without_a_fresh_proof() {
     let mut gateway = Gateway::new(settings("own"), START);
-    let alone = gateway.fallback_probability(START, 11_000);
+    let alone = gateway.fallback_probability(11_000, 0);
     for name in (0..984).map(|i| format!("gateway-{i}")) {
         let gateway_hash = directory::short_hash(&name);
         let demand = Demand { gateway: gateway_hash, open: true, sensitive: 0, age_ms: 0 };
@@ -205,9 +205,11 @@
         gateway.receive(START, &heartbeat);
     }
 
-    let expected_reads = 985.0 * gateway.fallback_probability(START, 11_000);
+    let reads_in = |round| 985.0 * gateway.fallback_probability(11_000, round);
 
     assert_eq!(alone, 1.0);
-    assert!((1.0..10.0).contains(&expected_reads), "{expected_reads}");
-    assert_eq!(gateway.fallback_probability(START, 400), 1.0);
+    assert!((1.0..10.0).contains(&reads_in(0)), "{}", reads_in(0));
+    assert!(reads_in(3) < 40.0, "{}", reads_in(3));
+    assert_eq!(gateway.fallback_probability(11_000, 8), 1.0);
+    assert_eq!(gateway.fallback_probability(400, 0), 1.0);
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -130,7 +130,8 @@
     let request = shared.rng.borrow_mut().random();
     let (sender, response) = oneshot::channel();
     shared.pending.borrow_mut().proofs.insert(request, sender);
-    let poll = shared.gateway.borrow().poll(clock::now());
+    let list = shared.views.borrow().newest().map_or(0, |known| known.digest.gateways);
+    let poll = shared.gateway.borrow().poll(clock::now(), list);
     let sent = match encode_with(&Message::ProofRequest(request), poll) {
         Some(bytes) => socket.send_to(&bytes, address).await.is_ok(),
         None => false,
@@ -204,11 +205,11 @@
     if let Some(poll) = &poll {
         shared.gateway.borrow_mut().receive_poll(clock::now(), poll);
     }
-    let summary = poll.and_then(|_| {
+    let summary = poll.map(|poll| {
         let views = shared.views.borrow();
-        let newest = views.newest()?;
-        let gateways = &newest.view.gateways;
-        Some(shared.gateway.borrow().summary(clock::now(), newest.digest.gateways, gateways))
+        let known = view::Digest { gateways: poll.list, ..view::Digest::default() };
+        let base = views.base(known);
+        shared.gateway.borrow().summary(clock::now(), base.digest.gateways, base.gateways)
     });
     let age = shared.gateway.borrow().proof_age(clock::now());
     let digest = shared.views.borrow().newest().map(|known| known.digest);
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -252,12 +252,15 @@
 /// Keeps up with the store forever: a reader by reading it, any other gateway by asking a reader.
 pub async fn follow(shared: Shared, entry: Entry, mut follower: Follower, seeds: bootstrap::Calls) {
     bootstrap::run(&shared, entry, &mut follower, seeds).await;
+    let mut failed_rounds = 0;
     loop {
         let readers = shared.gateway.borrow().readers(clock::now());
         let is_reader = readers.is_own;
         if !is_reader {
             let followed = ask_readers(&shared, &readers).await || ask_peers(&shared).await;
-            if followed || !may_read(&shared) {
+            let reads = !followed && may_read(&shared, failed_rounds);
+            failed_rounds = if followed || reads { 0 } else { failed_rounds + 1 };
+            if !reads {
                 let pause = if followed { PROOF_INTERVAL } else { RETRY_INTERVAL };
                 tokio::time::sleep(jittered(&shared, pause)).await;
                 continue;
@@ -313,9 +316,9 @@
 }
 
 /// Whether this gateway, which is no reader and got no fresh proof, reads the store itself.
-fn may_read(shared: &Shared) -> bool {
+fn may_read(shared: &Shared, failed_rounds: u32) -> bool {
     let entries = shared.views.borrow().newest().map_or(0, |view| view.len());
-    let probability = shared.gateway.borrow().fallback_probability(clock::now(), entries);
+    let probability = shared.gateway.borrow().fallback_probability(entries, failed_rounds);
     shared.rng.borrow_mut().random_bool(probability)
 }
 
