Register when the registrations of lost seeds have ended

Found by reading: a gateway whose seeds did not answer, and whose registrations then ended, neither registered (it had failed rounds) nor waited, and listed the seeds as fast as the store answered. It now takes a free registration of its failure domain when there is none. The test fails without it.

--- a/core/src/gateway/bootstrap.rs
+++ b/core/src/gateway/bootstrap.rs
@@ -189,13 +189,14 @@
         if now < self.registers_at {
             return None;
         }
+        let local = seeds.iter().filter(|seed| seed.entry.domain == self.own.domain);
+        let taken: Vec<u32> = local.map(|seed| seed.slot).collect();
         let slots = match self.failed_rounds {
             0 => 0..SEEDS_PER_DOMAIN,
+            _ if taken.is_empty() => 0..SEEDS_PER_DOMAIN,
             failed if failed >= self.rounds_until_spare => 0..SEEDS_PER_DOMAIN + SPARE_SEEDS,
             _ => return None,
         };
-        let local = seeds.iter().filter(|seed| seed.entry.domain == self.own.domain);
-        let taken: Vec<u32> = local.map(|seed| seed.slot).collect();
         let free: Vec<u32> = slots.filter(|slot| !taken.contains(slot)).collect();
         let slot = *free.choose(&mut self.rng)?;
         Some(Step::Register { slot, revision: 0 })
--- a/core/tests/gateway/bootstrap.rs
+++ b/core/tests/gateway/bootstrap.rs
@@ -192,6 +192,7 @@
     fn run(&mut self, limit: Span) {
         while let Some(((now, index), ())) = self.agenda.pop_first() {
             if now.since(START) > limit {
+                self.agenda.insert((now, index), ());
                 break;
             }
             if self.hosts[index].has_view {
@@ -299,3 +300,20 @@
     assert!(fleet.all_have_views());
     assert!((2..=12).contains(&fleet.full_reads), "{} reads", fleet.full_reads);
 }
+
+/// The only seed does not answer, and its registration ends. A gateway that neither registered then
+/// nor waited would list the seeds hundreds of times a second.
+#[test]
+fn a_gateway_registers_when_the_registration_of_a_lost_seed_has_ended() {
+    let mut fleet = fleet(2, 10_000, 1).with_registrations();
+    fleet.configured_at = START;
+    fleet.hosts[0].answers = false;
+    fleet.run(Span::millis(700));
+    fleet.registrations.clear();
+
+    fleet.run(Span::secs(20));
+
+    assert!(fleet.all_have_views());
+    assert!(fleet.list_calls < 10, "{} lists", fleet.list_calls);
+    assert_eq!(fleet.full_reads, 1);
+}
