Let the leader read the store, by the order of the readers

Leadership goes by rank, and the rank kept the order by weight and hash: the leader was no reader, had no inventory and ordered nothing. The rank is now that of the readers, and a leader reads the store also while it ranks after them (a gateway that campaigns before it knows the others). Test: the first ranks are the readers.

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -262,6 +262,23 @@
     /// liveness, so it takes all known gateways for live. Otherwise hundreds of gateways that miss
     /// the answers of their readers would all become readers.
     pub fn readers(&self, now: Time, own: &Entry) -> Readers {
+        let mut ranked = self.ranked(now, own);
+        ranked.truncate(MIN_READERS + ranked.len().isqrt() / READER_DIVISOR);
+        let mut readers = Readers::default();
+        for entry in ranked {
+            if entry.name == own.name {
+                readers.is_own = true;
+            } else if entry.domain == own.domain {
+                readers.local.push(entry.peer_address.clone());
+            } else {
+                readers.remote.push(entry.peer_address.clone());
+            }
+        }
+        readers
+    }
+
+    /// This gateway, with entry `own`, and the live other ones in the order of the readers.
+    fn ranked<'a>(&'a self, now: Time, own: &'a Entry) -> Vec<&'a Entry> {
         let is_candidate = |m: &&Member| m.is_live(now) || m.is_starting(now);
         let is_informed = self.members.len() < LARGE_FLEET
             || 2 * self.members.values().filter(is_candidate).count() > self.members.len();
@@ -279,18 +296,7 @@
             })
             .collect();
         ranked.sort_unstable_by_key(|(rank, _)| *rank);
-        ranked.truncate(MIN_READERS + ranked.len().isqrt() / READER_DIVISOR);
-        let mut readers = Readers::default();
-        for (_, entry) in ranked {
-            if entry.name == own.name {
-                readers.is_own = true;
-            } else if entry.domain == own.domain {
-                readers.local.push(entry.peer_address.clone());
-            } else {
-                readers.remote.push(entry.peer_address.clone());
-            }
-        }
-        readers
+        ranked.into_iter().map(|(_, entry)| entry).collect()
     }
 
     /// Address of the decider, the gateway that decides the plans for all: the first in the order
@@ -319,10 +325,8 @@
     /// Rank of this gateway, with entry `own`, in the order of the readers among all live gateways;
     /// 0 is the first.
     pub fn reader_rank(&self, now: Time, own: &Entry) -> usize {
-        let rank = |hash: u32, entry: &Entry| (Reverse(entry.weight), hash);
-        let own = rank(short_hash(&own.name), own);
-        let live = self.members.values().filter(|m| m.is_live(now));
-        live.filter(|m| rank(m.short_hash, &m.entry) < own).count()
+        let ranked = self.ranked(now, own);
+        ranked.iter().position(|entry| entry.name == own.name).unwrap_or(ranked.len())
     }
 
     /// The live gateway other than `except` that holds copies for this one, whose name is `own`:
--- a/core/tests/gateway/directory.rs
+++ b/core/tests/gateway/directory.rs
@@ -231,3 +231,20 @@
     assert_eq!(readers.local, ["a:2", "b:2", "c:2"]);
     assert!(!readers.is_own);
 }
+
+/// The gateway of the first rank leads and orders replicas by what it reads in the store. When the
+/// rank followed another order than the readers, the leader read nothing and ordered nothing.
+#[test]
+fn the_gateways_of_the_first_ranks_are_the_readers() {
+    let gateway =
+        |i: usize| Entry { domain: format!("domain-{}", i % 3), ..entry(&format!("gateway-{i}")) };
+    let all: Vec<Entry> = (0..61).map(gateway).collect();
+
+    for own in &all {
+        let mut directory = Directory::default();
+        directory.update(START, all.iter().filter(|e| e.name != own.name).cloned().collect());
+        let is_reader = directory.readers(START, own).is_own;
+
+        assert_eq!(is_reader, directory.reader_rank(START, own) < 4, "{}", own.name);
+    }
+}
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -255,7 +255,9 @@
     let mut failed_rounds = 0;
     loop {
         let readers = shared.gateway.borrow().readers(clock::now());
-        let is_reader = readers.is_own;
+        // The leader orders replicas by what it reads, also while it ranks after the readers.
+        let leads = shared.duties.as_ref().is_some_and(|duties| duties.token() > 0);
+        let is_reader = readers.is_own || leads;
         if !is_reader {
             let followed = ask_readers(&shared, &readers).await || ask_peers(&shared).await;
             let reads = !followed && may_read(&shared, failed_rounds);
