Keep a replica's limit over all gateways by permits of one issuer

Callers saw a replica in need, which states how many requests a second it takes from all gateways together, get three times as many: 24 calls in 4 s where 19 are allowed and 34 where 13 are.

Cause: no gateway read the statement. The class is a figure meant for the whole fleet that each gateway knows, or would keep, alone.

Now statements are gossiped, and every request to a replica with a limit needs a permit of the one gateway that issues them for it, chosen by rendezvous hashing among the live ones. All requests leave by one function, Call::attempt, so first attempts, retries, resumed and moved streams need one. The issuer lets urgent ranks reserve ahead, starves none, begins empty after a change of issuer, and issues only the share of the gateways that it believes to be live, so that the sides of a partition stay within the limit.

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -322,6 +322,28 @@
         (score(first.short_hash) > own).then_some((first.short_hash, address))
     }
 
+    /// Address of the gateway that issues the permits for a replica; `None` if it is this gateway,
+    /// whose name is `own`.
+    ///
+    /// It is a live gateway that accepts callers, if there is one: a stopping gateway would take
+    /// the permits with it.
+    pub fn issuer(&self, now: Time, own: &str, own_open: bool, replica: Digest) -> Option<&str> {
+        let score = |gateway: u32| rendezvous::score(u64::from(replica.0), u64::from(gateway));
+        let rank = |open: bool, gateway: u32| (open, score(gateway));
+        let live = self.members.values().filter(|m| m.is_live(now));
+        let first = live.max_by_key(|m| rank(m.open, m.short_hash))?;
+        let is_other = rank(first.open, first.short_hash) > rank(own_open, short_hash(own));
+        is_other.then_some(first.entry.peer_address.as_str())
+    }
+
+    /// Share of the gateways that are live, including this one, among those that are live or
+    /// listed.
+    pub fn live_share(&self, now: Time) -> f64 {
+        let live = self.members.values().filter(|m| m.is_live(now)).count();
+        let known = self.members.values().filter(|m| m.listed || m.is_live(now)).count();
+        (live + 1) as f64 / (known + 1) as f64
+    }
+
     /// Rank of this gateway, with entry `own`, in the order of the readers among all live gateways;
     /// 0 is the first.
     pub fn reader_rank(&self, now: Time, own: &Entry) -> usize {
--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -6,6 +6,7 @@
 //! one.
 
 mod choice;
+mod limits;
 mod list;
 mod reconcile;
 mod replica;
@@ -17,7 +18,6 @@
 use crate::gateway::gossip;
 use crate::gateway::gossip::Observation;
 use crate::gateway::limit;
-use crate::gateway::limit::Statement;
 use crate::gateway::occupancy::Change;
 use crate::gateway::occupancy::Update;
 use crate::gateway::submission::Part;
@@ -114,12 +114,6 @@
         open.into_iter().map(|(_, usable)| usable).take_while(|usable| is_needed(*usable)).count()
     }
 
-    /// Whether a service has a replica besides those in `tried` that may get calls at `now`.
-    pub fn has_other(&self, now: Time, service: &str, tried: &[Key<Replica>]) -> bool {
-        let mut keys = self.by_service.get(service).into_iter().flatten();
-        keys.any(|k| !tried.contains(k) && self.replicas.get(*k).is_some_and(|r| r.is_usable(now)))
-    }
-
     /// Records that an attempt is sent.
     pub fn record_sent(&mut self, now: Time, claim: &mut Claim, engine: bool, parts: &[Part]) {
         claim.sent = now;
@@ -170,21 +164,6 @@
         }
     }
 
-    /// Records what an answer of a replica says about its limit; returns the change, if there is
-    /// one.
-    pub fn record_limit(
-        &mut self,
-        key: Key<Replica>,
-        statement: Statement,
-    ) -> Option<limit::Change> {
-        let replica = self.replicas.get(key)?.digest();
-        match statement {
-            Statement::Unlimited => self.limits.record(replica, None),
-            Statement::Rate(rate) => self.limits.record(replica, Some(rate)),
-            Statement::Malformed => None,
-        }
-    }
-
     /// Merges the loads observed by other gateways, as far as they are newer.
     pub fn receive(&mut self, now: Time, observations: &[Observation]) {
         for observation in observations {
--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -53,6 +53,8 @@
 pub struct Requirements<'a> {
     /// Name of the service.
     pub service: &'a str,
+    /// Rank of the call's route; 0 is the highest.
+    pub rank: u8,
     /// Parts of the prompt; empty for plain services.
     pub parts: &'a [Part],
     /// Criteria for engines; `None` for plain services.
@@ -207,10 +209,13 @@
         if let Some(criteria) = requirements.engine {
             usable = of_side(&open, usable, &criteria, side);
         }
-        usable.retain(|(key, _)| !tried.contains(key));
+        let is_eligible = |key: &Key<Replica>, replica: &Replica| {
+            !tried.contains(key) && !self.is_denied(now, replica, requirements.rank)
+        };
+        usable.retain(|(key, replica)| is_eligible(key, replica));
         // If no replica is usable, the one whose backoff ends first is the likeliest to answer.
         if usable.is_empty() {
-            let untried = open.into_iter().filter(|(key, _)| !tried.contains(key));
+            let untried = open.into_iter().filter(|(key, replica)| is_eligible(key, replica));
             untried.min_by_key(|(_, r)| r.backoff_until).into_iter().collect()
         } else {
             usable
--- /dev/null
+++ b/core/src/gateway/fleet/limits.rs
@@ -0,0 +1,56 @@
+//! Limits of the replicas in the fleet.
+
+use super::Fleet;
+use super::Replica;
+use crate::arena::Key;
+use crate::gateway::limit::Table;
+use crate::incarnation::Digest;
+use crate::time::Time;
+
+impl Fleet {
+    /// Limits of replicas.
+    pub fn limits(&self) -> &Table {
+        &self.limits
+    }
+
+    /// Limits of replicas, to change them.
+    pub fn limits_mut(&mut self) -> &mut Table {
+        &mut self.limits
+    }
+
+    /// Drops the limits of replicas that are not listed, and those that ended long ago.
+    pub fn sweep_limits(&mut self, now: Time) {
+        let by_digest = &self.by_digest;
+        self.limits.sweep(now, |replica| by_digest.contains_key(&replica));
+    }
+
+    /// Id of the replica with this incarnation.
+    pub fn id(&self, incarnation: Digest) -> Option<&str> {
+        let key = self.by_digest.get(&incarnation)?;
+        Some(&self.replicas.get(*key)?.listing.incarnation.id)
+    }
+
+    /// Whether a service has a replica without a limit besides those in `tried` that may get calls
+    /// at `now`.
+    pub fn has_unlimited(&self, now: Time, service: &str, tried: &[Key<Replica>]) -> bool {
+        let mut keys = self.by_service.get(service).into_iter().flatten();
+        keys.any(|key| {
+            let is_unlimited =
+                |r: &Replica| r.is_usable(now) && self.limits.rate(r.digest()).is_none();
+            !tried.contains(key) && self.replicas.get(*key).is_some_and(is_unlimited)
+        })
+    }
+
+    /// Whether calls of `rank` get no permit for a replica at `now`.
+    pub(super) fn is_denied(&self, now: Time, replica: &Replica, rank: u8) -> bool {
+        self.limits.denied_until(now, replica.digest(), rank).is_some()
+    }
+
+    /// Earliest time at which a call of `rank` may get a permit that it was denied for a replica of
+    /// a service; `None` if it was denied none.
+    pub fn first_permit(&self, now: Time, service: &str, rank: u8) -> Option<Time> {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        let usable = keys.filter_map(|k| self.replicas.get(*k)).filter(|r| r.is_usable(now));
+        usable.filter_map(|r| self.limits.denied_until(now, r.digest(), rank)).min()
+    }
+}
--- a/core/src/gateway/refusal.rs
+++ b/core/src/gateway/refusal.rs
@@ -22,6 +22,8 @@
     NoReplica,
     /// Every replica is too loaded to answer in time.
     Overloaded,
+    /// Every replica has a limit, and its permits go to other calls.
+    Limited,
     /// The request is quarantined, because several replicas crashed while they ran it.
     Quarantined,
     /// A replica refused the call without running it.
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -5,6 +5,7 @@
 //! is checked again before each attempt, because the configuration may have changed since.
 
 mod attempts;
+mod limits;
 mod owner;
 mod plans;
 mod poison;
@@ -18,6 +19,10 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+pub use self::limits::Changes;
+pub use self::limits::Permit;
+pub use self::limits::Query;
+pub use self::limits::Reply;
 use self::stop::Stop;
 use super::budget;
 use super::budget::Budget;
@@ -39,6 +44,7 @@
 use super::freshness::Freshness;
 use super::gossip;
 use super::gossip::Demand;
+use super::limit::issuer::Issuer;
 use super::model::Model;
 use super::occupancy::Occupancy;
 use super::occupancy::Snapshot;
@@ -161,6 +167,7 @@
     popularity: Popularity,
     quarantine: Quarantine,
     occupancy: Occupancy,
+    issuer: Issuer,
     last_sweep: Time,
     outage: Outage,
     rollback: Rollback,
@@ -187,6 +194,7 @@
             popularity: Popularity::default(),
             quarantine: Quarantine::default(),
             occupancy: Occupancy::default(),
+            issuer: Issuer::default(),
             last_sweep: now,
             outage: Outage::default(),
             rollback: Rollback::default(),
@@ -427,7 +435,12 @@
         let requirements = requirements(submission, grant, criteria, snapshots);
         let domain = &self.settings.entry.domain;
         let claim = self.fleet.choose(now, &requirements, domain, &grant.tried);
-        let claim = claim.ok_or(Refusal::not_run(Reason::NoReplica, RETRY_NO_REPLICA))?;
+        let Some(claim) = claim else {
+            return Err(match self.fleet.first_permit(now, &grant.service, grant.rank.route) {
+                Some(_) => self.refuse_limited(now, grant),
+                None => Refusal::not_run(Reason::NoReplica, RETRY_NO_REPLICA),
+            });
+        };
         let replica = self.fleet.get(claim.replica);
         let replica = replica.ok_or(Refusal::not_run(Reason::NoReplica, RETRY_NO_REPLICA))?;
         let pick = Pick {
@@ -516,11 +529,12 @@
         self.fleet.get(key).is_some_and(|r| !r.closed)
     }
 
-    /// Whether a call that was sent to a replica may be sent to another one, and one is usable.
+    /// Whether a call that was sent to a replica may be sent to another one, and one is usable that
+    /// has no limit: for the others the call might get no permit, after it was given up here.
     pub fn may_reroute(&self, now: Time, submission: &Submission, grant: &Grant) -> bool {
         let mut renewed = grant.clone();
         let allowed = self.recheck(now, submission, &mut renewed).is_ok();
-        allowed && self.fleet.has_other(now, &renewed.service, &grant.tried)
+        allowed && self.fleet.has_unlimited(now, &renewed.service, &grant.tried)
     }
 
     /// Spends one retry of the service's budget; `false` if none is left.
@@ -560,7 +574,13 @@
     criteria: Option<Criteria>,
     snapshots: &'a [Snapshot],
 ) -> Requirements<'a> {
-    Requirements { service: &grant.service, parts: &submission.parts, engine: criteria, snapshots }
+    Requirements {
+        service: &grant.service,
+        rank: grant.rank.route,
+        parts: &submission.parts,
+        engine: criteria,
+        snapshots,
+    }
 }
 
 /// Upper bound on the expected wait for a first event, in milliseconds; calls beyond it are
--- a/core/src/gateway/state/attempts.rs
+++ b/core/src/gateway/state/attempts.rs
@@ -11,8 +11,6 @@
 use crate::gateway::fleet::Load;
 use crate::gateway::fleet::Outcome;
 use crate::gateway::fleet::Replica;
-use crate::gateway::limit;
-use crate::gateway::limit::Statement;
 use crate::gateway::submission::Submission;
 use crate::gateway::tally::Tally;
 use crate::time::Time;
@@ -40,12 +38,6 @@
         self.fleet.record_activity(now, claim.replica, load);
     }
 
-    /// Records what an answer of a replica says about its limit; returns the change, if there is
-    /// one.
-    pub fn record_limit(&mut self, claim: &Claim, statement: Statement) -> Option<limit::Change> {
-        self.fleet.record_limit(claim.replica, statement)
-    }
-
     /// Records an event, or the whole answer, of an attempt; returns whether it is the first.
     pub fn record_event(&mut self, now: Time, claim: &mut Claim) -> bool {
         if !claim.first_event_seen {
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod freshness;
 mod leader;
+mod limits;
 mod liveness;
 mod loads;
 mod malformed;
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -23,6 +23,7 @@
 use hyper::header;
 use hyper::http::response;
 use laburnumwheel_core::gateway::Grant;
+use laburnumwheel_core::gateway::Permit;
 use laburnumwheel_core::gateway::Pick;
 use laburnumwheel_core::gateway::fleet::Claim;
 use laburnumwheel_core::gateway::fleet::Outcome;
@@ -30,6 +31,7 @@
 use laburnumwheel_core::gateway::occupancy::Snapshot;
 use laburnumwheel_core::gateway::refusal::Refusal;
 use laburnumwheel_core::gateway::submission::Submission;
+use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 
 use crate::channel;
@@ -53,6 +55,8 @@
 ];
 /// Largest response that is buffered before it is forwarded, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Most replicas with a limit that one attempt asks permits for.
+const MAX_PERMIT_REQUESTS: usize = 4;
 
 /// An admitted call and the state that its attempts share.
 pub struct Call {
@@ -235,13 +239,53 @@
         }
         let queries = self.shared.gateway.borrow_mut().queries(now, &self.submission, &self.grant);
         let snapshots = peers::request_snapshots(&self.shared, queries).await;
-        let mut pick = self.pick(&snapshots).map_err(Failure::Denied)?;
+        let mut pick = self.pick_permitted(&snapshots, last_event.is_some()).await?;
         let channel = self.connect(&pick).await?;
         self.confirm(&pick)?;
         let request = self.request(&pick, last_event);
         self.send(&mut pick, channel, request).await
     }
 
+    /// Picks a replica that the call may be sent to now. If the replica has a limit, this needs a
+    /// permit, and maybe a wait; without one, another replica is picked.
+    async fn pick_permitted(
+        &mut self,
+        snapshots: &[Snapshot],
+        resumes: bool,
+    ) -> Result<Pick, Failure> {
+        for _ in 0..MAX_PERMIT_REQUESTS {
+            let pick = self.pick(snapshots).map_err(Failure::Denied)?;
+            match limit::obtain_permit(&self.shared, &self.grant, &pick, resumes).await {
+                Permit::Granted(Span(0)) => return Ok(pick),
+                Permit::Granted(wait) => {
+                    self.wait_for_permit(wait).await?;
+                    return Ok(pick);
+                }
+                Permit::Denied => {}
+            }
+        }
+        let mut gateway = self.shared.gateway.borrow_mut();
+        Err(Failure::Denied(gateway.refuse_limited(clock::now(), &self.grant)))
+    }
+
+    /// Waits until a permit is valid.
+    async fn wait_for_permit(&self, wait: Span) -> Result<(), Failure> {
+        let end = clock::now() + wait;
+        loop {
+            let now = clock::now();
+            if self.shared.gateway.borrow().is_grace_over(now) {
+                return Err(Failure::Fault(Fault::Stopped, None));
+            }
+            if now >= end {
+                return Ok(());
+            }
+            tokio::select! {
+                () = tokio::time::sleep(clock::duration(end.since(now))) => {}
+                () = self.shared.calls_ending.notified() => {}
+            }
+        }
+    }
+
     fn pick(&mut self, snapshots: &[Snapshot]) -> Result<Pick, Refusal> {
         let mut gateway = self.shared.gateway.borrow_mut();
         gateway.pick(clock::now(), &self.submission, &mut self.grant, snapshots)
@@ -373,7 +417,7 @@
             self.shared.log(line.with("request", String::from_utf8_lossy(&self.submission.id)));
         }
         let mut gateway = self.shared.gateway.borrow_mut();
-        let change = gateway.record_limit(&in_flight.claim, metadata.limit);
+        let change = gateway.record_limit(clock::now(), &in_flight.claim, metadata.limit);
         drop(gateway);
         if let Some(change) = change {
             limit::log_change(&self.shared, &pick.id, "answer", change);
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -8,9 +8,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use laburnumwheel_core::gateway::Reply;
 use laburnumwheel_core::gateway::directory;
 use laburnumwheel_core::gateway::directory::Heartbeat;
 use laburnumwheel_core::gateway::leader;
+use laburnumwheel_core::gateway::limit;
 use laburnumwheel_core::gateway::liveness::Poll;
 use laburnumwheel_core::gateway::liveness::Summary;
 use laburnumwheel_core::gateway::occupancy::Snapshot;
@@ -31,6 +33,7 @@
 
 use crate::clock;
 use crate::duty;
+use crate::limit as limits;
 use crate::log::Line;
 use crate::quarantine;
 use crate::shared::Shared;
@@ -67,6 +70,12 @@
     Usage(u32, Vec<usage::Batch>),
     /// Acknowledges usage counts that the gateway with this short hash has stored.
     UsageAck(u32, Vec<usage::BatchId>),
+    /// Limits of replicas.
+    Limits(Vec<limit::Record>),
+    /// Asks for a permit for a call to a replica with a limit; holds an id of the request.
+    PermitRequest(u64, limit::issuer::Request),
+    /// Response to the permit request with this id.
+    Permit(u64, Reply),
 }
 
 /// Data after a heartbeat in its datagram, which gateways of earlier releases ignore.
@@ -111,6 +120,8 @@
 pub struct Pending {
     proofs: BTreeMap<u64, oneshot::Sender<Proof>>,
     snapshots: BTreeMap<u64, oneshot::Sender<Vec<Snapshot>>>,
+    /// Requests for permits.
+    pub permits: BTreeMap<u64, oneshot::Sender<Reply>>,
 }
 
 /// Proof of what the store held, sent by a reader.
@@ -132,6 +143,9 @@
     shared.pending.borrow_mut().proofs.insert(request, sender);
     let list = shared.views.borrow().newest().map_or(0, |known| known.digest.gateways);
     let poll = shared.gateway.borrow().poll(clock::now(), list);
+    if poll.is_some() {
+        limits::send_limits(shared, &[address]).await;
+    }
     let sent = match encode_with(&Message::ProofRequest(request), poll) {
         Some(bytes) => socket.send_to(&bytes, address).await.is_ok(),
         None => false,
@@ -218,6 +232,9 @@
         // Tells a starting gateway that this one runs, although it proves nothing yet.
         _ => Proof { question: request, digest: view::Digest::default(), age_us: u64::MAX },
     };
+    if summary.is_some() {
+        limits::send_limits(shared, &[from]).await;
+    }
     if let Some(bytes) = encode_with(&Message::Proof(proof), summary) {
         // A lost answer is asked for again.
         let _ = shared.socket.send_to(&bytes, from).await;
@@ -268,12 +285,12 @@
     let Some(bytes) = encode_heartbeat(shared, heartbeat) else {
         return;
     };
+    let peers: Vec<SocketAddr> = peers.iter().filter_map(|peer| peer.parse().ok()).collect();
     for peer in &peers {
-        if let Ok(address) = peer.parse::<SocketAddr>() {
-            // A heartbeat that can't be sent is replaced by the next one.
-            let _ = shared.socket.send_to(&bytes, address).await;
-        }
+        // A heartbeat that can't be sent is replaced by the next one.
+        let _ = shared.socket.send_to(&bytes, *peer).await;
     }
+    limits::send_limits(shared, &peers).await;
 }
 
 fn encode_heartbeat(shared: &Shared, heartbeat: Heartbeat) -> Option<Vec<u8>> {
@@ -376,6 +393,18 @@
                     let _ = sender.send(snapshots);
                 }
             }
+            Message::Limits(records) => limits::receive(&shared, &records),
+            Message::PermitRequest(request, permit) => {
+                let reply = limits::issue(&shared, &permit);
+                send(&shared.socket, from, &Message::Permit(request, reply)).await;
+            }
+            Message::Permit(request, reply) => {
+                let waiting = shared.pending.borrow_mut().permits.remove(&request);
+                if let Some(sender) = waiting {
+                    // The request may have timed out.
+                    let _ = sender.send(reply);
+                }
+            }
             Message::Updates(updates) => {
                 shared.gateway.borrow_mut().record_updates(clock::now(), &updates);
             }
