Serve calls by replicas without a limit while there are some

Causes: a replica in need is idle, so it looks best, and a call that was denied permits by four such replicas was refused; limited engines counted for the isolated pool, whose streams then went among the long prompts; and were homes of long prefixes.

Now a call that was denied one permit takes a replica without a limit, and pools and homes consist of these.

--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -98,11 +98,12 @@
         keys.filter_map(|key| self.replicas.get(*key)).map(|r| r.running(now)).sum()
     }
 
-    /// Length of the shortest prefix of a service's open replicas, in the order of their hashes,
-    /// that contains `wanted` usable ones at `now`; all of them if there are fewer.
+    /// Length of the shortest prefix of a service's open replicas without a limit, in the order of
+    /// their hashes, that contains `wanted` usable ones at `now`; all of them if there are fewer.
     pub fn listed_prefix(&self, now: Time, service: &str, wanted: usize) -> usize {
         let keys = self.by_service.get(service).into_iter().flatten();
         let open = keys.filter_map(|k| self.replicas.get(*k)).filter(|r| !r.closed);
+        let open = open.filter(|r| !self.is_limited(r));
         let mut open: Vec<(u64, bool)> = open.map(|r| (r.hash, r.is_usable(now))).collect();
         open.sort_unstable();
         let mut found = 0;
--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -55,6 +55,9 @@
     pub service: &'a str,
     /// Rank of the call's route; 0 is the highest.
     pub rank: u8,
+    /// Whether the call was denied a permit, so that it takes a replica without a limit if there is
+    /// one.
+    pub denied: bool,
     /// Parts of the prompt; empty for plain services.
     pub parts: &'a [Part],
     /// Criteria for engines; `None` for plain services.
@@ -207,12 +210,17 @@
         let mut usable: Vec<(Key<Replica>, &Replica)> =
             open.iter().filter(|(_, r)| r.is_usable(now)).copied().collect();
         if let Some(criteria) = requirements.engine {
-            usable = of_side(&open, usable, &criteria, side);
+            let all_limited = open.iter().all(|(_, r)| self.is_limited(r));
+            let may_be_in_pool = |r: &Replica| all_limited || !self.is_limited(r);
+            usable = of_side(&open, usable, &criteria, side, may_be_in_pool);
         }
         let is_eligible = |key: &Key<Replica>, replica: &Replica| {
             !tried.contains(key) && !self.is_denied(now, replica, requirements.rank)
         };
         usable.retain(|(key, replica)| is_eligible(key, replica));
+        if requirements.denied && usable.iter().any(|(_, r)| !self.is_limited(r)) {
+            usable.retain(|(_, r)| !self.is_limited(r));
+        }
         // If no replica is usable, the one whose backoff ends first is the likeliest to answer.
         if usable.is_empty() {
             let untried = open.into_iter().filter(|(key, replica)| is_eligible(key, replica));
@@ -233,7 +241,7 @@
     ) -> Vec<(f64, Claim)> {
         let lowest_failure_rate =
             candidates.iter().map(|(_, r)| r.failure_rate).fold(f64::INFINITY, f64::min);
-        let homes = homes(requirements.parts, candidates);
+        let homes = self.homes(requirements.parts, candidates);
         let service = directory::short_hash(requirements.service);
         let only_homes = requirements.engine.is_some_and(|criteria| {
             uncached_prefix_tokens(requirements.parts, &criteria) >= MIN_HOME_PREFIX_TOKENS
@@ -295,25 +303,42 @@
         });
         scored.collect()
     }
+
+    /// The home replicas of a prompt's shared prefix: without a limit, as far as there are such.
+    /// Prompts that are refused by a limited home would be prefilled at many others.
+    fn homes(
+        &self,
+        parts: &[Part],
+        candidates: &[(Key<Replica>, &Replica)],
+    ) -> [Key<Replica>; HOMES] {
+        let unlimited: Vec<(Key<Replica>, &Replica)> =
+            candidates.iter().filter(|(_, r)| !self.is_limited(r)).copied().collect();
+        homes(parts, if unlimited.is_empty() { candidates } else { &unlimited })
+    }
 }
 
 /// The `usable` replicas on one side of the isolated pool's boundary, or all of them if that side
-/// has none. The pool is the first `pool_size` of the `open` replicas, in the order of their
-/// hashes.
+/// has none. The pool is the first `pool_size` of the `open` replicas that may be in it, in the
+/// order of their hashes: those without a limit, which can take all streams of the pool.
 fn of_side<'a>(
     open: &[(Key<Replica>, &'a Replica)],
     usable: Vec<(Key<Replica>, &'a Replica)>,
     criteria: &Criteria,
     side: Side,
+    may_be_in_pool: impl Fn(&Replica) -> bool,
 ) -> Vec<(Key<Replica>, &'a Replica)> {
     if criteria.pool_size == 0 || criteria.pool_size >= usable.len() {
         return usable;
     }
     // The boundary depends on the listed replicas, which all gateways agree on. A replica that only
     // this gateway failed to reach must not move it.
-    let mut hashes: Vec<u64> = open.iter().map(|(_, r)| r.hash).collect();
+    let members = open.iter().filter(|(_, r)| may_be_in_pool(r));
+    let mut hashes: Vec<u64> = members.map(|(_, r)| r.hash).collect();
+    if criteria.pool_size >= hashes.len() {
+        return usable;
+    }
     let (_, last, _) = hashes.select_nth_unstable(criteria.pool_size - 1);
-    let in_pool = |r: &Replica| r.hash <= *last;
+    let in_pool = |r: &Replica| r.hash <= *last && may_be_in_pool(r);
     let wanted = criteria.sensitive == (side == Side::Own);
     let matching: Vec<_> = usable.iter().filter(|(_, r)| in_pool(r) == wanted).copied().collect();
     if matching.is_empty() { usable } else { matching }
--- a/core/src/gateway/fleet/limits.rs
+++ b/core/src/gateway/fleet/limits.rs
@@ -35,12 +35,16 @@
     pub fn has_unlimited(&self, now: Time, service: &str, tried: &[Key<Replica>]) -> bool {
         let mut keys = self.by_service.get(service).into_iter().flatten();
         keys.any(|key| {
-            let is_unlimited =
-                |r: &Replica| r.is_usable(now) && self.limits.rate(r.digest()).is_none();
+            let is_unlimited = |r: &Replica| r.is_usable(now) && !self.is_limited(r);
             !tried.contains(key) && self.replicas.get(*key).is_some_and(is_unlimited)
         })
     }
 
+    /// Whether a replica has a limit.
+    pub(super) fn is_limited(&self, replica: &Replica) -> bool {
+        self.limits.rate(replica.digest()).is_some()
+    }
+
     /// Whether calls of `rank` get no permit for a replica at `now`.
     pub(super) fn is_denied(&self, now: Time, replica: &Replica, rank: u8) -> bool {
         self.limits.denied_until(now, replica.digest(), rank).is_some()
--- a/core/src/gateway/limit.rs
+++ b/core/src/gateway/limit.rs
@@ -98,7 +98,7 @@
 
     /// Whether no replica has a limit.
     pub fn is_empty(&self) -> bool {
-        self.len() == 0
+        !self.entries.values().any(|entry| entry.rate.is_some())
     }
 
     /// Records what a replica stated at `at`, unless a newer statement is known; returns the
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -118,6 +118,8 @@
     pub deadline: Time,
     /// Replicas that were sent an attempt or could not be reached.
     pub tried: Vec<Key<Replica>>,
+    /// Whether the current attempt was denied a permit for a replica with a limit.
+    pub denied: bool,
     /// Number of attempts that may have run.
     pub attempts: u32,
     /// The last replica that was chosen, also if the call was then refused for overload.
@@ -401,6 +403,7 @@
             arrived,
             deadline: arrived + patience,
             tried: Vec::new(),
+            denied: false,
             attempts: 0,
             last_pick: None,
             version: config.version,
@@ -519,6 +522,7 @@
         let mut renewed = self.resolve(now, grant.arrived, submission)?;
         renewed.fingerprint = grant.fingerprint;
         renewed.tried = std::mem::take(&mut grant.tried);
+        renewed.denied = grant.denied;
         renewed.attempts = grant.attempts;
         *grant = renewed;
         Ok(())
@@ -577,6 +581,7 @@
     Requirements {
         service: &grant.service,
         rank: grant.rank.route,
+        denied: grant.denied,
         parts: &submission.parts,
         engine: criteria,
         snapshots,
--- a/core/src/gateway/state/limits.rs
+++ b/core/src/gateway/state/limits.rs
@@ -173,6 +173,7 @@
     pub fn record_reply(
         &mut self,
         now: Time,
+        grant: &mut Grant,
         request: &Request,
         reply: Option<Reply>,
     ) -> (Permit, Changes) {
@@ -190,6 +191,7 @@
         let until = now + Span((denial.0 as f64 * factor) as u64);
         let replica = request.limit.replica;
         self.fleet.limits_mut().record_denial(now, replica, request.rank, until);
+        grant.denied = true;
         (Permit::Denied, changes)
     }
 
--- a/core/tests/gateway/limits.rs
+++ b/core/tests/gateway/limits.rs
@@ -2,12 +2,15 @@
 
 mod net;
 
+use laburnumwheel_core::gateway::fleet::Criteria;
+use laburnumwheel_core::gateway::fleet::Requirements;
 use laburnumwheel_core::gateway::limit::Record;
 use laburnumwheel_core::gateway::limit::Statement;
 use laburnumwheel_core::gateway::limit::Table;
 use laburnumwheel_core::gateway::limit::issuer::Issuer;
 use laburnumwheel_core::gateway::limit::issuer::Request;
 use laburnumwheel_core::gateway::limit::issuer::Verdict;
+use laburnumwheel_core::gateway::prefill::Estimator;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::incarnation::Digest;
 use laburnumwheel_core::incarnation::Incarnation;
@@ -59,6 +62,81 @@
     assert!(net.tallies["chat"].refusals.is_empty(), "{:?}", net.tallies["chat"]);
 }
 
+/// Guards against a call that is refused because several replicas with a limit, which are idle and
+/// seem the best, denied it a permit, while another replica has none.
+#[test]
+fn calls_are_served_while_a_replica_has_no_limit() {
+    let traffic = [("chat", 30.0), ("report", 10.0)];
+    let mut net = Net::start(9, 0, 7, 11);
+    net.limits = (0..6).map(|n| (format!("engine-{n}"), 1.0)).collect();
+    net.run(SPREADING_TIME, &traffic);
+    net.tallies.clear();
+
+    net.run(Span::secs(10), &traffic);
+
+    let refused: usize = net.tallies.values().map(|tally| tally.refusals.len()).sum();
+    assert_eq!(refused, 0, "{:?}", net.tallies);
+}
+
+/// Guards against an isolated pool of replicas with a limit, which leaves its streams to engines
+/// full of long prompts.
+#[test]
+fn isolated_pool_has_no_replica_with_a_limit() {
+    let mut gateway = gateway(6);
+    for n in 0..3 {
+        let digest = listing(&format!("engine-{n}")).incarnation.digest();
+        let record = Record { replica: digest, rate: Some(1.0), age_ms: 0 };
+        gateway.receive_limits(START, &[record]);
+    }
+    let by_hash = |id: &String| listing(id).incarnation.hash();
+    let unlimited: Vec<String> = (3..6).map(|n| format!("engine-{n}")).collect();
+    let first = unlimited.iter().min_by_key(|id| by_hash(id)).unwrap();
+
+    let whole = gateway.fleet().listed_prefix(START, "engines", 6);
+    let requirements = |sensitive: bool| Requirements {
+        service: "engines",
+        rank: 0,
+        denied: false,
+        parts: &[],
+        engine: Some(Criteria {
+            slots: 16,
+            sensitive,
+            pool_size: 1,
+            epoch: 1,
+            lowest_rank: true,
+            common_tokens: 0,
+            pause: Span::millis(150),
+            objective_ms: 200.0,
+            prefill: Estimator::default(),
+        }),
+        snapshots: &[],
+    };
+    let choose = |sensitive| {
+        let claim = gateway.fleet().choose(START, &requirements(sensitive), "mixco", &[]);
+        gateway.fleet().get(claim.unwrap().replica).unwrap().listing.incarnation.id.clone()
+    };
+
+    assert_eq!(whole, 3);
+    assert_eq!(choose(true), *first);
+    assert_ne!(choose(false), *first);
+}
+
+/// Guards against long prompts whose home has a limit: they would be prefilled again at whichever
+/// engine takes each of them.
+#[test]
+fn long_prompts_have_homes_without_a_limit() {
+    let mut gateway = gateway(6);
+    let submission = submission("report", &[(1, 6_000), (2, 300)]);
+    let mut grant = gateway.admit(START, &submission).unwrap();
+    let home = gateway.pick(START, &submission, &mut grant, &[]).unwrap();
+    gateway.record_limit(START, &home.claim, Statement::Rate(1.0));
+
+    let next = gateway.pick(START, &submission, &mut grant, &[]).unwrap();
+
+    assert!(home.claim.home && next.claim.home);
+    assert_ne!(home.id, next.id);
+}
+
 /// Guards against a limit that is lost, or exceeded, because it is lower than the number of
 /// gateways.
 #[test]
--- a/core/tests/gateway/limits/net.rs
+++ b/core/tests/gateway/limits/net.rs
@@ -244,7 +244,7 @@
     ) -> Result<(), Refusal> {
         for _ in 0..MAX_PERMIT_REQUESTS {
             let pick = self.nodes[node].gateway.pick(self.now, &submission, &mut grant, &[])?;
-            if let Some(wait) = self.obtain_permit(node, &grant, &pick) {
+            if let Some(wait) = self.obtain_permit(node, &mut grant, &pick) {
                 let at = self.now + wait;
                 self.waiting.push(Waiting { at, node, submission, grant, pick });
                 self.send_waiting();
@@ -254,14 +254,14 @@
         Err(self.nodes[node].gateway.refuse_limited(self.now, &grant))
     }
 
-    fn obtain_permit(&mut self, node: usize, grant: &Grant, pick: &Pick) -> Option<Span> {
+    fn obtain_permit(&mut self, node: usize, grant: &mut Grant, pick: &Pick) -> Option<Span> {
         let Some(query) = self.nodes[node].gateway.permit_query(self.now, grant, pick, false)
         else {
             return Some(Span(0));
         };
         let reply = self.ask(node, &query);
         let gateway = &mut self.nodes[node].gateway;
-        match gateway.record_reply(self.now, &query.request, reply).0 {
+        match gateway.record_reply(self.now, grant, &query.request, reply).0 {
             Permit::Granted(wait) => Some(wait),
             Permit::Denied => None,
         }
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -255,7 +255,7 @@
     ) -> Result<Pick, Failure> {
         for _ in 0..MAX_PERMIT_REQUESTS {
             let pick = self.pick(snapshots).map_err(Failure::Denied)?;
-            match limit::obtain_permit(&self.shared, &self.grant, &pick, resumes).await {
+            match limit::obtain_permit(&self.shared, &mut self.grant, &pick, resumes).await {
                 Permit::Granted(Span(0)) => return Ok(pick),
                 Permit::Granted(wait) => {
                     self.wait_for_permit(wait).await?;
--- a/gateway/src/limit.rs
+++ b/gateway/src/limit.rs
@@ -27,14 +27,20 @@
 
 /// Obtains the permit that a call needs for its replica; `resumes` says whether the caller already
 /// has a part of the answer.
-pub async fn obtain_permit(shared: &Shared, grant: &Grant, pick: &Pick, resumes: bool) -> Permit {
+pub async fn obtain_permit(
+    shared: &Shared,
+    grant: &mut Grant,
+    pick: &Pick,
+    resumes: bool,
+) -> Permit {
     let query = shared.gateway.borrow().permit_query(clock::now(), grant, pick, resumes);
     let Some(query) = query else {
         return Permit::Granted(Span(0));
     };
     let reply = send_query(shared, &query).await;
     let now = clock::now();
-    let (permit, changes) = shared.gateway.borrow_mut().record_reply(now, &query.request, reply);
+    let (permit, changes) =
+        shared.gateway.borrow_mut().record_reply(now, grant, &query.request, reply);
     log_changes(shared, "issuer", &changes);
     let outcome = match (permit, reply) {
         (Permit::Granted(_), _) => "granted",
