Issue permits by rank, and reserve them only as a last resort

Causes: an attempt reserved at the first replica instead of looking for a permit at others; lower ranks reserved ahead and so took permits that urgent calls found gone; the isolated pool held urgent streams at a few engines; a queue as long as a rank's patience made all of its calls late.

Now an attempt asks three replicas for a permit that is valid at once and then reserves one at the fourth. One permit is kept for each higher rank that recently asked, and lower ranks reserve none meanwhile. A rank that must be denied permits anyway waits only as long as its calls stay on time. There is no pool among replicas that all have a limit.

The rule's bounds are unchanged.

--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -7,6 +7,7 @@
 
 use crate::arena::Key;
 use crate::gateway::directory;
+use crate::gateway::limit::Kind;
 use crate::gateway::occupancy::Snapshot;
 use crate::gateway::prefill;
 use crate::gateway::prefill::Estimator;
@@ -58,6 +59,8 @@
     /// Whether the call was denied a permit, so that it takes a replica without a limit if there is
     /// one.
     pub denied: bool,
+    /// Kind of permit that the call asks for if its replica has a limit.
+    pub permit: Kind,
     /// Parts of the prompt; empty for plain services.
     pub parts: &'a [Part],
     /// Criteria for engines; `None` for plain services.
@@ -210,12 +213,11 @@
         let mut usable: Vec<(Key<Replica>, &Replica)> =
             open.iter().filter(|(_, r)| r.is_usable(now)).copied().collect();
         if let Some(criteria) = requirements.engine {
-            let all_limited = open.iter().all(|(_, r)| self.is_limited(r));
-            let may_be_in_pool = |r: &Replica| all_limited || !self.is_limited(r);
-            usable = of_side(&open, usable, &criteria, side, may_be_in_pool);
+            usable = of_side(&open, usable, &criteria, side, |r| !self.is_limited(r));
         }
         let is_eligible = |key: &Key<Replica>, replica: &Replica| {
-            !tried.contains(key) && !self.is_denied(now, replica, requirements.rank)
+            !tried.contains(key)
+                && !self.is_denied(now, replica, requirements.permit, requirements.rank)
         };
         usable.retain(|(key, replica)| is_eligible(key, replica));
         if requirements.denied && usable.iter().any(|(_, r)| !self.is_limited(r)) {
@@ -274,6 +276,7 @@
                 }
                 None => 0.0,
             };
+            let permit_ms = self.permit_wait_ms(now, replica, requirements.rank);
             let domain_ms = if replica.listing.domain == domain { 0.0 } else { OTHER_DOMAIN_MS };
             let failure_ms = FAILURE_MS * (replica.failure_rate - lowest_failure_rate);
             let sensitive = requirements.engine.is_some_and(|criteria| criteria.sensitive);
@@ -299,7 +302,7 @@
                 last_event: now,
                 sensitive,
             };
-            (expected_ms + delayed_others_ms + domain_ms + failure_ms, claim)
+            (expected_ms + delayed_others_ms + permit_ms + domain_ms + failure_ms, claim)
         });
         scored.collect()
     }
@@ -319,7 +322,8 @@
 
 /// The `usable` replicas on one side of the isolated pool's boundary, or all of them if that side
 /// has none. The pool is the first `pool_size` of the `open` replicas that may be in it, in the
-/// order of their hashes: those without a limit, which can take all streams of the pool.
+/// order of their hashes: those without a limit, which can take all streams of the pool. If fewer
+/// replicas may, there is no pool: the permits of a few replicas would not do for its streams.
 fn of_side<'a>(
     open: &[(Key<Replica>, &'a Replica)],
     usable: Vec<(Key<Replica>, &'a Replica)>,
--- a/core/src/gateway/fleet/limits.rs
+++ b/core/src/gateway/fleet/limits.rs
@@ -3,6 +3,7 @@
 use super::Fleet;
 use super::Replica;
 use crate::arena::Key;
+use crate::gateway::limit::Kind;
 use crate::gateway::limit::Table;
 use crate::incarnation::Digest;
 use crate::time::Time;
@@ -45,9 +46,15 @@
         self.limits.rate(replica.digest()).is_some()
     }
 
-    /// Whether calls of `rank` get no permit for a replica at `now`.
-    pub(super) fn is_denied(&self, now: Time, replica: &Replica, rank: u8) -> bool {
-        self.limits.denied_until(now, replica.digest(), rank).is_some()
+    /// Whether calls of `rank` get no permit of a kind for a replica at `now`.
+    pub(super) fn is_denied(&self, now: Time, replica: &Replica, kind: Kind, rank: u8) -> bool {
+        self.limits.denied_until(now, replica.digest(), kind, rank).is_some()
+    }
+
+    /// Expected time until a call of `rank` gets a permit for a replica, in milliseconds.
+    pub(super) fn permit_wait_ms(&self, now: Time, replica: &Replica, rank: u8) -> f64 {
+        let until = self.limits.denied_until(now, replica.digest(), Kind::Immediate, rank);
+        until.map_or(0.0, |until| until.since(now).as_secs_f64() * 1e3)
     }
 
     /// Earliest time at which a call of `rank` may get a permit that it was denied for a replica of
@@ -55,6 +62,7 @@
     pub fn first_permit(&self, now: Time, service: &str, rank: u8) -> Option<Time> {
         let keys = self.by_service.get(service).into_iter().flatten();
         let usable = keys.filter_map(|k| self.replicas.get(*k)).filter(|r| r.is_usable(now));
-        usable.filter_map(|r| self.limits.denied_until(now, r.digest(), rank)).min()
+        let denied = |r: &Replica| self.limits.denied_until(now, r.digest(), Kind::Immediate, rank);
+        usable.filter_map(denied).min()
     }
 }
--- a/core/src/gateway/limit.rs
+++ b/core/src/gateway/limit.rs
@@ -75,8 +75,17 @@
     rate: Option<f32>,
     /// Time of the statement.
     at: Time,
-    /// Time until which a permit was denied, by the rank of the call.
-    denials: BTreeMap<u8, Time>,
+    /// Time until which permits are denied, by kind and by the rank of the call.
+    denials: BTreeMap<(Kind, u8), Time>,
+}
+
+/// Kind of permit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// Valid at once.
+    Immediate,
+    /// Valid at once or some time later.
+    Reserved,
 }
 
 /// Limits of replicas, as far as this gateway knows them.
@@ -156,21 +165,22 @@
         });
     }
 
-    /// Records that calls of `rank`, and of lower ranks, get no permit for a replica before
-    /// `until`.
-    pub fn record_denial(&mut self, now: Time, replica: Digest, rank: u8, until: Time) {
+    /// Records that calls of `rank`, and of lower ranks, get no permit of a kind for a replica
+    /// before `until`.
+    pub fn record_denial(&mut self, now: Time, replica: Digest, kind: Kind, rank: u8, until: Time) {
         if let Some(entry) = self.entries.get_mut(&replica) {
             entry.denials.retain(|_, until| *until > now);
-            entry.denials.insert(rank, until);
+            entry.denials.insert((kind, rank), until);
         }
     }
 
-    /// Time until which calls of `rank` get no permit for a replica; `None` if they may ask for
-    /// one, or need none.
-    pub fn denied_until(&self, now: Time, replica: Digest, rank: u8) -> Option<Time> {
+    /// Time until which calls of `rank` get no permit of a kind for a replica; `None` if they may
+    /// ask for one, or need none.
+    pub fn denied_until(&self, now: Time, replica: Digest, kind: Kind, rank: u8) -> Option<Time> {
         let entry = self.entries.get(&replica)?;
         entry.rate?;
-        let denials = entry.denials.range(..=rank).map(|(_, until)| *until);
-        denials.filter(|until| *until > now).max()
+        let applies = |denied: Kind, by: u8| denied >= kind && by <= rank;
+        let denials = entry.denials.iter().filter(|((denied, by), _)| applies(*denied, *by));
+        denials.map(|(_, until)| *until).filter(|until| *until > now).max()
     }
 }
--- a/core/src/gateway/limit/issuer.rs
+++ b/core/src/gateway/limit/issuer.rs
@@ -19,18 +19,21 @@
 use crate::time::Span;
 use crate::time::Time;
 
-/// Permits that may be issued at once after a time without requests, ...
-const BURST: f64 = 2.0;
+/// Permits that may be issued at once after a time without requests: one to issue, and one to keep
+/// for each of two higher ranks; ...
+const BURST: f64 = 3.0;
 /// ... and seconds of the rate that may be issued with them.
 const BURST_SECS: f64 = 0.05;
 /// Longest time between two permits, also for a limit of zero: without an answer of the replica
 /// nobody would learn that its limit has ended.
 const PROBE_INTERVAL: Span = Span::secs(10);
-/// Time after a call of a rank had to wait, or was denied a permit, in which lower ranks get only
-/// permits that are valid at once.
-const PRESSURE_PERIOD: Span = Span::secs(1);
+/// Time after a request of a rank in which one permit is kept for it, and lower ranks reserve none
+/// ahead, ...
+const ACTIVE_PERIOD: Span = Span::secs(1);
+/// ... and permits whose issue that time covers at least.
+const ACTIVE_PERMITS: u64 = 2;
 /// A rank that got none of this many permits gets the next one.
-const STARVATION_PERMITS: f64 = 8.0;
+const STARVATION_PERMITS: u64 = 8;
 /// Period in which requests for permits are counted.
 const COUNTING_PERIOD: Span = Span::secs(1);
 /// Requests for permits a second that an issuer expects for each permit, ...
@@ -50,6 +53,8 @@
     pub rank: u8,
     /// Longest time that the call can wait, in milliseconds.
     pub patience_ms: u16,
+    /// Longest time that the call can wait and be on time, in milliseconds.
+    pub on_time_ms: u16,
 }
 
 /// Answer to a request for a permit.
@@ -66,8 +71,10 @@
 /// Permits of one rank.
 #[derive(Clone, Copy, Debug)]
 struct Rank {
-    /// Time when a call last had to wait, or was denied a permit.
-    pressed_at: Option<Time>,
+    /// Time of the last request.
+    requested_at: Time,
+    /// Time when a call last could not wait long enough.
+    denied_at: Option<Time>,
     /// Time of the last permit; before the first one, of the first request.
     served_at: Time,
 }
@@ -113,6 +120,20 @@
     Span::from_secs_f64(1.0 / rate)
 }
 
+fn active_period(interval: Span) -> Span {
+    ACTIVE_PERIOD.max(Span(interval.0 * ACTIVE_PERMITS))
+}
+
+impl Rank {
+    /// Longest time that a call of the rank waits. If some calls must be denied a permit anyway,
+    /// the others need not be late.
+    fn patience(&self, now: Time, interval: Span, request: &Request) -> Span {
+        let is_short = self.denied_at.is_some_and(|at| now.since(at) < active_period(interval));
+        let on_time = if is_short { request.on_time_ms } else { u16::MAX };
+        Span::millis(u64::from(request.patience_ms.min(on_time)))
+    }
+}
+
 impl Bucket {
     fn new(next: Time) -> Bucket {
         Bucket {
@@ -134,28 +155,39 @@
 
     fn decide(&mut self, now: Time, interval: Span, request: &Request) -> Verdict {
         self.discard_surplus(now, interval);
-        let first = Rank { pressed_at: None, served_at: now };
-        let rank = *self.ranks.entry(request.rank).or_insert(first);
-        let wait = self.next.since(now);
-        let is_starving =
-            now.since(rank.served_at).0 as f64 > interval.0 as f64 * STARVATION_PERMITS;
-        let patience = match self.is_pressed(now, request.rank) {
+        let first = Rank { requested_at: now, denied_at: None, served_at: now };
+        let mut rank = *self.ranks.entry(request.rank).or_insert(first);
+        rank.requested_at = now;
+        let higher = self.active_ranks_above(now, interval, request.rank);
+        let is_starving = now.since(rank.served_at) > Span(interval.0 * STARVATION_PERMITS);
+        let wait = match is_starving {
             true => Span(0),
-            false => Span::millis(u64::from(request.patience_ms)),
+            false => (self.next + Span(interval.0 * higher)).since(now),
         };
-        let wait = if is_starving { Span(0) } else { wait };
-        if wait.0 > 0 {
-            self.ranks.insert(request.rank, Rank { pressed_at: Some(now), ..rank });
-        }
-        if wait > patience {
-            let denial = self.denial(now, interval, Span(wait.0 - patience.0));
-            return Verdict::Denied(denial.as_millis() as u16);
-        }
-        self.next = self.next + interval;
-        if let Some(rank) = self.ranks.get_mut(&request.rank) {
+        let patience = match higher {
+            0 => rank.patience(now, interval, request),
+            _ => Span(0),
+        };
+        let granted = wait <= patience;
+        if granted {
+            self.next = self.next + interval;
             rank.served_at = now;
+        } else if request.patience_ms > 0 {
+            rank.denied_at = Some(now);
+        }
+        self.ranks.insert(request.rank, rank);
+        if granted {
+            return Verdict::Granted(wait.as_millis() as u16);
         }
-        Verdict::Granted(wait.as_millis() as u16)
+        let denial = self.denial(now, interval, Span(wait.0 - patience.0));
+        Verdict::Denied(denial.as_millis() as u16)
+    }
+
+    /// Number of ranks above `rank` that recently asked, for each of which a permit is kept.
+    fn active_ranks_above(&self, now: Time, interval: Span, rank: u8) -> u64 {
+        let above = self.ranks.range(..rank).map(|(_, rank)| rank);
+        let active = above.filter(|rank| now.since(rank.requested_at) < active_period(interval));
+        active.count().min(BURST as usize - 1) as u64
     }
 
     /// Discards permits that were left over beyond a burst.
@@ -164,12 +196,6 @@
         self.next = self.next.max(now - Span((interval.0 as f64 * burst) as u64));
     }
 
-    /// Whether calls above `rank` recently had to wait or were denied a permit.
-    fn is_pressed(&self, now: Time, rank: u8) -> bool {
-        let above = self.ranks.range(..rank).filter_map(|(_, rank)| rank.pressed_at);
-        above.into_iter().any(|at| now.since(at) < PRESSURE_PERIOD)
-    }
-
     /// Time after which to ask again, if a permit is possible after `wait` at the earliest.
     fn denial(&self, now: Time, interval: Span, wait: Span) -> Span {
         let expected = REQUESTS_PER_PERMIT / interval.as_secs_f64() + REQUESTS_PER_REPLICA;
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -44,6 +44,7 @@
 use super::freshness::Freshness;
 use super::gossip;
 use super::gossip::Demand;
+use super::limit::Kind;
 use super::limit::issuer::Issuer;
 use super::model::Model;
 use super::occupancy::Occupancy;
@@ -82,6 +83,9 @@
 const MAX_WAIT_OBJECTIVES_URGENT: f64 = 2.0;
 /// The same bound as a share of the route's timeout; the larger of the two bounds applies.
 const MAX_WAIT_TIMEOUT_SHARE: f64 = 0.06;
+/// Permits that are valid at once which an attempt asks for, at replicas that all have a limit,
+/// before it reserves one that is valid later.
+const MAX_IMMEDIATE_REQUESTS: usize = 3;
 /// Time after which a caller retries when no replica can take its call.
 const RETRY_NO_REPLICA: Span = Span::millis(300);
 
@@ -118,8 +122,8 @@
     pub deadline: Time,
     /// Replicas that were sent an attempt or could not be reached.
     pub tried: Vec<Key<Replica>>,
-    /// Whether the current attempt was denied a permit for a replica with a limit.
-    pub denied: bool,
+    /// Permits that the current attempt was denied, for replicas with a limit.
+    pub denials: usize,
     /// Number of attempts that may have run.
     pub attempts: u32,
     /// The last replica that was chosen, also if the call was then refused for overload.
@@ -149,6 +153,8 @@
     pub address: String,
     /// Whether the replica is a model engine.
     pub engine: bool,
+    /// Kind of permit to ask for if the replica has a limit.
+    pub permit: Kind,
 }
 
 /// State of one gateway, without sockets and timers.
@@ -403,7 +409,7 @@
             arrived,
             deadline: arrived + patience,
             tried: Vec::new(),
-            denied: false,
+            denials: 0,
             attempts: 0,
             last_pick: None,
             version: config.version,
@@ -437,7 +443,13 @@
         let criteria = engine.map(|e| self.criteria(now, submission, grant, &e));
         let requirements = requirements(submission, grant, criteria, snapshots);
         let domain = &self.settings.entry.domain;
-        let claim = self.fleet.choose(now, &requirements, domain, &grant.tried);
+        let mut permit = requirements.permit;
+        let mut claim = self.fleet.choose(now, &requirements, domain, &grant.tried);
+        if claim.is_none() {
+            permit = Kind::Reserved;
+            let requirements = Requirements { permit, ..requirements };
+            claim = self.fleet.choose(now, &requirements, domain, &grant.tried);
+        }
         let Some(claim) = claim else {
             return Err(match self.fleet.first_permit(now, &grant.service, grant.rank.route) {
                 Some(_) => self.refuse_limited(now, grant),
@@ -451,6 +463,7 @@
             id: replica.listing.incarnation.id.clone(),
             address: replica.listing.address.clone(),
             engine: criteria.is_some(),
+            permit,
         };
         grant.last_pick = Some(pick.clone());
         // A snapshot includes the calls of the other gateways, so it needs no dither.
@@ -522,7 +535,7 @@
         let mut renewed = self.resolve(now, grant.arrived, submission)?;
         renewed.fingerprint = grant.fingerprint;
         renewed.tried = std::mem::take(&mut grant.tried);
-        renewed.denied = grant.denied;
+        renewed.denials = grant.denials;
         renewed.attempts = grant.attempts;
         *grant = renewed;
         Ok(())
@@ -572,6 +585,11 @@
     models.entry(service.to_owned()).or_default()
 }
 
+/// Kind of permit that the next attempt asks for if its replica has a limit.
+fn permit_kind(grant: &Grant) -> Kind {
+    if grant.denials < MAX_IMMEDIATE_REQUESTS { Kind::Immediate } else { Kind::Reserved }
+}
+
 fn requirements<'a>(
     submission: &'a Submission,
     grant: &'a Grant,
@@ -581,7 +599,8 @@
     Requirements {
         service: &grant.service,
         rank: grant.rank.route,
-        denied: grant.denied,
+        denied: grant.denials > 0,
+        permit: permit_kind(grant),
         parts: &submission.parts,
         engine: criteria,
         snapshots,
--- a/core/src/gateway/state/attempts.rs
+++ b/core/src/gateway/state/attempts.rs
@@ -25,7 +25,7 @@
         pick: &mut Pick,
     ) {
         grant.attempts += 1;
-        grant.denied = false;
+        grant.denials = 0;
         grant.tried.push(pick.claim.replica);
         self.fleet.record_sent(now, &mut pick.claim, pick.engine, &submission.parts);
         if let Some(tally) = self.tally(&pick.claim) {
--- a/core/src/gateway/state/limits.rs
+++ b/core/src/gateway/state/limits.rs
@@ -11,6 +11,7 @@
 use super::max_wait_ms;
 use crate::gateway::fleet::Claim;
 use crate::gateway::limit::Change;
+use crate::gateway::limit::Kind;
 use crate::gateway::limit::Record;
 use crate::gateway::limit::Statement;
 use crate::gateway::limit::issuer::Request;
@@ -62,6 +63,15 @@
 /// Changes of replicas' limits, with the ids of the replicas.
 pub type Changes = Vec<(String, Change)>;
 
+/// Expected time from sending a call to its first event, in milliseconds.
+fn expected_ms(pick: &Pick) -> f64 {
+    if pick.engine { pick.claim.expected_ms } else { 0.0 }
+}
+
+fn saturating_millis(span: Span) -> u16 {
+    span.as_millis().min(u64::from(u16::MAX)) as u16
+}
+
 impl Gateway {
     /// Records what an answer of a replica says about its limit; returns the change, if there is
     /// one.
@@ -83,14 +93,13 @@
     /// Limits to gossip.
     pub fn gossip_limits(&mut self, now: Time) -> Vec<Record> {
         self.fleet.sweep_limits(now);
-        self.retain_issued(now);
+        self.retain_issued();
         self.fleet.limits().gossip(now)
     }
 
-    fn retain_issued(&mut self, now: Time) {
-        let fleet = &self.fleet;
-        self.issuer
-            .retain(|replica| fleet.limits().get(now, replica).is_some_and(|r| r.rate.is_some()));
+    fn retain_issued(&mut self) {
+        let limits = self.fleet.limits();
+        self.issuer.retain(|replica| limits.rate(replica).is_some());
     }
 
     /// Merges limits that another gateway knows; returns the changes.
@@ -117,11 +126,17 @@
         let rate = self.fleet.limits().rate(replica)?;
         let known = self.fleet.limits().get(now, replica);
         let limit = known.unwrap_or(Record { replica, rate: Some(rate), age_ms: u16::MAX });
-        let patience = self.permit_patience(now, grant, pick, resumes);
+        let patience = match pick.permit {
+            Kind::Immediate => Span(0),
+            Kind::Reserved => self.permit_patience(now, grant, pick, resumes),
+        };
+        let expected = Span::from_secs_f64(expected_ms(pick) / 1e3);
+        let on_time = (grant.arrived + grant.route.objective).since(now + expected);
         let request = Request {
             limit,
             rank: grant.rank.route,
-            patience_ms: patience.as_millis().min(u64::from(u16::MAX)) as u16,
+            patience_ms: saturating_millis(patience),
+            on_time_ms: saturating_millis(on_time),
         };
         Some(Query { issuer: self.issuer_of(now, replica), request })
     }
@@ -134,8 +149,7 @@
         }
         let lowest_rank =
             self.config.as_ref().is_some_and(|c| c.has_lowest_rank(&grant.route, &grant.service));
-        let expected_ms = if pick.engine { pick.claim.expected_ms } else { 0.0 };
-        let wait_ms = (max_wait_ms(&grant.route, lowest_rank) - expected_ms).max(0.0);
+        let wait_ms = (max_wait_ms(&grant.route, lowest_rank) - expected_ms(pick)).max(0.0);
         let least = if resumes { MIN_RESUME_PATIENCE } else { Span(0) };
         let half_left = Span(grant.deadline.since(now).0 / 2);
         Span::from_secs_f64(wait_ms / 1e3).max(least).min(half_left)
@@ -174,6 +188,7 @@
         &mut self,
         now: Time,
         grant: &mut Grant,
+        pick: &Pick,
         request: &Request,
         reply: Option<Reply>,
     ) -> (Permit, Changes) {
@@ -190,8 +205,8 @@
         let factor = self.rng.random_range(1.0..MAX_DENIAL_FACTOR);
         let until = now + Span((denial.0 as f64 * factor) as u64);
         let replica = request.limit.replica;
-        self.fleet.limits_mut().record_denial(now, replica, request.rank, until);
-        grant.denied = true;
+        self.fleet.limits_mut().record_denial(now, replica, pick.permit, request.rank, until);
+        grant.denials += 1;
         (Permit::Denied, changes)
     }
 
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -55,7 +55,7 @@
 ];
 /// Largest response that is buffered before it is forwarded, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
-/// Most replicas with a limit that one attempt asks permits for.
+/// Most permits that one attempt asks for.
 const MAX_PERMIT_REQUESTS: usize = 4;
 
 /// An admitted call and the state that its attempts share.
--- a/gateway/src/limit.rs
+++ b/gateway/src/limit.rs
@@ -40,7 +40,7 @@
     let reply = send_query(shared, &query).await;
     let now = clock::now();
     let (permit, changes) =
-        shared.gateway.borrow_mut().record_reply(now, grant, &query.request, reply);
+        shared.gateway.borrow_mut().record_reply(now, grant, pick, &query.request, reply);
     log_changes(shared, "issuer", &changes);
     let outcome = match (permit, reply) {
         (Permit::Granted(_), _) => "granted",
