Bound idle connections by the replica's limit over all gateways

Now idle connections use at most half of the gateway's share, and one. At 9 gateways nothing changes, at 65 it is four instead of six. With six the test fails, first at 65 gateways.

Also tests for two guards of permits that no test covered: a planned stop hands the permits over before the process ends, and a gateway that is not the issuer issues none. A test of the isolated pool now has limits where the pool would otherwise be.

--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -66,6 +66,8 @@
 use crate::time::Span;
 use crate::time::Time;
 
+/// Upper bound on the idle connections to one replica, also if it accepts many.
+const MAX_IDLE_CONNECTIONS: usize = 6;
 /// Time after which a caller retries at another gateway, which can serve it at once.
 const RETRY_ELSEWHERE: Span = Span::millis(50);
 /// Range of the time after which callers that are refused for overload retry.
@@ -243,6 +245,17 @@
         Some(self.config.as_ref()?.service(service)?.engine?.slots)
     }
 
+    /// Most idle connections that this gateway keeps to a replica: half of its share of those that
+    /// the replica accepts from all gateways together.
+    pub fn max_idle_connections(&self, key: Key<Replica>) -> usize {
+        let service = self.fleet.get(key).map(|replica| replica.listing.service.as_str());
+        let service = service.and_then(|name| self.config.as_ref()?.service(name));
+        match service.map_or(0, |service| service.connections as usize) {
+            0 => MAX_IDLE_CONNECTIONS,
+            all => all.div_ceil(2 * self.gateway_count()).min(MAX_IDLE_CONNECTIONS),
+        }
+    }
+
     /// Directory of the other gateways.
     pub fn directory(&self) -> &Directory {
         &self.directory
--- a/core/tests/gateway/limits.rs
+++ b/core/tests/gateway/limits.rs
@@ -22,8 +22,10 @@
 use self::net::Process;
 use self::net::allowed;
 use crate::support::START;
+use crate::support::entry;
 use crate::support::gateway;
 use crate::support::listing;
+use crate::support::listings;
 use crate::support::submission;
 
 const ENGINE: &str = "engine-0";
@@ -84,14 +86,13 @@
 #[test]
 fn isolated_pool_has_no_replica_with_a_limit() {
     let mut gateway = gateway(6);
-    for n in 0..3 {
-        let digest = listing(&format!("engine-{n}")).incarnation.digest();
-        let record = Record { replica: digest, rate: Some(1.0), age_ms: 0 };
-        gateway.receive_limits(START, &[record]);
+    let mut ids: Vec<String> = (0..6).map(|n| format!("engine-{n}")).collect();
+    ids.sort_by_key(|id| listing(id).incarnation.hash());
+    for id in &ids[..3] {
+        let replica = listing(id).incarnation.digest();
+        gateway.receive_limits(START, &[Record { replica, rate: Some(1.0), age_ms: 0 }]);
     }
-    let by_hash = |id: &String| listing(id).incarnation.hash();
-    let unlimited: Vec<String> = (3..6).map(|n| format!("engine-{n}")).collect();
-    let first = unlimited.iter().min_by_key(|id| by_hash(id)).unwrap();
+    let first = &ids[3];
 
     let whole = gateway.fleet().listed_prefix(START, "engines", 6);
     let requirements = |sensitive: bool| Requirements {
@@ -187,6 +188,44 @@
     assert!(most <= allowed(6.0), "{most}");
 }
 
+/// Guards against permits that nobody issues after a planned stop, until the issuer counts as dead.
+#[test]
+fn planned_stop_of_the_issuer_costs_at_most_a_second_of_permits() {
+    let traffic = [("chat", 60.0)];
+    let mut net = limited(9, 0, 1, 6.0, &traffic);
+    let from = net.now;
+
+    for _ in 0..4 {
+        let issuer = net.issuer(ENGINE).unwrap();
+        net.stop(issuer);
+        net.run(Span::secs(2), &traffic);
+        net.set_process(issuer, Process::Stopped);
+        net.run(Span::secs(2), &traffic);
+    }
+
+    let most = net.most_in_window(ENGINE, from);
+    assert!(most <= allowed(6.0), "{most}");
+    let used = net.arrived_since(ENGINE, from);
+    assert!(used >= 96 - 4 * 6, "{used} of 96");
+}
+
+/// Guards against two issuers of one replica's permits while gateways disagree on who is live.
+#[test]
+fn gateway_that_is_not_the_issuer_issues_no_permits() {
+    let mut net = Net::start(3, 0, 1, 11);
+    let replica = net.listings[0].incarnation.digest();
+    let limit = Record { replica, rate: Some(100.0), age_ms: 0 };
+    let issuer = net.issuer(ENGINE).unwrap();
+
+    let granted = |net: &mut Net, node: usize| {
+        let request = Request { limit, ..request(0, 1_000) };
+        let now = net.now;
+        matches!(net.gateway(node).issue(now, &request).0.verdict, Verdict::Granted(_))
+    };
+
+    assert!((0..3).all(|node| granted(&mut net, node) == (node == issuer)));
+}
+
 /// Guards against an issuer that thaws and goes on beside its successor.
 #[test]
 fn limit_holds_while_the_issuer_freezes() {
@@ -435,7 +474,26 @@
     assert!(burst.count() <= 2);
 }
 
-/// Time of the next event is never before the present, whatever the limit.
+/// Guards against idle connections of a thousand gateways that use up those which a replica accepts.
+#[test]
+fn idle_connections_of_all_gateways_leave_half_to_calls() {
+    for gateways in [9, 65, 440, 985] {
+        let mut gateway = gateway(1);
+        let others = (1..gateways).map(|n| entry(&format!("gateway-{n}")));
+        gateway.update_lists(START, START, listings(1), others.collect());
+        let submission = submission("chat", &[]);
+        let mut grant = gateway.admit(START, &submission).unwrap();
+        let pick = gateway.pick(START, &submission, &mut grant, &[]).unwrap();
+
+        let idle = gateway.max_idle_connections(pick.claim.replica);
+
+        // The replica accepts 500; one each is the least that saves a connection.
+        assert!(idle * gateways <= 250 + gateways, "{idle} at {gateways}");
+        assert!((1..=6).contains(&idle), "{idle} at {gateways}");
+    }
+}
+
+/// Guards against arithmetic that overflows for an absurd limit.
 #[test]
 fn absurd_limits_are_borne() {
     let mut issuer = Issuer::default();
--- a/core/tests/gateway/limits/net.rs
+++ b/core/tests/gateway/limits/net.rs
@@ -133,6 +133,16 @@
         self.nodes[node].process = process;
     }
 
+    pub fn gateway(&mut self, node: usize) -> &mut Gateway {
+        &mut self.nodes[node].gateway
+    }
+
+    /// Begins the planned stop of a gateway; callers learn of it within a second.
+    pub fn stop(&mut self, node: usize) {
+        let gateway = &mut self.nodes[node].gateway;
+        gateway.stop(self.now, Span::secs(1), Span::secs(6));
+    }
+
     pub fn len(&self) -> usize {
         self.nodes.len()
     }
@@ -146,7 +156,10 @@
             laburnumwheel_core::rendezvous::score(u64::from(replica.0), gateway)
         };
         let silent = self.silent.iter().map(|e| (score(&e.name), None));
-        let nodes = self.nodes.iter().enumerate().map(|(n, node)| (score(&node.name), Some(n)));
+        let running = self.nodes.iter().enumerate();
+        let running = running
+            .filter(|(_, node)| node.process != Process::Stopped && !node.gateway.is_stopping());
+        let nodes = running.map(|(n, node)| (score(&node.name), Some(n)));
         silent.chain(nodes).max()?.1
     }
 
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -207,7 +207,8 @@
         self.in_flight.end(outcome);
         let shared = self.in_flight.shared.clone();
         let replica = self.in_flight.claim.replica;
-        shared.pool.put(replica, self.channel, self.metadata.keep_alive);
+        let max_idle = shared.gateway.borrow().max_idle_connections(replica);
+        shared.pool.put(replica, self.channel, self.metadata.keep_alive, max_idle);
     }
 }
 
--- a/gateway/src/channel.rs
+++ b/gateway/src/channel.rs
@@ -33,8 +33,6 @@
 /// Longest time that a pooled connection stays idle. Replicas close idle connections themselves
 /// after some seconds.
 const MAX_IDLE: Span = Span::millis(2_500);
-/// Most pooled connections of one replica.
-const MAX_IDLE_PER_REPLICA: usize = 6;
 
 /// An open connection. Dropping it closes it at once, which makes the replica stop its work.
 #[derive(Debug)]
@@ -105,8 +103,15 @@
         None
     }
 
-    /// Returns a connection to the pool after its response has been read completely.
-    pub fn put(&self, replica: Key<Replica>, channel: Channel, keep_alive: Option<u64>) {
+    /// Returns a connection to the pool after its response has been read completely; the pool keeps
+    /// at most `max_idle` connections of a replica.
+    pub fn put(
+        &self,
+        replica: Key<Replica>,
+        channel: Channel,
+        keep_alive: Option<u64>,
+        max_idle: usize,
+    ) {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|_, connections| {
@@ -114,7 +119,7 @@
             !connections.is_empty()
         });
         let connections = idle.entry(replica).or_default();
-        if connections.len() < MAX_IDLE_PER_REPLICA && !channel.sender.is_closed() {
+        if connections.len() < max_idle && !channel.sender.is_closed() {
             connections.push(Idle { channel, until: now + idle_limit(keep_alive) });
         }
     }
