--- a/core/src/gateway/limit.rs
+++ b/core/src/gateway/limit.rs
@@ -5,6 +5,7 @@
 //! limit needs a permit; see [`issuer`].
 
 pub mod issuer;
+pub mod permit;
 
 use std::collections::BTreeMap;
 
@@ -69,6 +70,9 @@
     pub after: Option<f32>,
 }
 
+/// Changes of replicas' limits, with the ids of the replicas.
+pub type Changes = Vec<(String, Change)>;
+
 /// Newest statement of a replica that has, or recently had, a limit.
 #[derive(Clone, Debug, Default)]
 struct Entry {
--- a/core/src/gateway/limit/issuer.rs
+++ b/core/src/gateway/limit/issuer.rs
@@ -20,25 +20,27 @@
 use crate::time::Time;
 
 /// Permits that may be issued at once after a time without requests: one to issue, and one to keep
-/// for each of two higher ranks; ...
+/// for each of two higher ranks.
 const BURST: f64 = 3.0;
-/// ... and seconds of the rate that may be issued with them.
+/// Further permits that may be issued at once, in seconds of the rate. With high rates, requests
+/// come less evenly than permits do.
 const BURST_SECS: f64 = 0.05;
 /// Longest time between two permits, also for a limit of zero: without an answer of the replica
 /// nobody would learn that its limit has ended.
 const PROBE_INTERVAL: Span = Span::secs(10);
 /// Time after a request of a rank in which one permit is kept for it, and lower ranks reserve none
-/// ahead, ...
+/// ahead.
 const ACTIVE_PERIOD: Span = Span::secs(1);
-/// ... and permits whose issue that time covers at least.
+/// Lower bound on that time, in permits issued: with a low rate, a second may hold none.
 const ACTIVE_PERMITS: u64 = 2;
 /// A rank that got none of this many permits gets the next one.
 const STARVATION_PERMITS: u64 = 8;
 /// Period in which requests for permits are counted.
 const COUNTING_PERIOD: Span = Span::secs(1);
-/// Requests for permits a second that an issuer expects for each permit, ...
+/// Requests that an issuer expects for each permit. Gateways that were denied one ask again later if
+/// there are more, so that hundreds of them do not ask for each permit.
 const REQUESTS_PER_PERMIT: f64 = 4.0;
-/// ... and for each replica. Gateways that are denied a permit ask again later if there are more.
+/// Requests a second that an issuer expects for each replica besides.
 const REQUESTS_PER_REPLICA: f64 = 20.0;
 /// Range of the time after which a gateway that was denied a permit asks again.
 const MIN_DENIAL: Span = Span::millis(20);
--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -39,12 +39,8 @@
 pub mod view;
 pub mod wall;
 
-pub use self::state::Changes;
 pub use self::state::Gateway;
 pub use self::state::Grant;
-pub use self::state::Permit;
 pub use self::state::Pick;
-pub use self::state::Query;
 pub use self::state::Rank;
-pub use self::state::Reply;
 pub use self::state::Settings;
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -19,10 +19,6 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-pub use self::limits::Changes;
-pub use self::limits::Permit;
-pub use self::limits::Query;
-pub use self::limits::Reply;
 use self::stop::Stop;
 use super::budget;
 use super::budget::Budget;
--- a/core/src/gateway/state/limits.rs
+++ b/core/src/gateway/state/limits.rs
@@ -11,11 +11,15 @@
 use super::max_wait_ms;
 use crate::gateway::fleet::Claim;
 use crate::gateway::limit::Change;
+use crate::gateway::limit::Changes;
 use crate::gateway::limit::Kind;
 use crate::gateway::limit::Record;
 use crate::gateway::limit::Statement;
 use crate::gateway::limit::issuer::Request;
 use crate::gateway::limit::issuer::Verdict;
+use crate::gateway::limit::permit::Permit;
+use crate::gateway::limit::permit::Query;
+use crate::gateway::limit::permit::Reply;
 use crate::gateway::refusal::Reason;
 use crate::gateway::refusal::Refusal;
 use crate::incarnation::Digest;
@@ -33,36 +37,6 @@
 /// permit together would ask again together.
 const MAX_DENIAL_FACTOR: f64 = 1.5;
 
-/// Request for a permit, and who issues it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Query {
-    /// Address of the issuer; `None` if it is this gateway.
-    pub issuer: Option<String>,
-    /// The request.
-    pub request: Request,
-}
-
-/// Answer of an issuer.
-#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-pub struct Reply {
-    /// The decision.
-    pub verdict: Verdict,
-    /// Limit of the replica, as far as the issuer knows.
-    pub limit: Option<Record>,
-}
-
-/// Whether a call may be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Permit {
-    /// The call may be sent after this time.
-    Granted(Span),
-    /// The call may not be sent to this replica.
-    Denied,
-}
-
-/// Changes of replicas' limits, with the ids of the replicas.
-pub type Changes = Vec<(String, Change)>;
-
 /// Expected time from sending a call to its first event, in milliseconds.
 fn expected_ms(pick: &Pick) -> f64 {
     if pick.engine { pick.claim.expected_ms } else { 0.0 }
--- a/ctl/src/cmd/explain.rs
+++ b/ctl/src/cmd/explain.rs
@@ -105,6 +105,10 @@
             get("waiting"),
             get("report_age_ms")
         ),
+        ("limited", _) => {
+            "refused and not run: every replica states a limit, and none had a permit left"
+                .to_owned()
+        }
         ("answered", _) => {
             format!("answered by replica {} after {} ms", get("replica"), get("took_ms"))
         }
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -23,11 +23,11 @@
 use hyper::header;
 use hyper::http::response;
 use laburnumwheel_core::gateway::Grant;
-use laburnumwheel_core::gateway::Permit;
 use laburnumwheel_core::gateway::Pick;
 use laburnumwheel_core::gateway::fleet::Claim;
 use laburnumwheel_core::gateway::fleet::Outcome;
 use laburnumwheel_core::gateway::limit::Statement;
+use laburnumwheel_core::gateway::limit::permit::Permit;
 use laburnumwheel_core::gateway::occupancy::Snapshot;
 use laburnumwheel_core::gateway::refusal::Refusal;
 use laburnumwheel_core::gateway::submission::Submission;
@@ -274,7 +274,8 @@
         let end = clock::now() + wait;
         loop {
             let now = clock::now();
-            if self.shared.gateway.borrow().is_grace_over(now) {
+            // A stream whose response has begun is continued until the process exits.
+            if !self.responding && self.shared.gateway.borrow().is_grace_over(now) {
                 return Err(Failure::Fault(Fault::Stopped, None));
             }
             if now >= end {
--- a/gateway/src/limit.rs
+++ b/gateway/src/limit.rs
@@ -3,15 +3,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use laburnumwheel_core::gateway::Changes;
 use laburnumwheel_core::gateway::Grant;
-use laburnumwheel_core::gateway::Permit;
 use laburnumwheel_core::gateway::Pick;
-use laburnumwheel_core::gateway::Query;
-use laburnumwheel_core::gateway::Reply;
 use laburnumwheel_core::gateway::limit::Change;
+use laburnumwheel_core::gateway::limit::Changes;
 use laburnumwheel_core::gateway::limit::Record;
 use laburnumwheel_core::gateway::limit::issuer::Request;
+use laburnumwheel_core::gateway::limit::permit::Permit;
+use laburnumwheel_core::gateway::limit::permit::Query;
+use laburnumwheel_core::gateway::limit::permit::Reply;
 use laburnumwheel_core::time::Span;
 use rand::Rng;
 use tokio::sync::oneshot;
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -8,7 +8,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use laburnumwheel_core::gateway::Reply;
 use laburnumwheel_core::gateway::directory;
 use laburnumwheel_core::gateway::directory::Heartbeat;
 use laburnumwheel_core::gateway::leader;
@@ -75,7 +74,7 @@
     /// Asks for a permit for a call to a replica with a limit; holds an id of the request.
     PermitRequest(u64, limit::issuer::Request),
     /// Response to the permit request with this id.
-    Permit(u64, Reply),
+    Permit(u64, limit::permit::Reply),
 }
 
 /// Data after a heartbeat in its datagram, which gateways of earlier releases ignore.
@@ -121,7 +120,7 @@
     proofs: BTreeMap<u64, oneshot::Sender<Proof>>,
     snapshots: BTreeMap<u64, oneshot::Sender<Vec<Snapshot>>>,
     /// Requests for permits.
-    pub permits: BTreeMap<u64, oneshot::Sender<Reply>>,
+    pub permits: BTreeMap<u64, oneshot::Sender<limit::permit::Reply>>,
 }
 
 /// Proof of what the store held, sent by a reader.
