Read and log departures and Retry-After in answers of replicas

An answer may say that its replica leaves, and a refusal how long the replica wants no calls. Neither was read, and the logs could not tell whether an answer had said so: attempt_failed fault=refused was all. Both are decoded now and logged (replica_leaving, replica_cooldown, retry_after_malformed); nothing is decided by them yet.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -41,6 +41,8 @@
 use crate::limit;
 use crate::log::Line;
 use crate::peers;
+use crate::retry_after;
+use crate::retry_after::Advice;
 use crate::shared::Shared;
 
 /// Headers that apply to one connection only and are not forwarded.
@@ -395,6 +397,8 @@
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
             in_flight.record_activity(Some(&metadata));
             self.record_limit(&in_flight, pick, &metadata);
+            self.record_leaving(&metadata, pick);
+            self.record_advice(retry_after::parse(response.status(), response.headers()), pick);
         }
         let (head, body) = response.into_parts();
         let exchange =
@@ -426,6 +430,33 @@
         }
     }
 
+    /// Logs that a response says that its replica is leaving.
+    fn record_leaving(&self, metadata: &dialect::Metadata, pick: &Pick) {
+        if metadata.leaving {
+            self.shared.log(self.replica_line("replica_leaving", pick).with("from", "answer"));
+        }
+    }
+
+    /// Logs that a refusal asks for a time without requests.
+    fn record_advice(&self, advice: Advice, pick: &Pick) {
+        match advice {
+            Advice::Absent => {}
+            Advice::Wait(wait) => {
+                let line = self.replica_line("replica_cooldown", pick);
+                self.shared.log(line.with("wait_ms", wait.as_millis()));
+            }
+            Advice::Malformed => {
+                self.shared.log(self.replica_line("retry_after_malformed", pick));
+            }
+        }
+    }
+
+    fn replica_line(&self, event: &'static str, pick: &Pick) -> Line {
+        Line::new(event)
+            .with("replica", &pick.id)
+            .with("request", String::from_utf8_lossy(&self.submission.id))
+    }
+
     /// Classifies a response without this call's id.
     ///
     /// A 421 without an id comes from another incarnation at this address and applies to this call;
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -40,6 +40,8 @@
     pub load: Option<Load>,
     /// Limit of the replica over all gateways.
     pub limit: Statement,
+    /// The replica is leaving, and must get no new calls.
+    pub leaving: bool,
     /// Seconds for which the replica keeps the connection open while it is idle, if stated.
     pub keep_alive: Option<u64>,
 }
--- a/gateway/src/dialect/own.rs
+++ b/gateway/src/dialect/own.rs
@@ -39,6 +39,8 @@
 pub const LOAD: &str = "x-laburnum-load";
 /// Requests a second that the replica takes from all gateways together, if it has a limit.
 pub const LIMIT: &str = "x-laburnum-limit";
+/// Present if the replica is leaving, and must get no new calls.
+pub const LEAVING: &str = "x-laburnum-leaving";
 
 /// Returns the default dialect.
 pub fn dialect() -> Dialect {
@@ -115,6 +117,7 @@
         not_run: headers.contains_key(NOT_RUN),
         load: text(headers, LOAD).and_then(load),
         limit: text(headers, LIMIT).map_or(Statement::Unlimited, Statement::parse),
+        leaving: headers.contains_key(LEAVING),
         keep_alive: None,
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod peers;
 pub mod quarantine;
 pub mod relay;
+pub mod retry_after;
 pub mod server;
 pub mod shared;
 pub mod store;
