Send no calls to replicas whose answers say that they leave

Callers' calls went to replicas for 3.5 and 9.8 s after these had said in an answer to the same gateway that they leave; the store, which would have said so, was away.

Cause: the statement was not read, a replica was closed by the store's list alone. Class: knowledge that reaches a gateway by another way than the store counts for nothing against the list, as a limit did before.

Now a departure is kept by incarnation, apart from the list: a list that says ready, a lapsed entry that returns, a view of a peer or an older copy of the store change nothing; another incarnation under the id is new. Gateways gossip the departures that their lists do not show, with heartbeats, and in large fleets with polls of readers. A replica that left is no home, no member of the isolated pool, keeps no idle connections and is not counted as registered. A call that waits for its permit, or for a connection, is withdrawn unsent and chosen anew without a charge to the retry budget. The last replica of a service gets calls for one more second, as it serves on for a while.

In virtual time no call reaches the leaving engine with 9 and 985 gateways (40 act), joins and thaws 30 s later among them.

--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -6,6 +6,7 @@
 //! one.
 
 mod choice;
+mod departures;
 mod limits;
 mod list;
 mod reconcile;
@@ -15,6 +16,7 @@
 
 use crate::arena::Arena;
 use crate::arena::Key;
+use crate::gateway::departure;
 use crate::gateway::gossip;
 use crate::gateway::gossip::Observation;
 use crate::gateway::limit;
@@ -61,6 +63,7 @@
     last_call: u32,
     updates: Vec<Update>,
     limits: limit::Table,
+    departures: departure::Table,
 }
 
 impl Fleet {
@@ -102,7 +105,7 @@
     /// their hashes, that contains `wanted` usable ones at `now`; all of them if there are fewer.
     pub fn listed_prefix(&self, now: Time, service: &str, wanted: usize) -> usize {
         let keys = self.by_service.get(service).into_iter().flatten();
-        let open = keys.filter_map(|k| self.replicas.get(*k)).filter(|r| !r.closed);
+        let open = keys.filter_map(|k| self.replicas.get(*k)).filter(|r| r.is_open());
         let open = open.filter(|r| !self.is_limited(r));
         let mut open: Vec<(u64, bool)> = open.map(|r| (r.hash, r.is_usable(now))).collect();
         open.sort_unstable();
--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -19,6 +19,7 @@
 
 use super::Fleet;
 use super::Replica;
+use super::departures::is_in_grace;
 
 /// Cost in milliseconds of a failure rate of one, if the lowest rate of the candidates is zero.
 const FAILURE_MS: f64 = 600.0;
@@ -208,7 +209,7 @@
         let keys = self.by_service.get(requirements.service).into_iter().flatten();
         let open: Vec<(Key<Replica>, &Replica)> = keys
             .filter_map(|k| self.replicas.get(*k).map(|r| (*k, r)))
-            .filter(|(_, r)| !r.closed)
+            .filter(|(_, r)| r.is_open())
             .collect();
         let mut usable: Vec<(Key<Replica>, &Replica)> =
             open.iter().filter(|(_, r)| r.is_usable(now)).copied().collect();
@@ -226,12 +227,28 @@
         // If no replica is usable, the one whose backoff ends first is the likeliest to answer.
         if usable.is_empty() {
             let untried = open.into_iter().filter(|(key, replica)| is_eligible(key, replica));
-            untried.min_by_key(|(_, r)| r.backoff_until).into_iter().collect()
+            let first = untried.min_by_key(|(_, r)| r.backoff_until);
+            let last_resort = || self.last_resort(now, requirements.service, is_eligible);
+            first.or_else(last_resort).into_iter().collect()
         } else {
             usable
         }
     }
 
+    /// The replica of a service that was the last to say that it leaves, if it still gets the calls
+    /// that no other can take.
+    fn last_resort(
+        &self,
+        now: Time,
+        service: &str,
+        is_eligible: impl Fn(&Key<Replica>, &Replica) -> bool,
+    ) -> Option<(Key<Replica>, &Replica)> {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        let replicas = keys.filter_map(|key| Some((*key, self.replicas.get(*key)?)));
+        let leaving = replicas.filter(|(key, r)| is_in_grace(now, r) && is_eligible(key, r));
+        leaving.max_by_key(|(_, r)| r.departed_at)
+    }
+
     /// Claims on the eligible candidates, with their costs in milliseconds. If any of these has a
     /// valid snapshot, those without one are left out.
     fn score(
--- a/core/src/gateway/fleet/list.rs
+++ b/core/src/gateway/fleet/list.rs
@@ -142,7 +142,7 @@
         for (id, key) in &self.by_id {
             while listed.next_if(|listed| *listed < id.as_str()).is_some() {}
             let is_listed = listed.peek() == Some(&id.as_str());
-            let replica = self.replicas.get(*key).filter(|replica| !replica.closed && !is_listed);
+            let replica = self.replicas.get(*key).filter(|replica| replica.is_open() && !is_listed);
             if let Some(replica) = replica {
                 services.entry(&replica.listing.service).or_default().1 += 1;
                 newly_missing += usize::from(!replica.retained);
@@ -168,7 +168,7 @@
         let mut retained = Vec::new();
         for (id, key) in missing {
             if let Some(replica) = self.replicas.get_mut(*key)
-                && !replica.closed
+                && replica.is_open()
             {
                 replica.retained = true;
                 retained.push(id.clone());
@@ -196,7 +196,8 @@
     fn insert(&mut self, now: Time, listing: Listing) -> Key<Replica> {
         let id = listing.incarnation.id.clone();
         let service = listing.service.clone();
-        let key = self.replicas.insert(Replica::new(listing, now));
+        let departed_at = self.departures.first_said(listing.incarnation.digest());
+        let key = self.replicas.insert(Replica { departed_at, ..Replica::new(listing, now) });
         self.by_id.insert(id, key);
         if let Some(replica) = self.replicas.get(key) {
             self.by_digest.insert(replica.digest(), key);
--- a/core/src/gateway/fleet/reconcile.rs
+++ b/core/src/gateway/fleet/reconcile.rs
@@ -28,7 +28,7 @@
         if retain_missing {
             let listed: BTreeSet<&str> =
                 reconciled.iter().map(|listing| listing.incarnation.id.as_str()).collect();
-            let in_use = self.iter().filter(|replica| !replica.closed);
+            let in_use = self.iter().filter(|replica| replica.is_open());
             let missing = in_use.map(|replica| &replica.listing);
             let missing = missing.filter(|l| !listed.contains(l.incarnation.id.as_str()));
             let missing: Vec<Listing> = missing.cloned().collect();
@@ -45,7 +45,9 @@
         match known {
             // The listed incarnation is an earlier one of the replica in use.
             Some(replica) if is_removed => replica.listing.clone(),
-            Some(replica) if replica.closed && replica.digest() == listing.incarnation.digest() => {
+            Some(replica)
+                if !replica.is_open() && replica.digest() == listing.incarnation.digest() =>
+            {
                 Listing { leaving: true, ..listing }
             }
             None if is_removed => Listing { leaving: true, ..listing },
--- a/core/src/gateway/fleet/replica.rs
+++ b/core/src/gateway/fleet/replica.rs
@@ -99,8 +99,11 @@
 pub struct Replica {
     /// Newest entry in the list of replicas.
     pub listing: Listing,
-    /// Whether the replica must get no new calls: it is leaving, or its entry is missing.
+    /// Whether the list of replicas shows that the replica must get no new calls: it is leaving, or
+    /// its entry is missing. Another incarnation at its address has the same effect.
     pub closed: bool,
+    /// Time of the first answer of the replica, to any gateway, which says that it leaves.
+    pub(super) departed_at: Option<Time>,
     /// Whether the replica is in use although its entry is missing, which may have expired in an
     /// outage of the store.
     pub(super) retained: bool,
@@ -138,6 +141,7 @@
         Replica {
             hash: listing.incarnation.hash(),
             closed: listing.leaving,
+            departed_at: None,
             retained: false,
             listed_in: 0,
             listing,
@@ -171,9 +175,14 @@
         self.own_calls > 0 && self.time_until_silent(now).0 == 0
     }
 
+    /// Whether the replica is not known to leave or to be gone.
+    pub fn is_open(&self) -> bool {
+        !self.closed && self.departed_at.is_none()
+    }
+
     /// Whether the replica may get new calls.
     pub(super) fn is_usable(&self, now: Time) -> bool {
-        !self.closed && now >= self.backoff_until && !self.is_silent(now)
+        self.is_open() && now >= self.backoff_until && !self.is_silent(now)
     }
 
     /// Short hash of the incarnation, which identifies it in messages between gateways.
--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod config;
 pub mod delta;
+pub mod departure;
 pub mod directory;
 pub mod engine;
 pub mod events;
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -5,6 +5,7 @@
 //! is checked again before each attempt, because the configuration may have changed since.
 
 mod attempts;
+mod departures;
 mod limits;
 mod owner;
 mod plans;
@@ -233,7 +234,7 @@
     /// Number of a service's replicas that may get calls, including those that are retained
     /// although their entries are missing.
     pub fn registered(&self, service: &str) -> usize {
-        self.fleet.iter().filter(|r| !r.closed && r.listing.service == service).count()
+        self.fleet.iter().filter(|r| r.is_open() && r.listing.service == service).count()
     }
 
     /// Batch size of a service's engines, in requests; `None` for a plain service.
@@ -242,10 +243,13 @@
     }
 
     /// Most idle connections that this gateway keeps to a replica: half of its share of those that
-    /// the replica accepts from all gateways together.
+    /// the replica accepts from all gateways together, and none if it leaves.
     pub fn max_idle_connections(&self, key: Key<Replica>) -> usize {
-        let service = self.fleet.get(key).map(|replica| replica.listing.service.as_str());
-        let service = service.and_then(|name| self.config.as_ref()?.service(name));
+        let replica = self.fleet.get(key).filter(|replica| replica.is_open());
+        let Some(replica) = replica else {
+            return 0;
+        };
+        let service = self.config.as_ref().and_then(|c| c.service(&replica.listing.service));
         match service.map_or(0, |service| service.connections as usize) {
             0 => MAX_IDLE_CONNECTIONS,
             all => all.div_ceil(2 * self.gateway_count()).min(MAX_IDLE_CONNECTIONS),
@@ -550,9 +554,9 @@
         Ok(())
     }
 
-    /// Whether a replica is known and not closed.
-    pub fn is_usable(&self, key: Key<Replica>) -> bool {
-        self.fleet.get(key).is_some_and(|r| !r.closed)
+    /// Whether a call that was chosen for a replica may still be sent there.
+    pub fn may_send(&self, now: Time, key: Key<Replica>) -> bool {
+        self.fleet.may_send(now, key)
     }
 
     /// Whether a call that was sent to a replica may be sent to another one, and one is usable that
--- a/core/tests/gateway/limits.rs
+++ b/core/tests/gateway/limits.rs
@@ -1,7 +1,5 @@
 //! Limits of replicas over all gateways.
 
-mod net;
-
 use laburnumwheel_core::gateway::fleet::Criteria;
 use laburnumwheel_core::gateway::fleet::Requirements;
 use laburnumwheel_core::gateway::limit::Kind;
@@ -18,9 +16,9 @@
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 
-use self::net::Net;
-use self::net::Process;
-use self::net::allowed;
+use crate::net::Net;
+use crate::net::Process;
+use crate::net::allowed;
 use crate::support::START;
 use crate::support::entry;
 use crate::support::gateway;
--- a/core/tests/gateway/limits/net.rs
+++ b/core/tests/gateway/net.rs
@@ -1,6 +1,8 @@
-//! Gateways that exchange messages in virtual time, before engines of which some state a limit.
+//! Gateways that exchange messages in virtual time, before engines that state limits and departures
+//! in their answers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use laburnumwheel_core::gateway::Gateway;
@@ -85,6 +87,8 @@
     pub listings: Vec<Listing>,
     /// Limits of engines by id.
     pub limits: BTreeMap<String, f32>,
+    /// Engines whose answers say that they leave.
+    pub leaving: BTreeSet<String>,
     /// Requests by the id of the engine.
     pub arrivals: BTreeMap<String, Vec<Time>>,
     pub tallies: BTreeMap<&'static str, Tally>,
@@ -103,6 +107,7 @@
             silent: (0..silent).map(|n| entry(&format!("silent-{n}"))).collect(),
             listings: listings(engines),
             limits: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             arrivals: BTreeMap::new(),
             tallies: BTreeMap::new(),
             waiting: Vec::new(),
@@ -219,12 +224,14 @@
             let mut heartbeat = self.nodes[from].gateway.heartbeat(self.now);
             heartbeat.demands.extend(self.silent.iter().map(|entry| live_demand(&entry.name)));
             let limits = self.nodes[from].gateway.gossip_limits(self.now);
+            let departures = self.nodes[from].gateway.gossip_departures(self.now);
             let peers: Vec<usize> = all.choose_multiple(&mut self.rng, FANOUT).copied().collect();
             for to in peers.into_iter().filter(|to| *to != from) {
                 if self.reaches(from, to) {
                     let gateway = &mut self.nodes[to].gateway;
                     gateway.receive(self.now, &heartbeat);
                     gateway.receive_limits(self.now, &limits);
+                    gateway.receive_departures(self.now, &departures);
                 }
             }
         }
@@ -313,6 +320,9 @@
         let statement =
             self.limits.get(&pick.id).map_or(Statement::Unlimited, |l| Statement::Rate(*l));
         gateway.record_limit(self.now, &pick.claim, statement);
+        if self.leaving.contains(&pick.id) {
+            gateway.record_departure(self.now, &pick.claim);
+        }
         gateway.record_event(self.now, &mut pick.claim);
         gateway.record_end(self.now, pick.claim, Outcome::Answered);
         let route = ["chat", "draft", "report"].into_iter().find(|r| *r == grant.route.name);
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -37,6 +37,7 @@
 use crate::channel;
 use crate::channel::Channel;
 use crate::clock;
+use crate::departure;
 use crate::dialect;
 use crate::limit;
 use crate::log::Line;
@@ -92,6 +93,8 @@
     Unreachable,
     /// The replica refused the call without running it.
     Refused,
+    /// The replica stopped taking calls before this one was sent.
+    Withdrawn,
     /// Another incarnation of a replica has the address; the call did not run.
     Replaced,
     /// The replica responded with an error status.
@@ -112,7 +115,7 @@
 impl Fault {
     /// Whether it is certain that no replica ran the call in this attempt.
     pub fn not_run(self) -> bool {
-        matches!(self, Fault::Unreachable | Fault::Refused | Fault::Replaced)
+        matches!(self, Fault::Unreachable | Fault::Withdrawn | Fault::Refused | Fault::Replaced)
     }
 
     fn outcome(self) -> Outcome {
@@ -121,7 +124,7 @@
             Fault::Refused => Outcome::Refused,
             Fault::Replaced => Outcome::Replaced,
             Fault::Status | Fault::Broken | Fault::Misattributed | Fault::Silent => Outcome::Failed,
-            Fault::TimedOut | Fault::Stopped => Outcome::Cancelled,
+            Fault::Withdrawn | Fault::TimedOut | Fault::Stopped => Outcome::Cancelled,
         }
     }
 }
@@ -261,7 +264,7 @@
             match limit::obtain_permit(&self.shared, &mut self.grant, &pick, resumes).await {
                 Permit::Granted(Span(0)) => return Ok(pick),
                 Permit::Granted(wait) => {
-                    self.wait_for_permit(wait).await?;
+                    self.wait_for_permit(&pick, wait).await?;
                     return Ok(pick);
                 }
                 Permit::Denied => {}
@@ -271,8 +274,8 @@
         Err(Failure::Denied(gateway.refuse_limited(clock::now(), &self.grant)))
     }
 
-    /// Waits until a permit is valid.
-    async fn wait_for_permit(&self, wait: Span) -> Result<(), Failure> {
+    /// Waits until a permit is valid, or its replica takes no more calls.
+    async fn wait_for_permit(&mut self, pick: &Pick, wait: Span) -> Result<(), Failure> {
         let end = clock::now() + wait;
         loop {
             let now = clock::now();
@@ -280,12 +283,16 @@
             if !self.responding && self.shared.gateway.borrow().is_grace_over(now) {
                 return Err(Failure::Fault(Fault::Stopped, None));
             }
+            if !self.shared.gateway.borrow().may_send(now, pick.claim.replica) {
+                return Err(self.fail_unsent(pick, Fault::Withdrawn, "replica closed"));
+            }
             if now >= end {
                 return Ok(());
             }
             tokio::select! {
                 () = tokio::time::sleep(clock::duration(end.since(now))) => {}
                 () = self.shared.calls_ending.notified() => {}
+                () = self.shared.replicas_closing.notified() => {}
             }
         }
     }
@@ -321,7 +328,11 @@
         let outcome = fault.outcome();
         gateway.record_unsent(clock::now(), &mut self.grant, pick.claim.replica, outcome);
         drop(gateway);
-        let line = Line::new("replica_unreachable")
+        let event = match fault {
+            Fault::Withdrawn => "attempt_withdrawn",
+            _ => "replica_unreachable",
+        };
+        let line = Line::new(event)
             .with("request", String::from_utf8_lossy(&self.submission.id))
             .with("replica", &pick.id)
             .with("address", &pick.address)
@@ -333,15 +344,16 @@
     /// Checks again, after connecting, that the call may still be sent to the replica.
     fn confirm(&mut self, pick: &Pick) -> Result<(), Failure> {
         let service = self.grant.service.clone();
+        let now = clock::now();
         let gateway = self.shared.gateway.borrow();
-        let result = gateway.recheck(clock::now(), &self.submission, &mut self.grant);
+        let result = gateway.recheck(now, &self.submission, &mut self.grant);
         result.map_err(Failure::Denied)?;
-        let open = gateway.is_usable(pick.claim.replica) && self.grant.service == service;
+        let allowed = gateway.may_send(now, pick.claim.replica) && self.grant.service == service;
         drop(gateway);
-        if open {
+        if allowed {
             Ok(())
         } else {
-            Err(self.fail_unsent(pick, Fault::Replaced, "no longer allowed"))
+            Err(self.fail_unsent(pick, Fault::Withdrawn, "no longer allowed"))
         }
     }
 
@@ -397,7 +409,9 @@
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
             in_flight.record_activity(Some(&metadata));
             self.record_limit(&in_flight, pick, &metadata);
-            self.record_leaving(&metadata, pick);
+            if metadata.leaving {
+                departure::record(&self.shared, &pick.id, &in_flight.claim);
+            }
             self.record_advice(retry_after::parse(response.status(), response.headers()), pick);
         }
         let (head, body) = response.into_parts();
@@ -430,13 +444,6 @@
         }
     }
 
-    /// Logs that a response says that its replica is leaving.
-    fn record_leaving(&self, metadata: &dialect::Metadata, pick: &Pick) {
-        if metadata.leaving {
-            self.shared.log(self.replica_line("replica_leaving", pick).with("from", "answer"));
-        }
-    }
-
     /// Logs that a refusal asks for a time without requests.
     fn record_advice(&self, advice: Advice, pick: &Pick) {
         match advice {
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -279,7 +279,7 @@
         return false;
     }
     match fault {
-        Fault::Unreachable => call.grant.tried.len() < MAX_REPLICAS_TRIED,
+        Fault::Unreachable | Fault::Withdrawn => call.grant.tried.len() < MAX_REPLICAS_TRIED,
         Fault::Silent => true,
         // The call did not run, but it was sent, so this counts as one of its attempts.
         Fault::Refused | Fault::Replaced => {
--- a/gateway/src/channel.rs
+++ b/gateway/src/channel.rs
@@ -124,6 +124,11 @@
         }
     }
 
+    /// Closes the idle connections to a replica.
+    pub fn close(&self, replica: Key<Replica>) {
+        self.idle.borrow_mut().remove(&replica);
+    }
+
     /// Closes the connections to replicas that are no longer listed.
     pub fn retain(&self, mut is_listed: impl FnMut(Key<Replica>) -> bool) {
         self.idle.borrow_mut().retain(|replica, _| is_listed(*replica));
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -158,6 +158,7 @@
             connections: Cell::new(0),
             connections_closing: Notify::new(),
             calls_ending: Notify::new(),
+            replicas_closing: Notify::new(),
             calls: Cell::new(0),
             rng: RefCell::new(SmallRng::seed_from_u64(self.settings.seed)),
             lines_waiting: Notify::new(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod call;
 pub mod channel;
 pub mod clock;
+pub mod departure;
 pub mod dialect;
 pub mod duty;
 pub mod era;
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use laburnumwheel_core::gateway::departure;
 use laburnumwheel_core::gateway::directory;
 use laburnumwheel_core::gateway::directory::Heartbeat;
 use laburnumwheel_core::gateway::leader;
@@ -31,6 +32,7 @@
 use tokio::sync::oneshot;
 
 use crate::clock;
+use crate::departure as departures;
 use crate::duty;
 use crate::limit as limits;
 use crate::log::Line;
@@ -75,6 +77,8 @@
     PermitRequest(u64, limit::issuer::Request),
     /// Response to the permit request with this id.
     Permit(u64, limit::permit::Reply),
+    /// Departures of replicas, as their answers said.
+    Departures(Vec<departure::Record>),
 }
 
 /// Data after a heartbeat in its datagram, which gateways of earlier releases ignore.
@@ -143,7 +147,7 @@
     let list = shared.views.borrow().newest().map_or(0, |known| known.digest.gateways);
     let poll = shared.gateway.borrow().poll(clock::now(), list);
     if poll.is_some() {
-        limits::send_limits(shared, &[address]).await;
+        send_statements(shared, &[address]).await;
     }
     let sent = match encode_with(&Message::ProofRequest(request), poll) {
         Some(bytes) => socket.send_to(&bytes, address).await.is_ok(),
@@ -232,7 +236,7 @@
         _ => Proof { question: request, digest: view::Digest::default(), age_us: u64::MAX },
     };
     if summary.is_some() {
-        limits::send_limits(shared, &[from]).await;
+        send_statements(shared, &[from]).await;
     }
     if let Some(bytes) = encode_with(&Message::Proof(proof), summary) {
         // A lost answer is asked for again.
@@ -289,7 +293,13 @@
         // A heartbeat that can't be sent is replaced by the next one.
         let _ = shared.socket.send_to(&bytes, *peer).await;
     }
-    limits::send_limits(shared, &peers).await;
+    send_statements(shared, &peers).await;
+}
+
+/// Sends what replicas state in their answers to the gateways at `addresses`.
+async fn send_statements(shared: &Shared, addresses: &[SocketAddr]) {
+    limits::send_limits(shared, addresses).await;
+    departures::send(shared, addresses).await;
 }
 
 fn encode_heartbeat(shared: &Shared, heartbeat: Heartbeat) -> Option<Vec<u8>> {
@@ -393,6 +403,7 @@
                 }
             }
             Message::Limits(records) => limits::receive(&shared, &records),
+            Message::Departures(records) => departures::receive(&shared, &records),
             Message::PermitRequest(request, permit) => {
                 let reply = limits::issue(&shared, &permit);
                 send(&shared.socket, from, &Message::Permit(request, reply)).await;
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -134,7 +134,7 @@
         if *fault == Fault::TimedOut || self.splitter.last_id().is_none() {
             return false;
         }
-        if *fault == Fault::Unreachable {
+        if matches!(fault, Fault::Unreachable | Fault::Withdrawn) {
             return grant.route.idempotent && grant.tried.len() < crate::call::MAX_REPLICAS_TRIED;
         }
         let charged = *fault == Fault::Silent;
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -56,6 +56,8 @@
     pub connections_closing: Notify,
     /// Wakes calls that must get a response because the process is about to exit.
     pub calls_ending: Notify,
+    /// Wakes calls that wait for a replica which may have closed.
+    pub replicas_closing: Notify,
     /// Number of calls in progress.
     pub calls: Cell<usize>,
     /// Buffer of log lines.
