--- a/gateway/tests/withheld.rs
+++ b/gateway/tests/withheld.rs
@@ -64,8 +64,7 @@
 fn departure_counts_in_errors_and_refusals() {
     run(async {
         for answer in [response("500 Error", "failed"), refusal()] {
-            let (stating, other) =
-                replicas(leaving(&answer), response("200 OK", "served")).await;
+            let (stating, other) = replicas(leaving(&answer), response("200 OK", "served")).await;
             let running = gateway_with(&[&stating, &other]).await;
 
             for i in 0..10 {
@@ -131,10 +130,13 @@
         assert_eq!(stating.received.borrow().len(), 1);
         assert!(waits.iter().all(|wait| (2.0..=6.0).contains(wait)), "{waits:?}");
         wait_until("the end of the cooldown", || {
-            running.shared.gateway.borrow().fleet().usable(
-                laburnumwheel_gateway::clock::now(),
-                "service",
-            ) > 0
+            running
+                .shared
+                .gateway
+                .borrow()
+                .fleet()
+                .usable(laburnumwheel_gateway::clock::now(), "service")
+                > 0
         })
         .await;
         call(&running, "/safe/x", "call-10").await;
