Hear departures and cooldowns in any response of the replica

A refusal without the call's id, or with another one's, is not delivered, and was not heard either: a replica that asked for a pause in it got calls. What a replica says of itself holds whichever call the response belongs to; only a 421 speaks of another incarnation. A test of the process fails without this (10 calls in place of 1 at the replica).

A call without a further attempt was still sent to a replica that had answered nothing since its cooldown, if that was the only one on the call's side of the isolated pool; a stronger test showed it (the one before passed with the rule taken out, as two others did: of permits and cooldowns, and of lapsed entries).

What replicas state is recorded in a module of its own.

--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -217,6 +217,9 @@
             .collect();
         let mut usable: Vec<(Key<Replica>, &Replica)> =
             open.iter().filter(|(_, r)| r.is_usable(now)).copied().collect();
+        if !requirements.may_retry && usable.iter().any(|(_, r)| !r.is_untested()) {
+            usable.retain(|(_, r)| !r.is_untested());
+        }
         if let Some(criteria) = requirements.engine {
             usable = of_side(&open, usable, &criteria, side, |r| !self.is_limited(r));
         }
@@ -229,9 +232,6 @@
         if requirements.denied && usable.iter().any(|(_, r)| !self.is_limited(r)) {
             usable.retain(|(_, r)| !self.is_limited(r));
         }
-        if !requirements.may_retry && usable.iter().any(|(_, r)| !r.is_untested()) {
-            usable.retain(|(_, r)| !r.is_untested());
-        }
         // If no replica is usable, the one whose backoff ends first is the likeliest to answer.
         if usable.is_empty() {
             let untried = open.into_iter().filter(|(key, replica)| is_eligible(key, replica));
--- a/core/tests/gateway/cooldowns.rs
+++ b/core/tests/gateway/cooldowns.rs
@@ -5,10 +5,12 @@
 use laburnumwheel_core::gateway::Pick;
 use laburnumwheel_core::gateway::fleet::Listing;
 use laburnumwheel_core::gateway::fleet::Outcome;
+use laburnumwheel_core::gateway::limit::Kind;
 use laburnumwheel_core::gateway::limit::Record;
+use laburnumwheel_core::gateway::limit::issuer::Verdict;
+use laburnumwheel_core::gateway::limit::permit::Reply;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::gateway::refusal::Refusal;
-use laburnumwheel_core::gateway::submission::Submission;
 use laburnumwheel_core::incarnation::Incarnation;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
@@ -148,10 +150,18 @@
 /// of its replica with it.
 #[test]
 fn cooldown_survives_a_lapsed_entry() {
-    let mut gateway = cooled(WAIT);
-    update(&mut gateway, START, Vec::new());
+    let mut gateway = gateway(3);
+    let pick = send(&mut gateway, START, "chat").unwrap();
+    let cooled = pick.id.clone();
+    refuse(&mut gateway, START, pick, WAIT);
+    let others: Vec<Listing> =
+        listings(3).into_iter().filter(|l| l.incarnation.id != cooled).collect();
+    update(&mut gateway, START, others.clone());
+    assert_eq!(gateway.fleet().iter().count(), 2);
 
-    update(&mut gateway, START, listings(1));
+    let leaving = others.into_iter().map(|l| Listing { leaving: true, ..l });
+    let listed = leaving.chain([listing(&cooled)]).collect();
+    update(&mut gateway, START, listed);
 
     assert_eq!(reason(call(&mut gateway, START, "chat")), Some(Reason::CoolingDown));
 }
@@ -222,21 +232,25 @@
 fn last_attempt_goes_to_no_untested_replica() {
     let mut gateway = gateway(2);
     let pick = send(&mut gateway, START, "chat").unwrap();
-    let (cooled, key) = (pick.id.clone(), pick.claim.replica);
     refuse(&mut gateway, START, pick, WAIT);
+    // The other replica is full at the end of the cooldown.
+    let busy: Vec<Pick> = (0..60).filter_map(|_| send(&mut gateway, START, "chat").ok()).collect();
+    let other = busy[0].claim.incarnation;
     let now = START + WAIT + EXTENSION;
-
     renew(&mut gateway, now);
-    let submission: Submission = submission("chat", &[]);
-    for _ in 0..50 {
+    gateway.record_activity(now, &busy[0].claim, None);
+    let mut pick_after = |attempts: u32| {
+        let submission = submission("chat", &[]);
         let mut grant = gateway.admit(now, &submission).unwrap();
-        // The first of the two attempts has been made elsewhere.
-        grant.attempts = 1;
-        let pick = gateway.pick(now, &submission, &mut grant, &[]).unwrap();
-        assert_ne!(pick.id, cooled);
-    }
-    let grant = gateway.admit(now, &submission).unwrap();
-    assert!(gateway.may_send(now, &grant, key));
+        grant.attempts = attempts;
+        gateway.pick(now, &submission, &mut grant, &[]).unwrap().claim.incarnation
+    };
+
+    let with_another_attempt = pick_after(0);
+    let last = pick_after(1);
+
+    assert_ne!(with_another_attempt, other);
+    assert_eq!(last, other);
 }
 
 /// Guards against callers that are told to return in the middle of a cooldown, all at once, or
@@ -262,14 +276,22 @@
 /// Guards against permits and cooldowns that hide each other's end from refused callers.
 #[test]
 fn refusal_names_the_earlier_of_permit_and_cooldown() {
-    let mut gateway = cooled(WAIT);
-    let replica = listing("engine-0").incarnation.digest();
-    gateway.receive_limits(START, &[Record { replica, rate: Some(1.0), age_ms: 0 }]);
+    let mut gateway = gateway(2);
+    let pick = send(&mut gateway, START, "chat").unwrap();
+    refuse(&mut gateway, START, pick, WAIT);
+    let (pick, mut grant) = call(&mut gateway, START, "chat").unwrap();
+    let replica = pick.claim.incarnation;
+    gateway.receive_limits(START, &[Record { replica, rate: Some(0.1), age_ms: 0 }]);
+    let query = gateway.permit_query(START, &grant, &pick, false).unwrap();
+    let reply = Reply { verdict: Verdict::Denied(10_000), limit: None };
+    let reserved = Pick { permit: Kind::Reserved, ..pick };
+    gateway.record_reply(START, &mut grant, &reserved, &query.request, Some(reply));
 
     let refusal = call(&mut gateway, START, "chat").unwrap_err();
+    let later = call(&mut gateway, START + Span::millis(100), "chat").unwrap_err();
 
-    assert_eq!(refusal.reason, Reason::CoolingDown);
-    assert!(refusal.retry_after >= WAIT);
+    assert_eq!((refusal.reason, later.reason), (Reason::CoolingDown, Reason::CoolingDown));
+    assert!(refusal.retry_after >= WAIT && refusal.retry_after < Span::secs(7));
 }
 
 /// Runs a fleet of which one engine in three refuses all calls for 12 s; the calls of the first second
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -26,7 +26,6 @@
 use laburnumwheel_core::gateway::Pick;
 use laburnumwheel_core::gateway::fleet::Claim;
 use laburnumwheel_core::gateway::fleet::Outcome;
-use laburnumwheel_core::gateway::limit::Statement;
 use laburnumwheel_core::gateway::limit::permit::Permit;
 use laburnumwheel_core::gateway::occupancy::Snapshot;
 use laburnumwheel_core::gateway::refusal::Refusal;
@@ -37,13 +36,10 @@
 use crate::channel;
 use crate::channel::Channel;
 use crate::clock;
-use crate::departure;
 use crate::dialect;
 use crate::limit;
 use crate::log::Line;
 use crate::peers;
-use crate::retry_after;
-use crate::retry_after::Advice;
 use crate::shared::Shared;
 
 /// Headers that apply to one connection only and are not forwarded.
@@ -403,20 +399,19 @@
             Err(fault) => return Err(self.fail(&in_flight, &pick.id, fault)),
         };
         let metadata = (self.shared.dialect.parse_response)(response.headers());
+        // Another incarnation at this address says nothing about the one that the call was sent to,
+        // which may have crashed under an earlier request.
+        let is_of_replica = response.status() != StatusCode::MISDIRECTED_REQUEST;
+        if is_of_replica {
+            self.record_availability(&response, &metadata, pick);
+        }
         if metadata.id.as_ref() != Some(&self.submission.id) {
             let fault = self.classify_foreign(&response, &metadata);
             return Err(self.fail(&in_flight, &pick.id, fault));
         }
-        // Another incarnation at this address says nothing about the one that the call was sent to,
-        // which may have crashed under an earlier request.
-        if response.status() != StatusCode::MISDIRECTED_REQUEST {
+        if is_of_replica {
             in_flight.record_activity(Some(&metadata));
             self.record_limit(&in_flight, pick, &metadata);
-            if metadata.leaving {
-                departure::record(&self.shared, &pick.id, &in_flight.claim);
-            }
-            let advice = retry_after::parse(response.status(), response.headers());
-            self.record_advice(advice, pick, &in_flight.claim);
         }
         let (head, body) = response.into_parts();
         let exchange =
@@ -431,46 +426,6 @@
         Ok(exchange)
     }
 
-    /// Records what a response says about the limit of its replica, and logs changes.
-    fn record_limit(&self, in_flight: &InFlight, pick: &Pick, metadata: &dialect::Metadata) {
-        if !metadata.sealed && !metadata.not_run {
-            return;
-        }
-        if metadata.limit == Statement::Malformed {
-            let line = Line::new("limit_malformed").with("replica", &pick.id);
-            self.shared.log(line.with("request", String::from_utf8_lossy(&self.submission.id)));
-        }
-        let mut gateway = self.shared.gateway.borrow_mut();
-        let change = gateway.record_limit(clock::now(), &in_flight.claim, metadata.limit);
-        drop(gateway);
-        if let Some(change) = change {
-            limit::log_change(&self.shared, &pick.id, "answer", change);
-        }
-    }
-
-    /// Records that a refusal asks for a time without requests.
-    fn record_advice(&self, advice: Advice, pick: &Pick, claim: &Claim) {
-        match advice {
-            Advice::Absent => {}
-            Advice::Wait(wait) => {
-                self.shared.gateway.borrow_mut().record_cooldown(clock::now(), claim, wait);
-                let line = self.replica_line("replica_cooldown", pick);
-                self.shared.log(line.with("wait_ms", wait.as_millis()));
-                // Calls that wait for a permit of this replica go elsewhere.
-                self.shared.replicas_closing.notify_waiters();
-            }
-            Advice::Malformed => {
-                self.shared.log(self.replica_line("retry_after_malformed", pick));
-            }
-        }
-    }
-
-    fn replica_line(&self, event: &'static str, pick: &Pick) -> Line {
-        Line::new(event)
-            .with("replica", &pick.id)
-            .with("request", String::from_utf8_lossy(&self.submission.id))
-    }
-
     /// Classifies a response without this call's id.
     ///
     /// A 421 without an id comes from another incarnation at this address and applies to this call;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod retry_after;
 pub mod server;
 pub mod shared;
+mod statement;
 pub mod store;
 pub mod view;
--- a/gateway/tests/withheld.rs
+++ b/gateway/tests/withheld.rs
@@ -76,6 +76,23 @@
     });
 }
 
+/// Guards against refusals that are not attributed to a call, and therefore not heard at all.
+#[test]
+fn cooldown_counts_in_a_response_without_an_id() {
+    run(async {
+        let refusal = refusal().replace("x-request-id: ID\r\n", "");
+        let (stating, other) =
+            replicas(with(&refusal, "retry-after", "9"), response("200 OK", "served")).await;
+        let running = gateway_with(&[&stating, &other]).await;
+
+        for i in 0..10 {
+            assert_eq!(call(&running, "/safe/x", &format!("call-{i}")).await.0, 200);
+        }
+
+        assert_eq!(stating.received.borrow().len(), 1);
+    });
+}
+
 /// Guards against connections that keep a leaving replica from ending.
 #[test]
 fn departure_closes_idle_connections() {
@@ -139,7 +156,7 @@
                 > 0
         })
         .await;
-        call(&running, "/safe/x", "call-10").await;
+        assert_eq!(call(&running, "/safe/x", "call-10").await.0, 503);
         assert_eq!(stating.received.borrow().len(), 2);
     });
 }
