Move the choice of an attempt's replica to a module

No change of behaviour: the moved code differs by its visibility alone, and all tests of the gateway pass.

--- a/core/src/gateway/state/limits.rs
+++ b/core/src/gateway/state/limits.rs
@@ -6,9 +6,9 @@
 
 use super::Gateway;
 use super::Grant;
-use super::MAX_RETRY_OVERLOADED;
 use super::Pick;
-use super::max_wait_ms;
+use super::pick::MAX_RETRY_OVERLOADED;
+use super::pick::max_wait_ms;
 use crate::gateway::fleet::Claim;
 use crate::gateway::limit::Change;
 use crate::gateway::limit::Changes;
--- a/core/src/gateway/state/owner.rs
+++ b/core/src/gateway/state/owner.rs
@@ -8,7 +8,7 @@
 
 use super::Gateway;
 use super::Grant;
-use super::requirements;
+use super::pick::requirements;
 use crate::gateway::directory;
 use crate::gateway::occupancy::Snapshot;
 use crate::gateway::occupancy::Update;
