--- a/core/src/gateway/fleet/cooldown.rs
+++ b/core/src/gateway/fleet/cooldown.rs
@@ -61,9 +61,7 @@
     /// Begins a cooldown, or extends the one in progress. A shorter one does not end a longer one:
     /// answers may overtake each other.
     pub(super) fn cool_down(&mut self, until: Time) {
-        let cooldown = self.cooldown.get_or_insert(Cooldown::new(until));
-        cooldown.until = cooldown.until.max(until);
-        cooldown.answered = 0;
+        self.cooldown = Some(extended(self.cooldown, until));
     }
 
     /// Records that a call is sent; returns whether it is a part of the recovery.
@@ -103,7 +101,7 @@
             replica.cool_down(until);
         } else if let Some(removed) = self.removed.get_mut(&incarnation) {
             // The entry of the replica may come back.
-            removed.cooldown = Some(Cooldown::new(until));
+            removed.cooldown = Some(extended(removed.cooldown, until));
         }
     }
 
@@ -116,6 +114,12 @@
     }
 }
 
+/// The cooldown after a request for one until `until`, on top of the one known before.
+fn extended(known: Option<Cooldown>, until: Time) -> Cooldown {
+    let known = known.unwrap_or(Cooldown::new(until));
+    Cooldown { until: known.until.max(until), answered: 0, ..known }
+}
+
 /// The cooldown of a removed replica whose entry is back; its calls in progress are no longer known.
 pub(super) fn restored(cooldown: Option<Cooldown>) -> Option<Cooldown> {
     cooldown.map(|cooldown| Cooldown { in_progress: 0, ..cooldown })
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -65,6 +65,7 @@
 const MAX_IDLE_CONNECTIONS: usize = 6;
 /// Time after which a caller retries at another gateway, which can serve it at once.
 const RETRY_ELSEWHERE: Span = Span::millis(50);
+
 /// Settings of a gateway, fixed from its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
