--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -403,7 +403,7 @@
         // which may have crashed under an earlier request.
         let is_of_replica = response.status() != StatusCode::MISDIRECTED_REQUEST;
         if is_of_replica {
-            self.record_availability(&response, &metadata, pick);
+            self.record_availability(response.status(), &metadata, pick);
         }
         if metadata.id.as_ref() != Some(&self.submission.id) {
             let fault = self.classify_foreign(&response, &metadata);
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -10,6 +10,8 @@
 use laburnumwheel_core::gateway::limit::Statement;
 use laburnumwheel_core::gateway::submission::Submission;
 
+use crate::retry_after::Advice;
+
 /// Values that the gateway adds to the headers of a call for one attempt.
 #[derive(Clone, Debug)]
 pub struct Attempt<'a> {
@@ -42,6 +44,8 @@
     pub limit: Statement,
     /// The replica is leaving, and must get no new calls.
     pub leaving: bool,
+    /// How long the replica wants no calls, if it refused this one for overload.
+    pub advice: Advice,
     /// Seconds for which the replica keeps the connection open while it is idle, if stated.
     pub keep_alive: Option<u64>,
 }
--- a/gateway/src/dialect/own.rs
+++ b/gateway/src/dialect/own.rs
@@ -16,6 +16,7 @@
 use super::Dialect;
 use super::Malformed;
 use super::Metadata;
+use crate::retry_after;
 
 /// Id of the caller's attempt, repeated in the response.
 pub const ID: &str = "x-request-id";
@@ -118,6 +119,7 @@
         load: text(headers, LOAD).and_then(load),
         limit: text(headers, LIMIT).map_or(Statement::Unlimited, Statement::parse),
         leaving: headers.contains_key(LEAVING),
+        advice: retry_after::parse(headers),
         keep_alive: None,
     }
 }
--- a/gateway/src/retry_after.rs
+++ b/gateway/src/retry_after.rs
@@ -23,12 +23,19 @@
     Malformed,
 }
 
-/// Reads the advice in a response. Only refusals for overload give any: after a redirect or an
-/// error, `Retry-After` concerns the one request.
-pub fn parse(status: StatusCode, headers: &HeaderMap) -> Advice {
-    if !matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
-        return Advice::Absent;
+impl Advice {
+    /// The advice of a response with this status. Only refusals for overload give any: after a
+    /// redirect or an error, `Retry-After` concerns the one request.
+    pub fn with_status(self, status: StatusCode) -> Advice {
+        match status {
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => self,
+            _ => Advice::Absent,
+        }
     }
+}
+
+/// Reads the header of a response.
+pub fn parse(headers: &HeaderMap) -> Advice {
     let Some(value) = headers.get(header::RETRY_AFTER) else {
         return Advice::Absent;
     };
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -1,8 +1,7 @@
 //! Records what replicas state of themselves in the heads of their responses: limits, departures and
 //! times without calls.
 
-use hyper::Response;
-use hyper::body::Incoming;
+use hyper::StatusCode;
 use laburnumwheel_core::gateway::Pick;
 use laburnumwheel_core::gateway::limit::Statement;
 
@@ -13,7 +12,6 @@
 use crate::dialect;
 use crate::limit;
 use crate::log::Line;
-use crate::retry_after;
 use crate::retry_after::Advice;
 
 impl Call {
@@ -43,7 +41,7 @@
     /// whichever call the response belongs to.
     pub(crate) fn record_availability(
         &self,
-        response: &Response<Incoming>,
+        status: StatusCode,
         metadata: &dialect::Metadata,
         pick: &Pick,
     ) {
@@ -51,7 +49,7 @@
         if metadata.leaving {
             departure::record(&self.shared, &pick.id, claim);
         }
-        match retry_after::parse(response.status(), response.headers()) {
+        match metadata.advice.with_status(status) {
             Advice::Absent => {}
             Advice::Wait(wait) => {
                 self.shared.gateway.borrow_mut().record_cooldown(clock::now(), claim, wait);
--- a/gateway/tests/retry_after.rs
+++ b/gateway/tests/retry_after.rs
@@ -14,7 +14,7 @@
             headers.insert(name, value.parse().unwrap());
         }
     }
-    retry_after::parse(StatusCode::from_u16(status).unwrap(), &headers)
+    retry_after::parse(&headers).with_status(StatusCode::from_u16(status).unwrap())
 }
 
 #[test]
