Count new connections to replicas by service and outcome

Calls of gateways that reached no replica ended with 503, and nothing told a replica that is down from a service that is, or from a gateway without links: the lines name single replicas. The counters of one gateway beside those of another now do.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -6,6 +6,7 @@
 //! says that the call has not run only if that is certain.
 
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -309,10 +310,21 @@
         {
             return Ok(channel);
         }
-        match channel::open(&pick.address).await {
-            Ok(channel) => Ok(channel),
-            Err(e) => Err(self.fail_unsent(pick, Fault::Unreachable, &e.to_string())),
-        }
+        let opened = channel::open(&pick.address).await;
+        self.count_connection(&opened);
+        opened.map_err(|e| self.fail_unsent(pick, Fault::Unreachable, &e.to_string()))
+    }
+
+    /// Counts a new connection to a replica, or the failure to open one.
+    fn count_connection(&self, opened: &std::io::Result<Channel>) {
+        let outcome = match opened.as_ref().map_err(std::io::Error::kind) {
+            Ok(_) => "opened",
+            Err(ErrorKind::ConnectionRefused) => "refused",
+            Err(ErrorKind::TimedOut) => "timed_out",
+            Err(_) => "failed",
+        };
+        let labels = format!("service=\"{}\",outcome=\"{outcome}\"", self.grant.service);
+        self.shared.metrics.count("replica_connections_total", labels);
     }
 
     /// Whether the call may use a pooled connection.
