Test that callers are served while their gateway reaches no replica

Callers got 503 from gateways that had lost their links to all replicas, for the whole time of the cut, and were sent there again. The links of one gateway refuse new connections, break or hang; those of the others are sound.

--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -32,6 +32,7 @@
 use laburnumwheel_core::time::Span;
 use laburnumwheel_gateway::channel;
 use laburnumwheel_gateway::channel::Channel;
+use laburnumwheel_gateway::clock;
 use laburnumwheel_gateway::dialect::own;
 use laburnumwheel_gateway::era::Eras;
 use laburnumwheel_gateway::gateway::Builder;
@@ -44,6 +45,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 pub const KEY: &str = "secret-key";
 /// Drain delay of the tested gateways, short so that the tests are.
@@ -253,6 +255,167 @@
     View { config: Some(Arc::new(config(1).with_service(service))), ..view(replicas) }
 }
 
+/// What happens to the connections of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// New ones are refused; open ones live on.
+    RefusesNew,
+    /// New ones are refused, and open ones are closed.
+    Breaks,
+    /// New ones hang, and open ones fall silent.
+    Hangs,
+}
+
+/// The path of one gateway to one replica.
+pub struct Link {
+    /// Address by which the gateway knows the replica.
+    pub address: SocketAddr,
+    replica: SocketAddr,
+    accepting: RefCell<Option<JoinHandle<()>>>,
+    open: Rc<RefCell<Vec<JoinHandle<()>>>>,
+    /// Connections that fill the queue of a link that hangs.
+    fillers: RefCell<Vec<socket2::Socket>>,
+}
+
+impl Link {
+    pub async fn start(replica: SocketAddr) -> Link {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let link = Link {
+            address: listener.local_addr().unwrap(),
+            replica,
+            accepting: RefCell::default(),
+            open: Rc::default(),
+            fillers: RefCell::default(),
+        };
+        link.accept(listener);
+        link
+    }
+
+    fn accept(&self, listener: TcpListener) {
+        let (replica, open) = (self.replica, Rc::clone(&self.open));
+        let accepting = tokio::task::spawn_local(async move {
+            while let Ok((mut near, _)) = listener.accept().await {
+                let copying = tokio::task::spawn_local(async move {
+                    if let Ok(mut far) = TcpStream::connect(replica).await {
+                        let _ = tokio::io::copy_bidirectional(&mut near, &mut far).await;
+                    }
+                });
+                open.borrow_mut().push(copying);
+            }
+        });
+        self.accepting.replace(Some(accepting));
+    }
+
+    /// Cuts the link.
+    pub async fn cut(&self, cut: Cut) {
+        if let Some(accepting) = self.accepting.take() {
+            accepting.abort();
+            // The port is free once the task has been dropped.
+            let _ = accepting.await;
+        }
+        if cut != Cut::RefusesNew {
+            self.open.borrow_mut().drain(..).for_each(|copying| copying.abort());
+        }
+        if cut == Cut::Hangs {
+            self.fill();
+        }
+    }
+
+    /// Listens with a queue that is full, so that further connections hang.
+    fn fill(&self) {
+        let open = || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+        let listener = open().unwrap();
+        listener.set_reuse_address(true).unwrap();
+        listener.bind(&self.address.into()).unwrap();
+        listener.listen(0).unwrap();
+        let mut fillers = vec![listener];
+        for _ in 0..2 {
+            let filler = open().unwrap();
+            filler.set_nonblocking(true).unwrap();
+            let _ = filler.connect(&self.address.into());
+            fillers.push(filler);
+        }
+        self.fillers.replace(fillers);
+    }
+
+    /// Ends a cut.
+    pub async fn restore(&self) {
+        self.fillers.borrow_mut().clear();
+        let listener = laburnumwheel_gateway::server::listen(self.address).unwrap();
+        self.accept(listener);
+    }
+}
+
+/// Gateways of which the first reaches the replicas by links of its own.
+pub struct Linked {
+    pub gateways: Vec<Running>,
+    pub links: Vec<Link>,
+}
+
+impl Linked {
+    /// Starts `count` gateways before these replicas and waits until they know each other. All of
+    /// them read the store themselves, because only three do not read for others.
+    pub async fn start(count: u64, replicas: &[&Replica]) -> Linked {
+        let contents: Contents = Rc::new(RefCell::new(Some(view(replicas))));
+        let mut links = Vec::new();
+        for replica in replicas {
+            links.push(Link::start(replica.address).await);
+        }
+        let linked: Vec<String> = links.iter().map(|link| link.address.to_string()).collect();
+        let mut stores = vec![linked_store(&contents, linked)];
+        stores.extend((1..count).map(|_| listing_store(&contents)));
+        let gateways = gateways_with_stores(stores).await;
+        let others = count as usize - 1;
+        wait_until("heartbeats of all gateways", || {
+            let peers = |g: &Running| g.shared.gateway.borrow().live_peers(clock::now());
+            gateways.iter().all(|g| peers(g) == others)
+        })
+        .await;
+        Linked { gateways, links }
+    }
+
+    /// Cuts the first gateway off from all replicas.
+    pub async fn cut(&self, cut: Cut) {
+        for link in &self.links {
+            link.cut(cut).await;
+        }
+    }
+
+    pub async fn restore(&self) {
+        for link in &self.links {
+            link.restore().await;
+        }
+    }
+
+    /// Addresses that gateway `asked` returns to callers.
+    pub fn addresses(&self, asked: usize) -> Vec<String> {
+        let gateway = &self.gateways[asked].shared.gateway;
+        gateway.borrow_mut().addresses_for(clock::now(), "mixco")
+    }
+}
+
+/// A listing store in which the replicas have these addresses.
+fn linked_store(contents: &Contents, addresses: Vec<String>) -> Store {
+    let mut store = listing_store(contents);
+    let mut read = std::mem::replace(&mut store.read, Box::new(|| unreachable!()));
+    store.read = Box::new(move || {
+        let (reading, addresses) = (read(), addresses.clone());
+        Box::pin(async move {
+            let mut reading = reading.await?;
+            for (replica, address) in reading.view.replicas.iter_mut().zip(addresses) {
+                replica.address = address;
+            }
+            Ok(reading)
+        })
+    });
+    store
+}
+
+/// Address of a gateway in the directory.
+pub fn address(name: &str) -> String {
+    format!("{name}.example:1")
+}
+
 /// Contents of a test's store; `None` while it is unreachable.
 pub type Contents = Rc<RefCell<Option<View>>>;
 
@@ -300,7 +463,7 @@
     Settings {
         entry: Entry {
             name: name.to_owned(),
-            address: "127.0.0.1:0".to_owned(),
+            address: address(name),
             peer_address: peer_address.to_string(),
             domain: "mixco".to_owned(),
             incarnation: 1,
