--- a/core/src/gateway/budget.rs
+++ b/core/src/gateway/budget.rs
@@ -66,6 +66,12 @@
         self.bucket(now).calls += 1;
     }
 
+    /// Withdraws a call that another gateway serves and counts.
+    pub fn withdraw_call(&mut self, now: Time) {
+        let bucket = self.bucket(now);
+        bucket.calls = bucket.calls.saturating_sub(1);
+    }
+
     /// Retries that are left, if `gateways` gateways share the budget.
     pub fn remaining(&mut self, now: Time, gateways: usize) -> f64 {
         self.bucket(now);
--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -10,6 +10,7 @@
 
 use rand::Rng;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::seq::SliceRandom;
 
 use crate::gateway::gossip::Demand;
@@ -30,6 +31,8 @@
 const RETENTION: Span = Span::secs(20);
 /// Number of gateways in the caller's failure domain from which on no others are returned.
 const ENOUGH_LOCAL: usize = 2;
+/// Upper bound on a gateway's share of its failure domain's callers, in multiples of its usual one.
+const MAX_LOCAL_OVERLOAD: u64 = 2;
 /// Least number of readers, the gateways that read the store for all: two may fail at a time.
 const MIN_READERS: usize = 3;
 /// Divisor of the square root of the fleet's size that gives the number of additional readers. Each
@@ -400,13 +403,56 @@
         };
         let others = self.members.values().filter(accepts_callers).map(|m| &m.entry);
         let all: Vec<&Entry> = others.chain(own).collect();
-        let local: Vec<&Entry> = all.iter().filter(|e| e.domain == domain).copied().collect();
-        let mut candidates = if local.len() >= ENOUGH_LOCAL { local } else { all };
+        let (local, remote): (Vec<&Entry>, Vec<&Entry>) =
+            all.iter().partition(|e| e.domain == domain);
+        let mut candidates = match local.len() >= ENOUGH_LOCAL || remote.is_empty() {
+            true if remote.is_empty() || self.keeps_local(&local, own, domain, rng) => local,
+            true => remote,
+            false => all,
+        };
         candidates.shuffle(rng);
         sample_by_weight(&candidates, rng).into_iter().take(MAX_ADDRESSES).collect()
     }
 }
 
+impl Directory {
+    /// Whether a caller in `domain` is sent to the gateways of that failure domain that accept
+    /// callers, `local`. If less than half of the domain's capacity does, a part of its callers is
+    /// sent to other domains, so that no gateway gets more than twice its usual share.
+    fn keeps_local(
+        &self,
+        local: &[&Entry],
+        own: Option<&Entry>,
+        domain: &str,
+        rng: &mut SmallRng,
+    ) -> bool {
+        let members = self.members.values().filter(|m| m.listed || m.last_heartbeat.is_some());
+        let known = members.map(|m| &m.entry).chain(own).filter(|e| e.domain == domain);
+        let known: u64 = known.map(|e| u64::from(e.weight)).sum();
+        let open: u64 = local.iter().map(|e| u64::from(e.weight)).sum();
+        rng.random_range(0..known.max(1)) < MAX_LOCAL_OVERLOAD * open
+    }
+
+    /// The gateway to delegate a call to: a random live one that accepts callers, by weight, other
+    /// than those whose names are in `tried`. The first one is of this gateway's own `domain`, if
+    /// possible; later ones are of others, because the whole domain may be cut off.
+    pub fn select_delegate(
+        &self,
+        now: Time,
+        domain: &str,
+        tried: &[String],
+        rng: &mut SmallRng,
+    ) -> Option<&Entry> {
+        let members = self.members.values().filter(|m| m.open && m.is_live(now));
+        let all: Vec<&Entry> =
+            members.map(|m| &m.entry).filter(|e| !tried.contains(&e.name)).collect();
+        let wanted = |e: &&&Entry| (e.domain == domain) == tried.is_empty();
+        let preferred: Vec<&Entry> = all.iter().filter(wanted).copied().collect();
+        let candidates = if preferred.is_empty() { all } else { preferred };
+        candidates.choose_weighted(rng, |e| e.weight.max(1)).ok().copied()
+    }
+}
+
 /// Samples addresses with a probability proportional to the gateway's weight; gateways of the
 /// greatest weight are always included. Callers choose evenly among the addresses that they get.
 fn sample_by_weight(entries: &[&Entry], rng: &mut SmallRng) -> Vec<String> {
--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -91,6 +91,18 @@
         self.replicas.iter().map(|(_, r)| r)
     }
 
+    /// Names of the services that have replicas.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.by_service.iter().filter(|(_, keys)| !keys.is_empty()).map(|(name, _)| name.as_str())
+    }
+
+    /// The replicas of a service that are not known to leave or to be gone.
+    pub fn open_replicas(&self, service: &str) -> impl Iterator<Item = (Key<Replica>, &Replica)> {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        let replicas = keys.filter_map(|key| Some((*key, self.replicas.get(*key)?)));
+        replicas.filter(|(_, replica)| replica.is_open())
+    }
+
     /// Number of a service's replicas that may get calls at `now`.
     pub fn usable(&self, now: Time, service: &str) -> usize {
         let keys = self.by_service.get(service).into_iter().flatten();
--- a/core/src/gateway/liveness.rs
+++ b/core/src/gateway/liveness.rs
@@ -133,7 +133,7 @@
     /// Time of a gateway's last sign of life, and whether it accepted callers then.
     fn last_sign(&self, now: Time, name: &str) -> Option<(Time, bool)> {
         if name == self.name() {
-            return Some((now, self.is_open(now)));
+            return Some((now, self.takes_callers(now)));
         }
         self.directory().last_sign(name)
     }
--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 pub mod position;
 pub mod prefill;
 pub mod quarantine;
+pub mod reach;
 pub mod refusal;
 mod rollback;
 mod state;
--- a/core/src/gateway/quarantine.rs
+++ b/core/src/gateway/quarantine.rs
@@ -188,6 +188,19 @@
         }
     }
 
+    /// Withdraws a crash that was no crash. It is kept as one that the replica survived, since peers
+    /// that have heard of it would bring it back.
+    pub fn withdraw_crash(&mut self, fingerprint: Fingerprint, replica: Digest) {
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+            return;
+        };
+        suspect.undecided.remove(&replica);
+        if let Some(crash) = suspect.crashes.get_mut(&replica) {
+            crash.is_alive = true;
+            self.recompute();
+        }
+    }
+
     /// Decides on interruptions for which the crashes that peers recorded have arrived.
     fn decide_interruptions(&mut self, now: Time) {
         let crashed: BTreeSet<Digest> =
--- /dev/null
+++ b/core/src/gateway/reach.rs
@@ -0,0 +1,149 @@
+//! Reach: the services whose replicas this gateway can open no connections to.
+//!
+//! A gateway can lose its links to replicas while callers, peers and the store still reach it. One
+//! replica without a connection may be down. Several in a row, with no connection opened in
+//! between, mean that the service is out of reach, and other gateways serve its calls. Open
+//! connections say nothing about that: they may live on while new ones are refused.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+
+use crate::incarnation::Digest;
+use crate::time::Span;
+use crate::time::Time;
+
+/// Time for which a failed connection counts.
+const FAILURE_LIFETIME: Span = Span::secs(3);
+/// Replicas without a connection from which on others of the service are probed.
+const DOUBTED_REPLICAS: usize = 2;
+/// Replicas without a connection from which on a service is out of reach; all of them if it has
+/// fewer.
+const LOST_REPLICAS: usize = 4;
+/// Time after which a loss is certain: the probes in it would have found a live replica.
+const CONFIRMATION_TIME: Span = Span::secs(1);
+/// Range of the time in which no call of a service is delegated after all peers that were asked
+/// reached no replica either. The service is down then, and asking for each call would multiply its
+/// load on the other gateways.
+const MIN_DELEGATION_PAUSE: Span = Span::millis(100);
+const MAX_DELEGATION_PAUSE: Span = Span::secs(1);
+
+/// Change of the reach of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[display(rename_all = "snake_case")]
+pub enum Change {
+    /// No replica can be reached any more.
+    Lost,
+    /// A replica can be reached again.
+    Restored,
+}
+
+#[derive(Debug, Default)]
+struct Service {
+    /// Replicas to which a connection failed since the last one was opened, and when.
+    failed: BTreeMap<Digest, Time>,
+    /// Time since which the service is out of reach.
+    lost_since: Option<Time>,
+    /// Whether [`Reach::confirm_losses`] has returned this loss.
+    is_confirmed: bool,
+    /// End of the time in which no call is delegated.
+    paused_until: Time,
+    /// Length of the last such time; zero if a peer has served a call since.
+    pause: Span,
+}
+
+/// Reach of all services.
+#[derive(Debug, Default)]
+pub struct Reach {
+    services: BTreeMap<String, Service>,
+}
+
+impl Reach {
+    /// Records that a connection to a replica of a service was opened.
+    pub fn record_opened(&mut self, service: &str) -> Option<Change> {
+        let removed = self.services.remove(service)?;
+        removed.lost_since.map(|_| Change::Restored)
+    }
+
+    /// Records that no connection to `replica` could be opened. The service has `open` replicas that
+    /// may get calls.
+    pub fn record_failed(
+        &mut self,
+        now: Time,
+        service: &str,
+        replica: Digest,
+        open: usize,
+    ) -> Option<Change> {
+        let known = self.services.entry(service.to_owned()).or_default();
+        known.failed.retain(|_, at| now.since(*at) < FAILURE_LIFETIME);
+        known.failed.insert(replica, now);
+        let is_enough = known.failed.len() >= LOST_REPLICAS.min(open.max(1));
+        let is_new = is_enough && known.lost_since.is_none();
+        if is_new {
+            known.lost_since = Some(now);
+        }
+        is_new.then_some(Change::Lost)
+    }
+
+    /// Whether no replica of a service can be reached.
+    pub fn is_lost(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(|known| known.lost_since.is_some())
+    }
+
+    /// Whether any service is out of reach.
+    pub fn is_any_lost(&self) -> bool {
+        self.services.values().any(|known| known.lost_since.is_some())
+    }
+
+    /// Start of the first loss that has lasted long enough not to be one of several replicas that
+    /// crashed together, and that was not returned before.
+    pub fn confirm_losses(&mut self, now: Time) -> Option<Time> {
+        let mut first = None;
+        for known in self.services.values_mut().filter(|known| !known.is_confirmed) {
+            if let Some(since) = known.lost_since.filter(|at| now.since(*at) >= CONFIRMATION_TIME) {
+                known.is_confirmed = true;
+                first = Some(first.map_or(since, |other: Time| other.min(since)));
+            }
+        }
+        first
+    }
+
+    /// Whether the replicas of a service must be probed: it is out of reach, or may be.
+    pub fn is_doubted(&self, now: Time, service: &str, open: usize) -> bool {
+        let recent = |at: &&Time| now.since(**at) < FAILURE_LIFETIME;
+        self.services.get(service).is_some_and(|known| {
+            let failed = known.failed.values().filter(recent).count();
+            known.lost_since.is_some() || failed >= DOUBTED_REPLICAS.min(open.max(1))
+        })
+    }
+
+    /// Whether a connection to `replica` of a service failed since the last one was opened.
+    pub fn has_failed(&self, service: &str, replica: Digest) -> bool {
+        self.services.get(service).is_some_and(|known| known.failed.contains_key(&replica))
+    }
+
+    /// Forgets services that have no replicas any more.
+    pub fn retain(&mut self, mut has_replicas: impl FnMut(&str) -> bool) {
+        self.services.retain(|service, _| has_replicas(service));
+    }
+
+    /// Whether calls of a service that is out of reach may be delegated.
+    pub fn may_delegate(&self, now: Time, service: &str) -> bool {
+        self.services
+            .get(service)
+            .is_some_and(|known| known.lost_since.is_some() && now >= known.paused_until)
+    }
+
+    /// Records whether a peer that was asked to serve a call of a service reached a replica.
+    pub fn record_delegation(&mut self, now: Time, service: &str, reached: bool) {
+        let Some(known) = self.services.get_mut(service) else {
+            return;
+        };
+        if reached {
+            known.pause = Span(0);
+            return;
+        }
+        known.pause = Span(known.pause.0 * 2).max(MIN_DELEGATION_PAUSE).min(MAX_DELEGATION_PAUSE);
+        known.paused_until = now + known.pause;
+    }
+}
--- a/core/src/gateway/refusal.rs
+++ b/core/src/gateway/refusal.rs
@@ -28,6 +28,10 @@
     CoolingDown,
     /// The request is quarantined, because several replicas crashed while they ran it.
     Quarantined,
+    /// The gateway serves as many calls for others as it can.
+    Saturated,
+    /// The gateway that the call was delegated to refused it.
+    DelegateRefused,
     /// A replica refused the call without running it.
     ReplicaRefused,
     /// A replica failed, and the call is not retried: it may have run and must not run twice, or
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -12,6 +12,7 @@
 mod pick;
 mod plans;
 mod poison;
+mod reach;
 mod reads;
 mod stop;
 
@@ -21,6 +22,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use self::poison::Crash;
 use self::stop::Stop;
 use super::budget;
 use super::budget::Budget;
@@ -51,6 +53,7 @@
 use super::prefill;
 use super::quarantine;
 use super::quarantine::Quarantine;
+use super::reach::Reach;
 use super::refusal::Reason;
 use super::refusal::Refusal;
 use super::rollback::Rollback;
@@ -151,6 +154,8 @@
     tallies: BTreeMap<u32, Tally>,
     popularity: Popularity,
     quarantine: Quarantine,
+    own_crashes: Vec<Crash>,
+    reach: Reach,
     occupancy: Occupancy,
     issuer: Issuer,
     last_sweep: Time,
@@ -178,6 +183,8 @@
             tallies: BTreeMap::new(),
             popularity: Popularity::default(),
             quarantine: Quarantine::default(),
+            own_crashes: Vec::new(),
+            reach: Reach::default(),
             occupancy: Occupancy::default(),
             issuer: Issuer::default(),
             last_sweep: now,
@@ -277,7 +284,7 @@
     pub(super) fn demand(&self, now: Time) -> Demand {
         Demand {
             gateway: self.short_hash(),
-            open: self.is_open(now),
+            open: self.takes_callers(now),
             sensitive: self.fleet.sensitive_streams().min(u32::from(u16::MAX)) as u16,
             age_ms: 0,
         }
@@ -306,15 +313,20 @@
         self.directory.peer_addresses().map(str::to_owned).collect()
     }
 
-    /// Whether this gateway accepts new callers.
+    /// Whether this gateway serves callers: it has a current configuration and does not stop.
     pub fn is_open(&self, now: Time) -> bool {
         self.stop.is_none() && self.config.is_some() && self.is_current(now)
     }
 
     /// Addresses of gateways for a caller in the failure domain `domain`.
     pub fn addresses_for(&mut self, now: Time, domain: &str) -> Vec<String> {
-        let own = self.is_open(now).then_some(&self.settings.entry);
-        self.directory.select_addresses(now, own, domain, &mut self.rng)
+        let own = self.takes_callers(now).then_some(&self.settings.entry);
+        let addresses = self.directory.select_addresses(now, own, domain, &mut self.rng);
+        // If no gateway reaches replicas, a caller learns more from this one than from none.
+        match addresses.is_empty() && self.is_open(now) {
+            true => vec![self.settings.entry.address.clone()],
+            false => addresses,
+        }
     }
 
     /// Version of the configuration in force; 0 before the first one.
@@ -360,13 +372,17 @@
     pub fn admit(&mut self, now: Time, submission: &Submission) -> Result<Grant, Refusal> {
         let grant = self.resolve(now, now, submission)?;
         self.may_begin(now, &grant)?;
-        let rules = self.settings.budget;
-        let started_at = self.started_at;
-        let budget = self.budgets.entry(grant.service.clone());
-        budget.or_insert_with(|| Budget::new(rules, started_at)).record_call(now);
+        self.budget(&grant.service).record_call(now);
         Ok(grant)
     }
 
+    /// This gateway's part of a service's retry budget.
+    fn budget(&mut self, service: &str) -> &mut Budget {
+        let (rules, started_at) = (self.settings.budget, self.started_at);
+        let budget = self.budgets.entry(service.to_owned());
+        budget.or_insert_with(|| Budget::new(rules, started_at))
+    }
+
     fn resolve(&self, now: Time, arrived: Time, submission: &Submission) -> Result<Grant, Refusal> {
         let Some(config) = &self.config else {
             return Err(Refusal::not_run(Reason::NoConfiguration, RETRY_ELSEWHERE));
--- a/core/src/gateway/state/limits.rs
+++ b/core/src/gateway/state/limits.rs
@@ -131,7 +131,7 @@
 
     fn issuer_of(&self, now: Time, replica: Digest) -> Option<String> {
         let own = &self.settings.entry.name;
-        self.directory.issuer(now, own, self.is_open(now), replica).map(str::to_owned)
+        self.directory.issuer(now, own, self.takes_callers(now), replica).map(str::to_owned)
     }
 
     /// Decides on the request of a gateway for a permit; returns the changes of limits that the
--- a/core/src/gateway/state/plans.rs
+++ b/core/src/gateway/state/plans.rs
@@ -35,7 +35,7 @@
     /// Takes the counts since the last report. Returns them with the decider's address, or `None`
     /// if there are none. If this gateway is the decider, it updates the plans instead.
     pub fn next_report(&mut self, now: Time) -> Option<(String, Report)> {
-        let own = self.is_open(now).then_some(&self.settings.entry);
+        let own = self.takes_callers(now).then_some(&self.settings.entry);
         let decider = self.directory.decider(now, own);
         let decides = decider.is_none() && own.is_some();
         self.planner.set_decider(now, decides);
--- a/core/src/gateway/state/poison.rs
+++ b/core/src/gateway/state/poison.rs
@@ -13,17 +13,38 @@
 use crate::gateway::quarantine::Transition;
 use crate::gateway::refusal::Reason;
 use crate::gateway::refusal::Refusal;
+use crate::incarnation::Digest;
+use crate::time::Span;
 use crate::time::Time;
 
 /// Upper bound on the quarantine records in the store, which gateways load at their start.
 const MAX_STORED: usize = 64;
 
+/// Time for which this gateway remembers the crashes that it recorded itself.
+const OWN_CRASH_RETENTION: Span = Span::secs(5);
+
+/// A crash that this gateway recorded.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Crash {
+    at: Time,
+    fingerprint: Fingerprint,
+    replica: Digest,
+}
+
 impl Gateway {
     /// Records that the connection to a replica broke while it ran a request.
+    ///
+    /// While the replica's service is out of reach, this says something about this gateway's links
+    /// and nothing about the request.
     pub fn record_crash(&mut self, now: Time, grant: &Grant, claim: &Claim) {
         let Some(fingerprint) = grant.fingerprint else {
             return;
         };
+        if self.is_out_of_reach(&grant.service) {
+            return;
+        }
+        self.own_crashes.retain(|crash| now.since(crash.at) < OWN_CRASH_RETENTION);
+        self.own_crashes.push(Crash { at: now, fingerprint, replica: claim.incarnation });
         if claim.first_event_seen {
             self.quarantine.record_interruption(now, fingerprint, claim.incarnation);
         } else {
@@ -31,6 +52,14 @@
         }
     }
 
+    /// Withdraws the crashes that this gateway recorded since `since`: its links broke then, and
+    /// requests that were running on them would be quarantined at all gateways.
+    pub(super) fn withdraw_crashes(&mut self, since: Time) {
+        for crash in self.own_crashes.drain(..).filter(|crash| crash.at >= since) {
+            self.quarantine.withdraw_crash(crash.fingerprint, crash.replica);
+        }
+    }
+
     /// Records that a replica answered a request completely.
     pub fn record_answer(&mut self, now: Time, grant: &Grant) {
         if let Some(fingerprint) = grant.fingerprint {
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -24,6 +24,7 @@
 mod pool;
 mod prefill;
 mod quarantine;
+mod reach;
 mod restart;
 mod rollback;
 mod routes;
--- /dev/null
+++ b/core/tests/gateway/reach.rs
@@ -0,0 +1,295 @@
+//! Reach: gateways that can open no connections to replicas.
+
+use std::sync::Arc;
+
+use laburnumwheel_core::arena::Key;
+use laburnumwheel_core::gateway::Gateway;
+use laburnumwheel_core::gateway::Settings;
+use laburnumwheel_core::gateway::directory::Entry;
+use laburnumwheel_core::gateway::fingerprint::Fingerprint;
+use laburnumwheel_core::gateway::fleet::Listing;
+use laburnumwheel_core::gateway::fleet::Replica;
+use laburnumwheel_core::gateway::quarantine::CRASH_THRESHOLD;
+use laburnumwheel_core::gateway::reach::Change;
+use laburnumwheel_core::gateway::refusal::Reason;
+use laburnumwheel_core::time::Span;
+use laburnumwheel_core::time::Time;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::support::START;
+use crate::support::config;
+use crate::support::entry;
+use crate::support::gateway;
+use crate::support::listing;
+use crate::support::listings;
+use crate::support::settings;
+use crate::support::submission;
+
+/// Replicas without a connection from which on their service is out of reach.
+const LOST: usize = 4;
+
+fn at(ms: u64) -> Time {
+    START + Span::millis(ms)
+}
+
+fn replicas(gateway: &Gateway, service: &str) -> Vec<Key<Replica>> {
+    gateway.fleet().open_replicas(service).map(|(key, _)| key).collect()
+}
+
+/// Records failed connections to the first `count` replicas of a service; returns the changes.
+fn fail(gateway: &mut Gateway, now: Time, service: &str, count: usize) -> Vec<Change> {
+    let keys = replicas(gateway, service);
+    let failed = keys.iter().take(count);
+    let changes = failed.filter_map(|key| gateway.record_connection(now, *key, false));
+    changes.map(|(_, change)| change).collect()
+}
+
+/// A gateway before six engines and two replicas of a plain service.
+fn gateway_of_two_services() -> Gateway {
+    let mut gateway = gateway(0);
+    let plain = |name| Listing { service: "notices".to_owned(), ..listing(name) };
+    let mut all = listings(6);
+    all.extend([plain("plain-0"), plain("plain-1")]);
+    gateway.update_lists(START, START, all, vec![entry("one"), entry("two")]);
+    gateway
+}
+
+/// A replica that is down must not make a gateway delegate the calls of its service.
+#[test]
+fn replicas_that_are_down_are_no_lost_service() {
+    let mut gateway = gateway(6);
+    let keys = replicas(&gateway, "engines");
+
+    let mut changes = Vec::new();
+    for round in 0..10 {
+        changes.extend(fail(&mut gateway, at(round * 100), "engines", LOST - 1));
+        changes.extend(gateway.record_connection(at(round * 100), keys[5], true).map(|(_, c)| c));
+    }
+
+    assert_eq!(changes, []);
+    assert!(!gateway.is_out_of_reach("engines"));
+}
+
+/// Rare failures of different replicas over a long time must not add up to a loss.
+#[test]
+fn failures_of_different_times_are_no_lost_service() {
+    let mut gateway = gateway(6);
+    let keys = replicas(&gateway, "engines");
+
+    for (second, key) in (0..).zip(&keys) {
+        assert_eq!(gateway.record_connection(at(second * 2_000), *key, false), None);
+    }
+
+    assert!(!gateway.is_out_of_reach("engines"));
+}
+
+/// A service with two replicas is out of reach after two failures, or it would never be noticed.
+#[test]
+fn service_is_lost_with_all_of_its_few_replicas_and_back_with_one() {
+    let mut gateway = gateway_of_two_services();
+
+    let lost = fail(&mut gateway, START, "notices", 2);
+    let cut_off = gateway.is_cut_off();
+    let one = replicas(&gateway, "notices")[0];
+    let restored = gateway.record_connection(at(500), one, true);
+
+    assert_eq!(lost, [Change::Lost]);
+    assert!(!cut_off, "the engines are in reach");
+    assert_eq!(restored, Some(("notices".to_owned(), Change::Restored)));
+    assert!(!gateway.is_out_of_reach("notices"));
+}
+
+/// A gateway that reaches one of its services serves its calls best itself, so it keeps its callers;
+/// one that reaches none gets no new ones.
+#[test]
+fn only_a_gateway_that_is_cut_off_from_all_services_takes_no_callers() {
+    let mut gateway = gateway_of_two_services();
+
+    fail(&mut gateway, START, "engines", LOST);
+    let with_one_service = gateway.takes_callers(START);
+    fail(&mut gateway, START, "notices", 2);
+
+    assert!(with_one_service);
+    assert!(!gateway.takes_callers(START));
+    assert!(gateway.is_open(START), "it serves the callers that it has");
+    assert!(!gateway.heartbeat(START).demands[0].open);
+}
+
+/// The calls of a service may all use open connections, so that only probes tell that it is lost too.
+#[test]
+fn services_without_new_connections_are_probed_when_another_is_lost() {
+    let mut gateway = gateway_of_two_services();
+    let before = gateway.probes(START).len();
+
+    fail(&mut gateway, START, "notices", 2);
+    let probes = gateway.probes(START);
+
+    assert_eq!(before, 0);
+    assert!(probes.iter().any(|(_, address)| address.starts_with("engine")));
+    assert!(probes.iter().any(|(_, address)| address.starts_with("plain")));
+}
+
+/// If a service is down for all gateways, each call would be tried at four of them.
+#[test]
+fn calls_are_not_delegated_while_no_gateway_reaches_their_service() {
+    let mut gateway = gateway(LOST);
+    fail(&mut gateway, START, "engines", LOST);
+    let grant = gateway.admit(START, &submission("chat", &[])).unwrap();
+
+    let at_first = gateway.must_delegate(START, &grant);
+    gateway.record_delegation(START, "engines", false);
+    let at_once = gateway.must_delegate(at(10), &grant);
+    let later = gateway.must_delegate(at(200), &grant);
+
+    assert_eq!((at_first, at_once, later), (true, false, true));
+}
+
+/// Records that the connections to `count` replicas broke while they ran a request.
+fn crash(gateway: &mut Gateway, fingerprint: Fingerprint, count: usize) {
+    for i in 0..count {
+        let call = submission("chat", &[(i as u64, 100)]);
+        let mut grant = gateway.admit(START, &call).unwrap();
+        grant.fingerprint = Some(fingerprint);
+        grant.tried = replicas(gateway, "engines");
+        grant.tried.remove(i);
+        let mut pick = gateway.pick(START, &call, &mut grant, &[]).unwrap();
+        gateway.record_sent(START, &call, &mut grant, &mut pick);
+        gateway.record_crash(at(10), &grant, &pick.claim);
+    }
+}
+
+/// All links of a gateway break while it runs the same request at several replicas. The request has
+/// crashed nothing, and must not be quarantined.
+#[test]
+fn connections_that_break_with_the_links_quarantine_no_request() {
+    let mut gateway = gateway(8);
+    let fingerprint = Fingerprint(7);
+    crash(&mut gateway, fingerprint, CRASH_THRESHOLD);
+    let before = gateway.fingerprints_quarantined(at(10));
+
+    fail(&mut gateway, at(20), "engines", LOST);
+    gateway.probes(at(20));
+    let while_it_may_be_a_crash = gateway.fingerprints_quarantined(at(20));
+    gateway.probes(at(1_020));
+    gateway.reevaluate_quarantine(at(1_100));
+
+    assert_eq!(before, 1, "the test must reach the threshold");
+    assert_eq!(while_it_may_be_a_crash, 1);
+    assert_eq!(gateway.fingerprints_quarantined(at(1_100)), 0);
+}
+
+/// A request that crashes replicas one after the other can make its service seem out of reach for a
+/// moment. Its crashes must go on counting.
+#[test]
+fn crashes_count_although_the_service_seems_lost_for_a_moment() {
+    let mut gateway = gateway(8);
+    let fingerprint = Fingerprint(7);
+    crash(&mut gateway, fingerprint, CRASH_THRESHOLD);
+
+    fail(&mut gateway, at(20), "engines", LOST);
+    gateway.probes(at(20));
+    let live = replicas(&gateway, "engines")[7];
+    gateway.record_connection(at(30), live, true);
+    gateway.probes(at(1_100));
+
+    assert_eq!(gateway.fingerprints_quarantined(at(1_100)), 1);
+}
+
+/// Counted at both gateways, a delegated call would allow more retries than the rules do; counted at
+/// the delegating one only, it could not be retried.
+#[test]
+fn delegated_calls_are_counted_for_the_retry_budget_once() {
+    let (mut gateway, mut delegate) = (gateway(2), gateway(2));
+    for _ in 0..1_000 {
+        gateway.admit(START, &submission("chat", &[])).unwrap();
+        delegate.admit_delegated(START, &submission("chat", &[]), 1).unwrap();
+        gateway.withdraw_call(START, "engines");
+    }
+
+    assert!(!gateway.spend_retry(START, "engines"));
+    assert!(delegate.spend_retry(START, "engines"));
+}
+
+/// A caller that has seen the effects of a version must not be served by an older one.
+#[test]
+fn delegate_with_an_older_configuration_refuses() {
+    let mut delegate = gateway(2);
+
+    let refusal = delegate.admit_delegated(START, &submission("chat", &[]), 2).unwrap_err();
+
+    assert_eq!((refusal.reason, refusal.not_run), (Reason::StaleConfiguration, true));
+}
+
+/// A fleet of `count` gateways in `domains` failure domains, known to the gateway `one`, of which
+/// those named by `is_open` accept callers.
+fn fleet(count: usize, domains: usize, is_open: impl Fn(usize) -> bool) -> Gateway {
+    let named =
+        |i: usize| Entry { domain: format!("domain-{}", i % domains), ..entry(&format!("g{i}")) };
+    let entries: Vec<Entry> = (0..count).map(named).collect();
+    let mut gateway = Gateway::new(settings("one"), START);
+    gateway.update_lists(START, START, Vec::new(), entries.clone());
+    for (i, other) in entries.iter().enumerate() {
+        let mut peer = Gateway::new(Settings { entry: other.clone(), ..settings("one") }, START);
+        peer.record_read(START, Some(Arc::new(config(1))));
+        let mut heartbeat = peer.heartbeat(START);
+        heartbeat.demands[0].open = is_open(i);
+        gateway.receive(START, &heartbeat);
+    }
+    gateway
+}
+
+/// Share of the callers of a failure domain that its gateway `name` gets.
+fn share(gateway: &mut Gateway, domain: &str, name: &str) -> f64 {
+    const ANSWERS: usize = 4_000;
+    let address = format!("{name}:1");
+    let mut total = 0.0;
+    for _ in 0..ANSWERS {
+        let addresses = gateway.addresses_for(START, domain);
+        assert!(!addresses.is_empty());
+        total += f64::from(u8::from(addresses.contains(&address))) / addresses.len() as f64;
+    }
+    total / ANSWERS as f64
+}
+
+/// If most gateways of a failure domain are cut off, the others must not get all of its callers.
+#[test]
+fn remaining_gateways_of_a_domain_get_at_most_twice_their_callers() {
+    // Domain 0 has 83 of the 985 gateways, of which 8 accept callers.
+    let mut large = fleet(985, 12, |i| i % 12 != 0 || i < 12 * 8);
+    // Domain 0 has 3 of the 9 gateways, and 2 of the 12.
+    let mut small = fleet(9, 3, |i| i != 0);
+
+    assert!(share(&mut large, "domain-0", "g0") < 2.2 / 83.0);
+    assert!((share(&mut small, "domain-0", "g3") - 0.5).abs() < 0.05, "two of three keep all");
+}
+
+/// All gateways of a failure domain may be cut off with the one that delegates.
+#[test]
+fn second_delegate_is_of_another_domain() {
+    let gateway = fleet(9, 3, |_| true);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let directory = gateway.directory();
+
+    for _ in 0..100 {
+        let first = directory.select_delegate(START, "domain-0", &[], &mut rng).unwrap();
+        let tried = [first.name.clone()];
+        let second = directory.select_delegate(START, "domain-0", &tried, &mut rng).unwrap();
+        assert_eq!(first.domain, "domain-0");
+        assert_ne!(second.domain, "domain-0");
+    }
+}
+
+/// A gateway that is cut off itself serves no calls for others.
+#[test]
+fn gateways_that_accept_no_callers_are_no_delegates() {
+    let gateway = fleet(9, 3, |i| i == 4);
+    let mut rng = SmallRng::seed_from_u64(1);
+
+    let first = gateway.directory().select_delegate(START, "domain-0", &[], &mut rng);
+    let second = first.map(|e| e.name.clone());
+    let tried = [second.clone().unwrap()];
+
+    assert_eq!(second.as_deref(), Some("g4"));
+    assert_eq!(gateway.directory().select_delegate(START, "domain-0", &tried, &mut rng), None);
+}
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -41,6 +41,7 @@
 use crate::limit;
 use crate::log::Line;
 use crate::peers;
+use crate::reach;
 use crate::shared::Shared;
 
 /// Headers that apply to one connection only and are not forwarded.
@@ -80,6 +81,10 @@
     pub responding: bool,
     /// The call has been counted for its organisation.
     pub metered: bool,
+    /// Another gateway delegated the call to this one.
+    pub is_delegated: bool,
+    /// The call counts for this gateway's part of the retry budget.
+    pub is_budgeted: bool,
 }
 
 /// Why an attempt failed.
@@ -148,19 +153,30 @@
     Fault(Fault, Option<Box<Collected>>),
 }
 
-/// A claim on a replica for one attempt; dropping it ends the attempt as cancelled.
+/// An attempt in progress; dropping it ends the attempt as cancelled.
 pub struct InFlight {
     shared: Shared,
-    /// The claim.
-    pub claim: Claim,
+    /// Claim on the replica; `None` if another gateway serves the call.
+    claim: Option<Claim>,
     ended: Cell<bool>,
 }
 
 impl InFlight {
+    /// An attempt that another gateway makes, which records it too.
+    pub fn at_peer(shared: &Shared) -> InFlight {
+        InFlight { shared: shared.clone(), claim: None, ended: Cell::new(false) }
+    }
+
+    /// Time at which a replica got the call; `None` if another gateway serves it.
+    pub fn sent(&self) -> Option<Time> {
+        self.claim.map(|claim| claim.sent)
+    }
+
     /// Records the end of the attempt; only the first call has an effect.
     pub fn end(&self, outcome: Outcome) {
-        if !self.ended.replace(true) {
-            self.shared.gateway.borrow_mut().record_end(clock::now(), self.claim, outcome);
+        let is_first = !self.ended.replace(true);
+        if let Some(claim) = self.claim.filter(|_| is_first) {
+            self.shared.gateway.borrow_mut().record_end(clock::now(), claim, outcome);
             self.shared.updates_waiting.notify_one();
         }
     }
@@ -168,12 +184,17 @@
     /// Records that the replica sent something, with the load that a response head states.
     pub fn record_activity(&mut self, metadata: Option<&dialect::Metadata>) {
         let load = metadata.and_then(|m| m.load);
-        self.shared.gateway.borrow_mut().record_activity(clock::now(), &self.claim, load);
+        if let Some(claim) = &self.claim {
+            self.shared.gateway.borrow_mut().record_activity(clock::now(), claim, load);
+        }
     }
 
     /// Records that events, or the complete response, have arrived.
     pub fn record_event(&mut self) {
-        let first = self.shared.gateway.borrow_mut().record_event(clock::now(), &mut self.claim);
+        let Some(claim) = &mut self.claim else {
+            return;
+        };
+        let first = self.shared.gateway.borrow_mut().record_event(clock::now(), claim);
         if first {
             self.shared.updates_waiting.notify_one();
         }
@@ -208,7 +229,9 @@
     pub fn finish(self, outcome: Outcome) {
         self.in_flight.end(outcome);
         let shared = self.in_flight.shared.clone();
-        let replica = self.in_flight.claim.replica;
+        let Some(replica) = self.in_flight.claim.map(|claim| claim.replica) else {
+            return;
+        };
         let max_idle = shared.gateway.borrow().max_idle_connections(replica);
         shared.pool.put(replica, self.channel, self.metadata.keep_alive, max_idle);
     }
@@ -230,7 +253,8 @@
         self.shared.log(line);
     }
 
-    /// Makes one attempt, up to the head of the response.
+    /// Makes one attempt, up to the head of the response. While this gateway can't reach the service
+    /// of the call, another one makes the attempt.
     ///
     /// # Errors
     ///
@@ -240,6 +264,14 @@
         if !self.may_have_run {
             self.shared.gateway.borrow().may_begin(now, &self.grant).map_err(Failure::Denied)?;
         }
+        if self.is_delegated && self.shared.gateway.borrow().is_out_of_reach(&self.grant.service) {
+            let mut gateway = self.shared.gateway.borrow_mut();
+            gateway.withdraw_call(now, &self.grant.service);
+            return Err(Failure::Denied(gateway.refuse_unreachable()));
+        }
+        if !self.is_delegated && self.shared.gateway.borrow().must_delegate(now, &self.grant) {
+            return self.delegate(last_event).await;
+        }
         let queries = self.shared.gateway.borrow_mut().queries(now, &self.submission, &self.grant);
         let snapshots = peers::request_snapshots(&self.shared, queries).await;
         let mut pick = self.pick_permitted(&snapshots, last_event.is_some()).await?;
@@ -312,6 +344,7 @@
         }
         let opened = channel::open(&pick.address).await;
         self.count_connection(&opened);
+        reach::record(&self.shared, pick.claim.replica, opened.is_ok());
         opened.map_err(|e| self.fail_unsent(pick, Fault::Unreachable, &e.to_string()))
     }
 
@@ -368,7 +401,8 @@
         }
     }
 
-    fn request(&self, pick: &Pick, last_event: Option<&Bytes>) -> Request<Full<Bytes>> {
+    /// The request for a replica or for another gateway, with the caller's headers.
+    pub(crate) fn bare_request(&self) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
@@ -381,6 +415,11 @@
         if !self.body.is_empty() || self.method == Method::POST {
             headers.insert(header::CONTENT_LENGTH, self.body.len().into());
         }
+        request
+    }
+
+    fn request(&self, pick: &Pick, last_event: Option<&Bytes>) -> Request<Full<Bytes>> {
+        let mut request = self.bare_request();
         let attempt = dialect::Attempt {
             replica: &pick.id,
             organisation: self.grant.organisation.as_deref(),
@@ -389,7 +428,7 @@
             last_event,
             engine: pick.engine,
         };
-        (self.shared.dialect.prepare_attempt)(headers, &attempt);
+        (self.shared.dialect.prepare_attempt)(request.headers_mut(), &attempt);
         request
     }
 
@@ -403,7 +442,8 @@
         self.shared.gateway.borrow_mut().record_sent(now, &self.submission, &mut self.grant, pick);
         self.shared.updates_waiting.notify_one();
         let shared = self.shared.clone();
-        let mut in_flight = InFlight { shared, claim: pick.claim, ended: Cell::new(false) };
+        let claim = Some(pick.claim);
+        let mut in_flight = InFlight { shared, claim, ended: Cell::new(false) };
         let response = channel.sender.send_request(request);
         let response = match self.wait_for(&in_flight, response).await {
             Ok(Ok(response)) => response,
@@ -423,7 +463,7 @@
         }
         if is_of_replica {
             in_flight.record_activity(Some(&metadata));
-            self.record_limit(&in_flight, pick, &metadata);
+            self.record_limit(pick, &metadata);
         }
         let (head, body) = response.into_parts();
         let exchange =
@@ -452,9 +492,9 @@
     }
 
     /// Reads an error response completely and records the failure.
-    async fn read_failure(&mut self, exchange: Exchange) -> Failure {
+    pub(crate) async fn read_failure(&mut self, exchange: Exchange) -> Failure {
         let replica = exchange.replica.clone();
-        let sent = exchange.in_flight.claim.sent;
+        let sent = exchange.in_flight.sent();
         let fault = if exchange.head.status == StatusCode::MISDIRECTED_REQUEST {
             Fault::Replaced
         } else if exchange.metadata.not_run {
@@ -510,9 +550,11 @@
     }
 
     /// Counts the call for its organisation, as one that began to run at `at`; later calls have no
-    /// effect.
-    pub fn meter(&mut self, at: Time) {
-        if !std::mem::replace(&mut self.metered, true) {
+    /// effect. `None` is a call that another gateway serves and counts.
+    pub fn meter(&mut self, at: Option<Time>) {
+        if let Some(at) = at
+            && !std::mem::replace(&mut self.metered, true)
+        {
             self.shared.meter(at, self.grant.organisation.as_deref());
         }
     }
@@ -521,11 +563,10 @@
     pub fn fail(&mut self, in_flight: &InFlight, replica: &str, fault: Fault) -> Failure {
         self.may_have_run |= !fault.not_run();
         if self.has_likely_run(fault) {
-            self.meter(in_flight.claim.sent);
+            self.meter(in_flight.sent());
         }
-        if fault == Fault::Broken {
-            let mut gateway = self.shared.gateway.borrow_mut();
-            gateway.record_crash(clock::now(), &self.grant, &in_flight.claim);
+        if let Some(claim) = in_flight.claim.filter(|_| fault == Fault::Broken) {
+            self.shared.gateway.borrow_mut().record_crash(clock::now(), &self.grant, &claim);
         }
         in_flight.end(fault.outcome());
         self.record_failure(replica, fault);
@@ -572,9 +613,8 @@
             }
             let left = self.grant.deadline.since(now);
             let mut wait = left;
-            if movable {
-                let silent_in =
-                    self.shared.gateway.borrow().time_until_silent(now, &in_flight.claim);
+            if let Some(claim) = in_flight.claim.filter(|_| movable) {
+                let silent_in = self.shared.gateway.borrow().time_until_silent(now, &claim);
                 if silent_in.0 == 0 {
                     // The attempt is abandoned only if another replica may take the call; otherwise
                     // a stream would break off at the caller because of a pause of its replica.
--- a/gateway/src/body.rs
+++ b/gateway/src/body.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 use futures_util::Stream;
+use futures_util::stream;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Frame;
@@ -32,6 +34,16 @@
         Payload::Full(Full::new(bytes.into()))
     }
 
+    /// Keeps `guard` until the body has been sent or dropped.
+    pub fn holding(self, guard: impl Sized + 'static) -> Payload {
+        let parts = stream::unfold((self, guard), |(mut body, guard)| async {
+            let frame = body.frame().await?;
+            let data = frame.map(|frame| frame.into_data().unwrap_or_default());
+            Some((data, (body, guard)))
+        });
+        Payload::stream(parts)
+    }
+
     /// Creates a body that reads from `parts` as fast as the caller reads.
     pub fn stream(parts: impl Stream<Item = Result<Bytes, Aborted>> + 'static) -> Payload {
         Payload::Stream(Box::pin(parts))
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -33,6 +33,7 @@
 use crate::attempt::Fault;
 use crate::body::Payload;
 use crate::clock;
+use crate::delegation::Delegation;
 use crate::log::Line;
 use crate::relay::Relay;
 use crate::shared::Shared;
@@ -178,7 +179,7 @@
     shared: Shared,
     request: Request<Incoming>,
 ) -> Result<Response<Payload>, Infallible> {
-    let mut response = respond(&shared, request).await;
+    let mut response = respond(&shared, request, None).await;
     if shared.gateway.borrow().is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -186,7 +187,12 @@
     Ok(response)
 }
 
-async fn respond(shared: &Shared, request: Request<Incoming>) -> Response<Payload> {
+/// Responds to one call, which a peer may have delegated.
+pub async fn respond(
+    shared: &Shared,
+    request: Request<Incoming>,
+    delegation: Option<Delegation>,
+) -> Response<Payload> {
     let arrived = clock::now();
     let (head, body) = request.into_parts();
     let submission = match (shared.dialect.parse_call)(&head) {
@@ -194,7 +200,13 @@
         Err(e) => return text_response(StatusCode::BAD_REQUEST, &e.to_string()),
     };
     let recorder = Recorder::new(shared.clone(), submission.id.clone(), arrived);
-    let admitted = shared.gateway.borrow_mut().admit(arrived, &submission);
+    let admitted = match delegation {
+        None => shared.gateway.borrow_mut().admit(arrived, &submission),
+        Some(delegation) => {
+            let mut gateway = shared.gateway.borrow_mut();
+            gateway.admit_delegated(arrived, &submission, delegation.version)
+        }
+    };
     let limits = shared.gateway.borrow().config().map_or_else(Limits::default, |c| c.limits);
     // The body of a refused call is read too, so that the connection stays usable.
     let body = match read_body(body, &limits).await {
@@ -217,6 +229,7 @@
         path: uri.path_and_query().map_or("", |p| p.as_str()),
         body: &body,
     }));
+    grant.attempts = delegation.map_or(0, |delegation| delegation.attempts);
     let shared = shared.clone();
     let call = Call {
         shared,
@@ -228,7 +241,9 @@
         grant,
         may_have_run: false,
         responding: false,
-        metered: false,
+        metered: delegation.is_some_and(|delegation| delegation.metered),
+        is_delegated: delegation.is_some(),
+        is_budgeted: true,
     };
     run(call, recorder).await
 }
@@ -248,7 +263,7 @@
                 }
             },
             Ok(exchange) => {
-                let sent = exchange.in_flight.claim.sent;
+                let sent = exchange.in_flight.sent();
                 match call.collect(exchange, Outcome::Answered).await {
                     Ok(collected) => {
                         call.meter(sent);
@@ -350,7 +365,7 @@
     HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"))
 }
 
-/// Builds a response of the gateway itself.
+/// Builds a response of the gateway itself. A refusal also goes into its extensions.
 fn gateway_response(
     shared: &Shared,
     id: &Bytes,
@@ -360,15 +375,25 @@
     let reason = refusal.map_or_else(|| status.to_string(), |r| r.reason.to_string());
     let mut response = text_response(status, &reason);
     (shared.dialect.set_request_id)(response.headers_mut(), id);
-    if let Some(refusal) = refusal
-        && status == StatusCode::SERVICE_UNAVAILABLE
-    {
-        response.headers_mut().insert(header::RETRY_AFTER, seconds(refusal.retry_after));
+    if let Some(refusal) = refusal {
+        response.extensions_mut().insert(*refusal);
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            response.headers_mut().insert(header::RETRY_AFTER, seconds(refusal.retry_after));
+        }
     }
     response
 }
 
-fn text_response(status: StatusCode, text: &str) -> Response<Payload> {
+/// The response to a delegated call whose head is not even read.
+pub fn refuse_delegated(refusal: &Refusal) -> Response<Payload> {
+    let mut response = text_response(status(refusal), &refusal.reason.to_string());
+    response.extensions_mut().insert(*refusal);
+    response.headers_mut().insert(header::RETRY_AFTER, seconds(refusal.retry_after));
+    response
+}
+
+/// Builds a response with a line of text.
+pub fn text_response(status: StatusCode, text: &str) -> Response<Payload> {
     let mut response = Response::new(Payload::full(format!("{text}\n")));
     *response.status_mut() = status;
     let kind = HeaderValue::from_static("text/plain");
--- a/gateway/src/channel.rs
+++ b/gateway/src/channel.rs
@@ -20,6 +20,7 @@
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 use socket2::SockRef;
+use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -30,6 +31,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time without acknowledgement of sent data after which a peer counts as gone.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Idle time after which a connection to another gateway is probed, and the time between probes. The
+/// peer counts as gone once probes have not been acknowledged for [`UNACKNOWLEDGED_TIMEOUT`].
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time that a pooled connection stays idle. Replicas close idle connections themselves
 /// after some seconds.
 const MAX_IDLE: Span = Span::millis(2_500);
@@ -55,10 +60,31 @@
 /// Returns an error if the address is malformed, the system reports one, or connecting takes longer
 /// than 250 ms.
 pub async fn open(address: &str) -> std::io::Result<Channel> {
+    handshake(connect(address).await?).await
+}
+
+/// Opens a connection to another gateway. Unlike a replica's, its silence is not noticed by other
+/// means: a host that loses power would leave calls without a response until their deadlines.
+///
+/// # Errors
+///
+/// The same as for [`open`].
+pub async fn open_to_peer(address: &str) -> std::io::Result<Channel> {
+    let stream = connect(address).await?;
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_IDLE).with_interval(KEEPALIVE_INTERVAL);
+    SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
+    handshake(stream).await
+}
+
+async fn connect(address: &str) -> std::io::Result<TcpStream> {
     let address: SocketAddr = address.parse().map_err(std::io::Error::other)?;
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    Ok(stream)
+}
+
+async fn handshake(stream: TcpStream) -> std::io::Result<Channel> {
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(std::io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -75,6 +75,9 @@
     pub parse_call: fn(&request::Parts) -> Result<Submission, Malformed>,
     /// Changes the headers of a call for one attempt.
     pub prepare_attempt: fn(&mut HeaderMap, &Attempt<'_>),
+    /// Changes the headers of a call that another gateway is to serve in so many milliseconds; the
+    /// last event is the one that the caller has, if a stream is resumed.
+    pub prepare_delegation: fn(&mut HeaderMap, u64, Option<&Bytes>),
     /// Parses the headers of a replica's response.
     pub parse_response: fn(&HeaderMap) -> Metadata,
     /// Writes the id of the call into the headers of a response of the gateway itself.
--- a/gateway/src/dialect/own.rs
+++ b/gateway/src/dialect/own.rs
@@ -45,7 +45,7 @@
 
 /// Returns the default dialect.
 pub fn dialect() -> Dialect {
-    Dialect { parse_call, prepare_attempt, parse_response, set_request_id }
+    Dialect { parse_call, prepare_attempt, prepare_delegation, parse_response, set_request_id }
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
@@ -106,6 +106,13 @@
     }
 }
 
+fn prepare_delegation(headers: &mut HeaderMap, remaining_ms: u64, last_event: Option<&Bytes>) {
+    headers.insert(PATIENCE, remaining_ms.into());
+    if let Some(Ok(last)) = last_event.map(|last| HeaderValue::from_bytes(last)) {
+        headers.insert(LAST_EVENT, last);
+    }
+}
+
 fn parse_response(headers: &HeaderMap) -> Metadata {
     let load = |value: &str| {
         let mut numbers = value.split(',').map(|n| n.trim().parse().ok());
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -26,6 +26,7 @@
 use crate::call;
 use crate::channel::Pool;
 use crate::clock;
+use crate::delegation;
 use crate::dialect::Dialect;
 use crate::duty;
 use crate::era;
@@ -34,12 +35,12 @@
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::peers;
+use crate::reach;
 use crate::server;
 use crate::shared::Shared;
 use crate::shared::State;
 use crate::store;
 use crate::store::Store;
-use crate::view;
 
 /// Time between checks whether a stopping gateway has finished, and the pause after a failed
 /// `accept`.
@@ -133,7 +134,7 @@
         };
         let callers = server::listen(self.callers).map_err(at(self.callers))?;
         let socket = UdpSocket::bind(self.heartbeats).await.map_err(at(self.heartbeats))?;
-        let views = server::listen(self.heartbeats).map_err(at(self.heartbeats))?;
+        let peers = server::listen(self.heartbeats).map_err(at(self.heartbeats))?;
         let mut others = Vec::new();
         for listener in self.listeners {
             let opened = server::listen(listener.address).map_err(at(listener.address))?;
@@ -160,6 +161,9 @@
             calls_ending: Notify::new(),
             replicas_closing: Notify::new(),
             calls: Cell::new(0),
+            delegated_calls: Cell::new(0),
+            reach_doubted: Notify::new(),
+            reach_changed: Notify::new(),
             rng: RefCell::new(SmallRng::seed_from_u64(self.settings.seed)),
             lines_waiting: Notify::new(),
             duties,
@@ -182,7 +186,9 @@
             renew: Rc::clone(&self.store.renew),
         };
         spawn(Box::pin(store::follow(shared.clone(), entry.clone(), follower, seeds)));
-        spawn(Box::pin(serve_plain(shared.clone(), views, view::respond)));
+        spawn(Box::pin(server::serve(shared.clone(), peers, delegation::serve)));
+        spawn(Box::pin(reach::probe(shared.clone())));
+        spawn(Box::pin(reach::announce(shared.clone())));
         let (announce, renew) = (self.store.announce, self.store.renew);
         let entry_task =
             store::maintain_entry(shared.clone(), entry, eras.clone(), announce, renew);
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -174,7 +174,7 @@
                     Ok(events) if events.is_empty() => {}
                     Ok(events) => {
                         open.in_flight.record_event();
-                        call.meter(clock::now());
+                        call.meter(open.in_flight.sent().map(|_| clock::now()));
                         return Ok(Step::Events(events));
                     }
                     Err(_) => return Err(call.fail(&open.in_flight, &open.replica, Fault::Broken)),
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -60,6 +60,12 @@
     pub replicas_closing: Notify,
     /// Number of calls in progress.
     pub calls: Cell<usize>,
+    /// Number of these that peers delegated.
+    pub delegated_calls: Cell<usize>,
+    /// Wakes the task that probes replicas.
+    pub reach_doubted: Notify,
+    /// Wakes the task that tells peers whether this gateway takes callers.
+    pub reach_changed: Notify,
     /// Buffer of log lines.
     pub lines: Log,
     /// Random numbers for jitter and for the choice of peers.
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -6,7 +6,6 @@
 use laburnumwheel_core::gateway::limit::Statement;
 
 use crate::attempt::Call;
-use crate::attempt::InFlight;
 use crate::clock;
 use crate::departure;
 use crate::dialect;
@@ -16,12 +15,7 @@
 
 impl Call {
     /// Records what a response says about the limit of its replica, and logs changes.
-    pub(crate) fn record_limit(
-        &self,
-        in_flight: &InFlight,
-        pick: &Pick,
-        metadata: &dialect::Metadata,
-    ) {
+    pub(crate) fn record_limit(&self, pick: &Pick, metadata: &dialect::Metadata) {
         if !metadata.sealed && !metadata.not_run {
             return;
         }
@@ -30,7 +24,7 @@
             self.shared.log(line.with("request", String::from_utf8_lossy(&self.submission.id)));
         }
         let mut gateway = self.shared.gateway.borrow_mut();
-        let change = gateway.record_limit(clock::now(), &in_flight.claim, metadata.limit);
+        let change = gateway.record_limit(clock::now(), &pick.claim, metadata.limit);
         drop(gateway);
         if let Some(change) = change {
             limit::log_change(&self.shared, &pick.id, "answer", change);
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -26,6 +26,7 @@
 use laburnumwheel_core::gateway::config::Route;
 use laburnumwheel_core::gateway::config::Service;
 use laburnumwheel_core::gateway::config::Target;
+use laburnumwheel_core::gateway::directory;
 use laburnumwheel_core::gateway::directory::Entry;
 use laburnumwheel_core::gateway::fleet::Listing;
 use laburnumwheel_core::incarnation::Incarnation;
@@ -80,6 +81,9 @@
     WriteLater(String, Duration),
     /// Writes the text at once, and closes the connection after a delay.
     WriteAndCloseLater(String, Duration),
+    /// Sends a stream that ends after this many events, and breaks it off after the first two unless
+    /// it is resumed.
+    Resumable(u32),
     /// Never responds.
     Silent,
 }
@@ -119,6 +123,7 @@
     async fn serve(&self, mut stream: TcpStream, script: &[Action], next: &RefCell<usize>) {
         while let Some(received) = read(&mut stream).await {
             let id = received.id().to_owned();
+            let last: Option<u32> = received.header(own::LAST_EVENT).and_then(|l| l.parse().ok());
             self.received.borrow_mut().push(received);
             let action = script[(*next.borrow()).min(script.len() - 1)].clone();
             *next.borrow_mut() += 1;
@@ -139,6 +144,16 @@
                     tokio::time::sleep(delay).await;
                     return;
                 }
+                Action::Resumable(count) => {
+                    let text = match last {
+                        Some(last) => events(last + 1, count) + END,
+                        None => events(1, 2),
+                    };
+                    let _ = stream.write_all(text.replace("ID", &id).as_bytes()).await;
+                    if last.is_none() {
+                        return;
+                    }
+                }
                 Action::Silent => {
                     // Ends when the gateway closes the connection.
                     let _ = stream.read(&mut [0; 16]).await;
@@ -346,10 +361,11 @@
     }
 }
 
-/// Gateways of which the first reaches the replicas by links of its own.
+/// Gateways that reach the replicas by links of their own.
 pub struct Linked {
     pub gateways: Vec<Running>,
-    pub links: Vec<Link>,
+    /// Links of each gateway.
+    links: Vec<Vec<Link>>,
 }
 
 impl Linked {
@@ -357,13 +373,16 @@
     /// them read the store themselves, because only three do not read for others.
     pub async fn start(count: u64, replicas: &[&Replica]) -> Linked {
         let contents: Contents = Rc::new(RefCell::new(Some(view(replicas))));
-        let mut links = Vec::new();
-        for replica in replicas {
-            links.push(Link::start(replica.address).await);
+        let (mut links, mut stores) = (Vec::new(), Vec::new());
+        for _ in 0..count {
+            let mut own = Vec::new();
+            for replica in replicas {
+                own.push(Link::start(replica.address).await);
+            }
+            let addresses = own.iter().map(|link| link.address.to_string()).collect();
+            stores.push(linked_store(&contents, addresses));
+            links.push(own);
         }
-        let linked: Vec<String> = links.iter().map(|link| link.address.to_string()).collect();
-        let mut stores = vec![linked_store(&contents, linked)];
-        stores.extend((1..count).map(|_| listing_store(&contents)));
         let gateways = gateways_with_stores(stores).await;
         let others = count as usize - 1;
         wait_until("heartbeats of all gateways", || {
@@ -374,19 +393,27 @@
         Linked { gateways, links }
     }
 
-    /// Cuts the first gateway off from all replicas.
-    pub async fn cut(&self, cut: Cut) {
-        for link in &self.links {
+    /// Cuts a gateway off from all replicas.
+    pub async fn cut(&self, gateway: usize, cut: Cut) {
+        for link in &self.links[gateway] {
             link.cut(cut).await;
         }
     }
 
-    pub async fn restore(&self) {
-        for link in &self.links {
+    /// Ends the cut of a gateway.
+    pub async fn restore(&self, gateway: usize) {
+        for link in &self.links[gateway] {
             link.restore().await;
         }
     }
 
+    /// Address for messages between gateways.
+    pub fn peer_address(&self, gateway: usize) -> String {
+        let other = &self.gateways[(gateway + 1) % self.gateways.len()].shared.gateway;
+        let name = directory::short_hash(&format!("gateway-{gateway}"));
+        other.borrow().directory().address(name).unwrap().to_owned()
+    }
+
     /// Addresses that gateway `asked` returns to callers.
     pub fn addresses(&self, asked: usize) -> Vec<String> {
         let gateway = &self.gateways[asked].shared.gateway;
