Keep calls at brittle replicas within shares of their slots

A brittle replica falls over if it must refuse more than so many requests a second, over all gateways, for want of room; it may let fewer wait than usual. Gateways learn of a refusal after it was made, and in a burst all of them at once, so that each may add one.

Change: an answer with the header makes its service brittle for five seconds; gateways gossip that. Then each sends a replica no more calls at a time than its share of seven eighths of the replica's slots. Shares follow from the live gateways on a hash ring, so that they need no messages and 985 gateways fit six slots too. None is sent to a replica in which calls wait, nor for a second or two after a refusal. Lower ranks leave an eighth of the places to the highest one.

Evidence: tests in virtual time; without the pause after refusals, and without the shares, one and three of them fail.

--- /dev/null
+++ b/core/src/gateway/brittle.rs
@@ -0,0 +1,99 @@
+//! Brittle services: their replicas say that they fall over if they must refuse too many requests a
+//! second for want of room.
+//!
+//! Refusals count over all gateways, and a burst meets all of them at once, so that backing off
+//! after a refusal comes too late. While a service is brittle, each gateway keeps its calls in
+//! progress at a replica to its share of the replica's slots. All gateways derive the shares from
+//! the live gateways, without messages: each has the same whole number of slots, and the slots that
+//! are left go to those that follow the replica on a hash ring. Gateways that disagree about one
+//! other gateway then disagree about one slot of a replica.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::incarnation::Digest;
+use crate::time::Span;
+use crate::time::Time;
+
+/// Time after the last statement for which a service counts as brittle.
+const LIFETIME: Span = Span::secs(5);
+/// Divisor of a replica's slots that gives those left unused: a slot is free a little later than its
+/// caller has the answer, and gateways may disagree about who is live.
+const SPARE_DIVISOR: u32 = 8;
+
+/// Brittle service, as gateways pass it on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Short hash of the service's name.
+    pub service: u32,
+    /// Time since the last statement, in milliseconds.
+    pub age_ms: u16,
+}
+
+/// Brittle services that this gateway knows, by the short hash of their names.
+#[derive(Debug, Default)]
+pub struct Table {
+    last_said: BTreeMap<u32, Time>,
+}
+
+impl Table {
+    /// Records a statement of a replica; returns whether its service was not known to be brittle.
+    pub fn record(&mut self, now: Time, at: Time, service: u32) -> bool {
+        let is_new = !self.is_brittle(now, service);
+        let last = self.last_said.entry(service).or_insert(at);
+        *last = (*last).max(at);
+        is_new && self.is_brittle(now, service)
+    }
+
+    /// Whether a service is brittle.
+    pub fn is_brittle(&self, now: Time, service: u32) -> bool {
+        self.last_said.get(&service).is_some_and(|at| now.since(*at) < LIFETIME)
+    }
+
+    /// The brittle services.
+    pub fn gossip(&self, now: Time) -> Vec<Record> {
+        let ages = self.last_said.iter().map(|(service, at)| (*service, now.since(*at)));
+        let recent = ages.filter(|(_, age)| *age < LIFETIME);
+        recent.map(|(service, age)| Record { service, age_ms: age.as_millis() as u16 }).collect()
+    }
+
+    /// Merges a record of another gateway; returns whether the service was not known to be brittle.
+    pub fn receive(&mut self, now: Time, record: &Record) -> bool {
+        self.record(now, now - Span::millis(u64::from(record.age_ms)), record.service)
+    }
+}
+
+/// Number of a replica's slots that all gateways together use while its service is brittle.
+pub fn room(slots: u32) -> u32 {
+    slots.saturating_sub((slots / SPARE_DIVISOR).max(1)).max(1)
+}
+
+/// The live gateways in the order of their short hashes.
+#[derive(Clone, Debug, Default)]
+pub struct Ring {
+    gateways: Vec<u32>,
+    /// Position of this gateway.
+    own: usize,
+}
+
+impl Ring {
+    /// The ring of this gateway and the live other ones, by their short hashes.
+    pub fn new(own: u32, others: impl IntoIterator<Item = u32>) -> Ring {
+        let mut gateways: Vec<u32> = others.into_iter().chain([own]).collect();
+        gateways.sort_unstable();
+        gateways.dedup();
+        let own = gateways.partition_point(|gateway| *gateway < own);
+        Ring { gateways, own }
+    }
+
+    /// This gateway's share of `room` calls in progress at a replica.
+    pub fn share(&self, replica: Digest, room: u32) -> u32 {
+        let count = self.gateways.len().max(1);
+        let first = self.gateways.partition_point(|gateway| *gateway < replica.0);
+        let rank = (self.own + count - first) % count;
+        let (whole, left) = (room as usize / count, room as usize % count);
+        (whole + usize::from(rank < left)) as u32
+    }
+}
--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -10,6 +10,7 @@
 mod departures;
 mod limits;
 mod list;
+mod places;
 mod reconcile;
 mod replica;
 
@@ -17,6 +18,7 @@
 
 use crate::arena::Arena;
 use crate::arena::Key;
+use crate::gateway::brittle;
 use crate::gateway::departure;
 use crate::gateway::gossip;
 use crate::gateway::gossip::Observation;
@@ -66,6 +68,8 @@
     updates: Vec<Update>,
     limits: limit::Table,
     departures: departure::Table,
+    brittle: brittle::Table,
+    ring: brittle::Ring,
 }
 
 impl Fleet {
--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -223,8 +223,12 @@
         if let Some(criteria) = requirements.engine {
             usable = of_side(&open, usable, &criteria, side, |r| !self.is_limited(r));
         }
+        let is_brittle = self.is_brittle(now, requirements.service);
+        let is_reserved = self.is_reserved(now, requirements.service, requirements.rank);
         let is_eligible = |key: &Key<Replica>, replica: &Replica| {
             !tried.contains(key)
+                && !is_reserved
+                && (!is_brittle || self.has_share_left(now, replica))
                 && replica.admits(now, requirements.rank)
                 && !self.is_denied(now, replica, requirements.permit, requirements.rank)
         };
--- a/core/src/gateway/fleet/departures.rs
+++ b/core/src/gateway/fleet/departures.rs
@@ -45,9 +45,10 @@
     /// Whether a call of `rank` that was chosen for a replica may still be sent there. One that is
     /// already under way when the replica says that it leaves is not chosen anew.
     pub fn may_send(&self, now: Time, key: Key<Replica>, rank: u8) -> bool {
-        self.replicas.get(key).is_some_and(|replica| {
-            (replica.is_open() || is_in_grace(now, replica)) && replica.admits(now, rank)
-        })
+        self.has_place(now, key, rank)
+            && self.replicas.get(key).is_some_and(|replica| {
+                (replica.is_open() || is_in_grace(now, replica)) && replica.admits(now, rank)
+            })
     }
 }
 
--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod autoscaler;
 pub mod bootstrap;
+pub mod brittle;
 pub mod budget;
 pub mod config;
 pub mod delta;
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -5,6 +5,7 @@
 //! is checked again before each attempt, because the configuration may have changed since.
 
 mod attempts;
+mod brittle;
 mod cooldowns;
 mod departures;
 mod limits;
@@ -156,6 +157,7 @@
     quarantine: Quarantine,
     own_crashes: Vec<Crash>,
     reach: Reach,
+    ring_updated: Time,
     occupancy: Occupancy,
     issuer: Issuer,
     last_sweep: Time,
@@ -185,6 +187,7 @@
             quarantine: Quarantine::default(),
             own_crashes: Vec::new(),
             reach: Reach::default(),
+            ring_updated: now,
             occupancy: Occupancy::default(),
             issuer: Issuer::default(),
             last_sweep: now,
--- a/core/src/gateway/state/attempts.rs
+++ b/core/src/gateway/state/attempts.rs
@@ -93,6 +93,9 @@
             }
         }
         self.fleet.record_end(now, claim, outcome);
+        if outcome == Outcome::Refused {
+            self.pause_after_refusal(now, claim.replica);
+        }
     }
 
     /// Records that an attempt could not be sent to a replica.
--- /dev/null
+++ b/core/src/gateway/state/brittle.rs
@@ -0,0 +1,70 @@
+//! Brittle services: replicas that fall over if they must refuse too many requests.
+//!
+//! See [`crate::gateway::brittle`].
+
+use rand::Rng;
+
+use super::Gateway;
+use crate::arena::Key;
+use crate::gateway::brittle::Record;
+use crate::gateway::brittle::Ring;
+use crate::gateway::directory;
+use crate::gateway::fleet::Claim;
+use crate::gateway::fleet::Replica;
+use crate::time::Span;
+use crate::time::Time;
+
+/// Time between two updates of the gateways that share the places at replicas.
+const RING_INTERVAL: Span = Span::millis(250);
+/// Range of the time without calls of this gateway after a brittle replica refused one of them: its
+/// room has shrunk, and further calls would be refused too.
+const MIN_REFUSAL_PAUSE: Span = Span::millis(1_000);
+const MAX_REFUSAL_PAUSE: Span = Span::millis(2_000);
+
+impl Gateway {
+    /// Records that an answer says that its replica is brittle. Returns the name of the service if
+    /// that was not known.
+    pub fn record_brittle(&mut self, now: Time, claim: &Claim) -> Option<String> {
+        let service = self.fleet.get(claim.replica)?.listing.service.clone();
+        let short = directory::short_hash(&service);
+        let is_new = self.fleet.brittle_mut().record(now, now, short);
+        self.update_ring(now, is_new);
+        is_new.then_some(service)
+    }
+
+    /// Brittle services to gossip.
+    pub fn gossip_brittle(&self, now: Time) -> Vec<Record> {
+        self.fleet.brittle().gossip(now)
+    }
+
+    /// Merges the brittle services that another gateway knows; returns the names of those that were
+    /// not known.
+    pub fn receive_brittle(&mut self, now: Time, records: &[Record]) -> Vec<String> {
+        let mut is_new = |record: &&Record| self.fleet.brittle_mut().receive(now, record);
+        let new: Vec<u32> = records.iter().filter(&mut is_new).map(|r| r.service).collect();
+        self.update_ring(now, !new.is_empty());
+        let is_named = |service: &&str| new.contains(&directory::short_hash(service));
+        self.fleet.services().filter(is_named).map(str::to_owned).collect()
+    }
+
+    /// Updates the gateways that share places, at once or if the last update is too old.
+    pub(super) fn update_ring(&mut self, now: Time, at_once: bool) {
+        if at_once || now.since(self.ring_updated) >= RING_INTERVAL {
+            self.ring_updated = now;
+            let ring = Ring::new(self.short_hash(), self.directory.live_hashes(now));
+            self.fleet.set_ring(ring);
+        }
+    }
+
+    /// Keeps this gateway's calls away from a brittle replica that refused one, for a while.
+    pub(super) fn pause_after_refusal(&mut self, now: Time, key: Key<Replica>) {
+        let Some(replica) = self.fleet.get(key) else {
+            return;
+        };
+        if self.fleet.is_brittle(now, &replica.listing.service) {
+            let incarnation = replica.listing.incarnation.digest();
+            let pause = self.rng.random_range(MIN_REFUSAL_PAUSE.0..MAX_REFUSAL_PAUSE.0);
+            self.fleet.record_cooldown(key, incarnation, now + Span(pause));
+        }
+    }
+}
--- a/core/src/gateway/state/pick.rs
+++ b/core/src/gateway/state/pick.rs
@@ -56,6 +56,9 @@
         snapshots: &[Snapshot],
     ) -> Result<Pick, Refusal> {
         self.recheck(now, submission, grant)?;
+        if self.fleet.is_brittle(now, &grant.service) {
+            self.update_ring(now, false);
+        }
         let engine = self.engine(grant);
         let criteria = engine.map(|e| self.criteria(now, submission, grant, &e));
         let requirements = requirements(submission, grant, criteria, snapshots);
@@ -98,6 +101,9 @@
     fn refuse_unavailable(&mut self, now: Time, grant: &Grant) -> Refusal {
         let permit = self.fleet.first_permit(now, &grant.service, grant.rank.route);
         let cooldown_end = self.fleet.first_cooldown_end(now, &grant.service);
+        if cooldown_end.is_none() && self.fleet.is_brittle(now, &grant.service) {
+            return Refusal::not_run(Reason::Overloaded, self.random_retry_after());
+        }
         match (permit, cooldown_end) {
             (Some(permit), Some(end)) if end < permit => self.refuse_cooled(now, end),
             (Some(_), _) => self.refuse_limited(now, grant),
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod agreement;
 mod autoscaler;
 mod bootstrap;
+mod brittle;
 mod budget;
 mod cooldowns;
 mod delta;
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -44,6 +44,8 @@
     pub limit: Statement,
     /// The replica is leaving, and must get no new calls.
     pub leaving: bool,
+    /// The replica falls over if it must refuse too many calls.
+    pub brittle: bool,
     /// How long the replica wants no calls, if it refused this one for overload.
     pub advice: Advice,
     /// Seconds for which the replica keeps the connection open while it is idle, if stated.
--- a/gateway/src/dialect/own.rs
+++ b/gateway/src/dialect/own.rs
@@ -43,6 +43,10 @@
 /// Present if the replica is leaving, and must get no new calls.
 pub const LEAVING: &str = "x-laburnum-leaving";
 
+/// Present if the replica falls over when it must refuse too many calls: the number that it bears in
+/// a second.
+pub const BRITTLE: &str = "x-laburnum-brittle";
+
 /// Returns the default dialect.
 pub fn dialect() -> Dialect {
     Dialect { parse_call, prepare_attempt, prepare_delegation, parse_response, set_request_id }
@@ -126,6 +130,7 @@
         load: text(headers, LOAD).and_then(load),
         limit: text(headers, LIMIT).map_or(Statement::Unlimited, Statement::parse),
         leaving: headers.contains_key(LEAVING),
+        brittle: headers.contains_key(BRITTLE),
         advice: retry_after::parse(headers),
         keep_alive: None,
     }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use laburnumwheel_core::gateway::brittle;
 use laburnumwheel_core::gateway::departure;
 use laburnumwheel_core::gateway::directory;
 use laburnumwheel_core::gateway::directory::Heartbeat;
@@ -31,6 +32,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
+use crate::brittle as brittle_services;
 use crate::clock;
 use crate::departure as departures;
 use crate::duty;
@@ -79,6 +81,8 @@
     Permit(u64, limit::permit::Reply),
     /// Departures of replicas, as their answers said.
     Departures(Vec<departure::Record>),
+    /// Brittle services, as answers of their replicas said.
+    Brittle(Vec<brittle::Record>),
 }
 
 /// Data after a heartbeat in its datagram, which gateways of earlier releases ignore.
@@ -300,6 +304,7 @@
 async fn send_statements(shared: &Shared, addresses: &[SocketAddr]) {
     limits::send_limits(shared, addresses).await;
     departures::send(shared, addresses).await;
+    brittle_services::send(shared, addresses).await;
 }
 
 fn encode_heartbeat(shared: &Shared, heartbeat: Heartbeat) -> Option<Vec<u8>> {
@@ -404,6 +409,7 @@
             }
             Message::Limits(records) => limits::receive(&shared, &records),
             Message::Departures(records) => departures::receive(&shared, &records),
+            Message::Brittle(records) => brittle_services::receive(&shared, &records),
             Message::PermitRequest(request, permit) => {
                 let reply = limits::issue(&shared, &permit);
                 send(&shared.socket, from, &Message::Permit(request, reply)).await;
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -6,6 +6,7 @@
 use laburnumwheel_core::gateway::limit::Statement;
 
 use crate::attempt::Call;
+use crate::brittle;
 use crate::clock;
 use crate::departure;
 use crate::dialect;
@@ -43,6 +44,9 @@
         if metadata.leaving {
             departure::record(&self.shared, &pick.id, claim);
         }
+        if metadata.brittle {
+            brittle::record(&self.shared, claim);
+        }
         match metadata.advice.with_status(status) {
             Advice::Absent => {}
             Advice::Wait(wait) => {
--- a/gateway/tests/calls.rs
+++ b/gateway/tests/calls.rs
@@ -70,6 +70,23 @@
     });
 }
 
+/// Brittle replicas say so in refusals too, which are the first answers that some gateways get.
+#[test]
+fn answers_and_refusals_tell_that_a_service_is_brittle() {
+    run(async {
+        for text in [response("200 OK", "answer"), refusal()] {
+            let text = text.replacen("x-request-id", "x-laburnum-brittle: 4\r\nx-request-id", 1);
+            let replica = Replica::start(write(text)).await;
+            let running = gateway_with(&[&replica]).await;
+
+            let _ = call(&running, "/safe/x", "call-1").await;
+
+            let gateway = running.shared.gateway.borrow();
+            assert!(gateway.fleet().is_brittle(clock::now(), "service"));
+        }
+    });
+}
+
 #[test]
 fn idempotent_call_is_repeated_at_another_replica() {
     run(async {
