Let a stop wait for peers' connections only if they carry a delegated call

Found by reading: peers' connections counted like callers', and those that fetch views come all the time, so that the stop of a reader in a large fleet would have lasted for its whole grace period. A delegated call is still waited for; a test stops a delegate while it serves one.

--- a/gateway/src/delegation.rs
+++ b/gateway/src/delegation.rs
@@ -124,6 +124,11 @@
     all.contains(&reason)
 }
 
+/// Whether a peer delegates a call with this request.
+pub fn is_delegated(request: &Request<Incoming>) -> bool {
+    request.headers().contains_key(DELEGATION)
+}
+
 /// Serves peers: delegated calls, and requests for views.
 ///
 /// # Errors
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -37,6 +37,7 @@
 use crate::peers;
 use crate::reach;
 use crate::server;
+use crate::server::Clients;
 use crate::shared::Shared;
 use crate::shared::State;
 use crate::store;
@@ -186,7 +187,7 @@
             renew: Rc::clone(&self.store.renew),
         };
         spawn(Box::pin(store::follow(shared.clone(), entry.clone(), follower, seeds)));
-        spawn(Box::pin(server::serve(shared.clone(), peers, delegation::serve)));
+        spawn(Box::pin(server::serve(shared.clone(), peers, Clients::Peers, delegation::serve)));
         spawn(Box::pin(reach::probe(shared.clone())));
         spawn(Box::pin(reach::announce(shared.clone())));
         let (announce, renew) = (self.store.announce, self.store.renew);
@@ -199,7 +200,7 @@
         spawn(Box::pin(peers::notify_owners(shared.clone())));
         spawn(Box::pin(duty::run_election(shared.clone(), eras)));
         spawn(Box::pin(duty::deliver_usage(shared.clone())));
-        spawn(Box::pin(server::serve(shared.clone(), callers, call::serve)));
+        spawn(Box::pin(server::serve(shared.clone(), callers, Clients::Callers, call::serve)));
         for (listener, handler) in others {
             spawn(Box::pin(serve_plain(shared.clone(), listener, handler)));
         }
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -29,6 +29,7 @@
 
 use crate::body::Payload;
 use crate::clock;
+use crate::delegation;
 use crate::log::Line;
 use crate::shared::Shared;
 
@@ -66,8 +67,18 @@
     calls: Cell<usize>,
 }
 
-/// Accepts callers on `listener` and serves their calls with `respond`, forever.
-pub async fn serve<F, R>(shared: Shared, listener: TcpListener, respond: F)
+/// Who connects to a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Clients {
+    /// Callers, for whose open connections a stop waits.
+    Callers,
+    /// Other gateways, for whose connections a stop waits if they carry a delegated call. Those that
+    /// fetch views come all the time and would delay it.
+    Peers,
+}
+
+/// Accepts `clients` on `listener` and serves their requests with `respond`, forever.
+pub async fn serve<F, R>(shared: Shared, listener: TcpListener, clients: Clients, respond: F)
 where
     F: Fn(Shared, Request<Incoming>) -> R + Copy + 'static,
     R: Future<Output = Result<Response<Payload>, Infallible>> + 'static,
@@ -75,7 +86,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(shared.clone(), stream, respond));
+                tokio::task::spawn_local(connection(shared.clone(), stream, clients, respond));
             }
             Err(e) => {
                 shared.log(Line::new("accept_failed").with("error", e));
@@ -85,7 +96,7 @@
     }
 }
 
-async fn connection<F, R>(shared: Shared, stream: TcpStream, respond: F)
+async fn connection<F, R>(shared: Shared, stream: TcpStream, clients: Clients, respond: F)
 where
     F: Fn(Shared, Request<Incoming>) -> R + Copy + 'static,
     R: Future<Output = Result<Response<Payload>, Infallible>> + 'static,
@@ -93,10 +104,16 @@
     // Errors are ignored: without these options a connection is slower, or outlives its caller.
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
-    shared.connections.set(shared.connections.get() + 1);
+    let counted = Rc::new(Counted { shared: shared.clone(), active: Cell::new(false) });
+    if clients == Clients::Callers {
+        counted.begin();
+    }
     let activity = Rc::new(Activity { last: Cell::new(clock::now()), calls: Cell::new(0) });
     let (s, a) = (shared.clone(), Rc::clone(&activity));
     let service = service_fn(move |request| {
+        if delegation::is_delegated(&request) {
+            counted.begin();
+        }
         let (shared, activity) = (s.clone(), Rc::clone(&a));
         async move {
             let _busy = Busy::new(activity);
@@ -122,7 +139,28 @@
     if served.is_ok() && shared.gateway.borrow().is_stopping() {
         wait_until_read(&connection.into_parts().io.into_inner()).await;
     }
-    shared.connections.set(shared.connections.get() - 1);
+}
+
+/// Counts a connection as open until it is dropped.
+struct Counted {
+    shared: Shared,
+    active: Cell<bool>,
+}
+
+impl Counted {
+    fn begin(&self) {
+        if !self.active.replace(true) {
+            self.shared.connections.set(self.shared.connections.get() + 1);
+        }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        if self.active.get() {
+            self.shared.connections.set(self.shared.connections.get() - 1);
+        }
+    }
 }
 
 /// Waits until the caller has read everything that was written to it.
--- a/gateway/tests/cuts.rs
+++ b/gateway/tests/cuts.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use crate::support::Action;
 use crate::support::Cut;
 use crate::support::END;
@@ -193,6 +195,25 @@
     });
 }
 
+/// A delegate is stopped as planned while it serves a call; the call must not be cut off.
+#[test]
+fn stopping_delegate_finishes_the_calls_that_it_serves() {
+    run(async {
+        let late = Action::WriteLater(response("200 OK", "answer"), Duration::from_millis(500));
+        let replica = Replica::start(vec![late]).await;
+        let mut linked = Linked::start(2, &[&replica]).await;
+        linked.cut(0, Cut::Breaks).await;
+        let delegate = linked.gateways.pop().unwrap();
+        let cut_off = linked.gateways.pop().unwrap();
+        let waiting = tokio::task::spawn_local(async move { call(&cut_off, "/once/x", "c").await });
+        wait_until("the call has arrived", || replica.received.borrow().len() == 1).await;
+
+        delegate.stop().await;
+
+        assert_eq!(waiting.await.unwrap(), (200, Ok("answer".to_owned())));
+    });
+}
+
 /// Gateways that are all cut off must not pass a call round among them.
 #[test]
 fn call_makes_one_hop_when_all_gateways_are_cut_off() {
