Probe services in reach less often, and let only the delegate resume a stream

While one service was down, each gateway opened eight connections a second to replicas of the others; now two in 2 s prove that they are in reach. A stream whose delegate broke it off was resumed by the delegating gateway, which did not know how many replicas the delegate had tried, so that the route's attempts could be exceeded.

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -412,10 +412,15 @@
         let all: Vec<&Entry> = others.chain(own).collect();
         let (local, remote): (Vec<&Entry>, Vec<&Entry>) =
             all.iter().partition(|e| e.domain == domain);
-        let mut candidates = match local.len() >= ENOUGH_LOCAL || remote.is_empty() {
-            true if remote.is_empty() || self.keeps_local(&local, own, domain, rng) => local,
-            true => remote,
-            false => all,
+        let is_enough = local.len() >= ENOUGH_LOCAL;
+        let mut candidates = if remote.is_empty() {
+            local
+        } else if !is_enough {
+            all
+        } else if self.keeps_local(&local, own, domain, rng) {
+            local
+        } else {
+            remote
         };
         candidates.shuffle(rng);
         sample_by_weight(&candidates, rng).into_iter().take(MAX_ADDRESSES).collect()
--- a/core/src/gateway/reach.rs
+++ b/core/src/gateway/reach.rs
@@ -15,6 +15,8 @@
 
 /// Time for which a failed connection counts.
 const FAILURE_LIFETIME: Span = Span::secs(3);
+/// Time for which an opened connection proves that a service is in reach while another one is not.
+const PROOF_LIFETIME: Span = Span::secs(2);
 /// Replicas without a connection from which on others of the service are probed.
 const DOUBTED_REPLICAS: usize = 2;
 /// Replicas without a connection from which on a service is out of reach; all of them if it has
@@ -56,11 +58,17 @@
 #[derive(Debug, Default)]
 pub struct Reach {
     services: BTreeMap<String, Service>,
+    /// Time at which a connection to a replica of each service was last opened.
+    last_opened: BTreeMap<String, Time>,
 }
 
 impl Reach {
     /// Records that a connection to a replica of a service was opened.
-    pub fn record_opened(&mut self, service: &str) -> Option<Change> {
+    pub fn record_opened(&mut self, now: Time, service: &str) -> Option<Change> {
+        match self.last_opened.get_mut(service) {
+            Some(last) => *last = now,
+            None => drop(self.last_opened.insert(service.to_owned(), now)),
+        }
         let removed = self.services.remove(service)?;
         removed.lost_since.map(|_| Change::Restored)
     }
@@ -108,8 +116,17 @@
         first
     }
 
-    /// Whether the replicas of a service must be probed: it is out of reach, or may be.
+    /// Whether the replicas of a service must be probed: it is out of reach, or may be. The calls of
+    /// a service may all use open connections, so that it may be out of reach without a failure if
+    /// another one is.
     pub fn is_doubted(&self, now: Time, service: &str, open: usize) -> bool {
+        let last_opened = self.last_opened.get(service);
+        let is_unproved = last_opened.is_none_or(|at| now.since(*at) >= PROOF_LIFETIME);
+        self.has_failures(now, service, open) || (is_unproved && self.is_any_lost())
+    }
+
+    /// Whether enough connections to replicas of a service failed to doubt that it is in reach.
+    fn has_failures(&self, now: Time, service: &str, open: usize) -> bool {
         let recent = |at: &&Time| now.since(**at) < FAILURE_LIFETIME;
         self.services.get(service).is_some_and(|known| {
             let failed = known.failed.values().filter(recent).count();
@@ -125,6 +142,7 @@
     /// Forgets services that have no replicas any more.
     pub fn retain(&mut self, mut has_replicas: impl FnMut(&str) -> bool) {
         self.services.retain(|service, _| has_replicas(service));
+        self.last_opened.retain(|service, _| has_replicas(service));
     }
 
     /// Whether calls of a service that is out of reach may be delegated.
--- a/core/src/gateway/state/reach.rs
+++ b/core/src/gateway/state/reach.rs
@@ -37,7 +37,7 @@
         let (service, digest) =
             (replica.listing.service.clone(), replica.listing.incarnation.digest());
         let change = match opened {
-            true => self.reach.record_opened(&service),
+            true => self.reach.record_opened(now, &service),
             false => {
                 let open = self.registered(&service);
                 self.reach.record_failed(now, &service, digest, open)
@@ -51,6 +51,11 @@
         self.reach.is_lost(service)
     }
 
+    /// Whether this gateway can open connections to no replica of some service.
+    pub fn is_any_out_of_reach(&self) -> bool {
+        self.reach.is_any_lost()
+    }
+
     /// Whether this gateway can open connections to no replica at all.
     pub fn is_cut_off(&self) -> bool {
         let has_replicas = |service: &&str| self.fleet.open_replicas(service).next().is_some();
@@ -65,8 +70,7 @@
     }
 
     /// Replicas to open a connection to, with their addresses, so that this gateway learns which
-    /// services it reaches; none while there is no doubt. If one service is out of reach, the others
-    /// are probed too: their calls may all use open connections.
+    /// services it reaches; none while there is no doubt.
     pub fn probes(&mut self, now: Time) -> Vec<(Key<Replica>, String)> {
         if let Some(since) = self.reach.confirm_losses(now) {
             self.withdraw_crashes(since - BROKEN_LINK_TIME);
@@ -74,11 +78,10 @@
         let fleet = &self.fleet;
         self.reach.retain(|service| fleet.services().any(|known| known == service));
         let services: Vec<String> = self.fleet.services().map(str::to_owned).collect();
-        let any_lost = self.reach.is_any_lost();
         let mut probes = Vec::new();
         for service in services {
             let open = self.registered(&service);
-            if any_lost || self.reach.is_doubted(now, &service, open) {
+            if self.reach.is_doubted(now, &service, open) {
                 probes.extend(self.probes_of(&service));
             }
         }
--- a/core/tests/gateway/reach.rs
+++ b/core/tests/gateway/reach.rs
@@ -124,10 +124,16 @@
 
     fail(&mut gateway, START, "notices", 2);
     let probes = gateway.probes(START);
+    let engine = replicas(&gateway, "engines")[0];
+    gateway.record_connection(START, engine, true);
+    let proved = gateway.probes(at(500));
+    let much_later = gateway.probes(at(2_500));
 
+    let is_engine = |(_, address): &(Key<Replica>, String)| address.starts_with("engine");
     assert_eq!(before, 0);
-    assert!(probes.iter().any(|(_, address)| address.starts_with("engine")));
-    assert!(probes.iter().any(|(_, address)| address.starts_with("plain")));
+    assert!(probes.iter().any(is_engine) && !probes.iter().all(is_engine));
+    assert!(!proved.is_empty() && !proved.iter().any(is_engine));
+    assert!(much_later.iter().any(is_engine));
 }
 
 /// If a service is down for all gateways, each call would be tried at four of them.
--- a/gateway/src/delegation.rs
+++ b/gateway/src/delegation.rs
@@ -324,12 +324,12 @@
         if metadata.id.as_ref() != Some(&self.submission.id) {
             return Err(self.fail(&in_flight, &delegate.name, Fault::Misattributed));
         }
+        // The delegate makes all further attempts that are allowed, also to resume a stream.
+        self.grant.attempts = self.grant.attempts.max(self.grant.route.attempts);
         let (head, body) = response.into_parts();
         let exchange =
             Exchange { head, metadata, body, in_flight, channel, replica: delegate.name.clone() };
         if exchange.head.status.is_server_error() {
-            // The delegate has made all further attempts that were allowed.
-            self.grant.attempts = self.grant.attempts.max(self.grant.route.attempts);
             return Err(self.read_failure(exchange).await);
         }
         Ok(exchange)
--- a/gateway/src/reach.rs
+++ b/gateway/src/reach.rs
@@ -46,7 +46,7 @@
         shared.reach_doubted.notified().await;
         loop {
             let probes = shared.gateway.borrow_mut().probes(clock::now());
-            if probes.is_empty() {
+            if probes.is_empty() && !shared.gateway.borrow().is_any_out_of_reach() {
                 break;
             }
             let probes = probes.iter().map(|(replica, address)| open(&shared, *replica, address));
