--- a/core/tests/gateway/liveness.rs
+++ b/core/tests/gateway/liveness.rs
@@ -1,6 +1,7 @@
 //! Liveness of the gateways of a large fleet, as its readers collect it, in virtual time.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use laburnumwheel_core::gateway::Gateway;
 use laburnumwheel_core::gateway::Settings;
@@ -12,7 +13,9 @@
 use rand::rngs::SmallRng;
 
 use crate::support::START;
+use crate::support::config;
 use crate::support::entry;
+use crate::support::listings;
 use crate::support::settings;
 
 const GATEWAYS: usize = 420;
@@ -27,6 +30,12 @@
 const LOSS: f64 = 0.01;
 /// Bound on the time until every gateway knows that one has ended.
 const MAX_DETECTION_TIME: Span = Span::secs(4);
+/// Bound on the time until every gateway gives its callers no address of one that is cut off from
+/// all replicas. Callers keep an address for most of a second more, and three seconds after the cut
+/// began they must be served.
+const MAX_WITHDRAWAL_TIME: Span = Span::millis(1_600);
+/// Engines that all gateways know.
+const ENGINES: usize = 4;
 /// Bound on the bytes that a gateway which is no reader sends and receives in a second.
 const MAX_BYTES_PER_S: f64 = 7_000.0;
 
@@ -50,9 +59,11 @@
     };
     let entries: Vec<Entry> = (0..GATEWAYS).map(entry).collect();
     let gateway = |entry: &Entry| {
-        let settings = Settings { entry: entry.clone(), ..settings(&entry.name) };
+        let settings =
+            Settings { entry: entry.clone(), max_proof_age: None, ..settings(&entry.name) };
         let mut gateway = Gateway::new(settings, START);
-        gateway.update_lists(START, START, Vec::new(), entries.clone());
+        gateway.record_read(START, Some(Arc::new(config(1))));
+        gateway.update_lists(START, START, listings(ENGINES), entries.clone());
         gateway
     };
     let gateways = entries.iter().map(gateway).collect();
@@ -168,6 +179,31 @@
     assert!(fewest >= GATEWAYS - 4 - GATEWAYS / 50, "{fewest}");
 }
 
+/// A gateway is cut off from all replicas and lives on. If only those knew that it tells itself, most
+/// callers would still be sent there.
+#[test]
+fn a_large_fleet_gives_callers_no_gateway_that_is_cut_off() {
+    let mut simulation = simulation();
+    simulation.run(Span::secs(4));
+    let (cut_off, now) = (200, simulation.now);
+    let name = simulation.entries[cut_off].name.clone();
+    let open = |simulation: &Simulation| {
+        let takes = |g: &&Gateway| g.directory().last_sign(&name).is_some_and(|(_, open)| open);
+        simulation.running().filter(takes).count()
+    };
+    let before = open(&simulation);
+
+    let gateway = &mut simulation.gateways[cut_off];
+    let engines: Vec<_> = gateway.fleet().open_replicas("engines").map(|(key, _)| key).collect();
+    for engine in engines {
+        gateway.record_connection(now, engine, false);
+    }
+    simulation.run(MAX_WITHDRAWAL_TIME);
+
+    assert_eq!(before, GATEWAYS - 1);
+    assert_eq!(open(&simulation), 0);
+}
+
 /// Heartbeats of a small fleet stay as frequent as they were; those of a large one must not grow
 /// with its size.
 #[test]
