Test that a delegated call is cancelled by the call's own id

Cause: the test's own first call, by which the gateway notices the cut, is delegated to a replica that never responds and is cancelled at its deadline. The test counted it: the count was 1 before the caller had left (printed: [1, 0, 0, 0]), so that the test usually passed whatever the gateway did, and when both cancellations were counted between two checks it waited for 1 while there were 2. Not load: 12 runs beside eight busy processes passed, since the test could hardly fail.

Change: replicas record the ids of cancelled calls, the test waits for that of its call, and both gateways must have counted that the caller left. With a caller that stays, the test fails now (0 instead of 2); it passed before.

--- a/gateway/tests/calls.rs
+++ b/gateway/tests/calls.rs
@@ -255,7 +255,7 @@
         drop(channel);
         waiting.abort();
 
-        while *replica.cancelled.borrow() == 0 {
+        while *replica.cancelled.borrow() != ["call-1"] {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
         assert_eq!(running.shared.calls.get(), 0);
--- a/gateway/tests/cuts.rs
+++ b/gateway/tests/cuts.rs
@@ -190,8 +190,11 @@
         waiting.abort();
         drop(channel);
 
-        let cancelled = || all.iter().map(|r| *r.cancelled.borrow()).sum::<u32>();
-        wait_until("the replica is told", || cancelled() == 1).await;
+        let is_cancelled = |r: &Replica| r.cancelled.borrow().iter().any(|id| id == "call-1");
+        wait_until("the replica is told", || all.iter().any(is_cancelled)).await;
+        // Both gateways gave the call up for its caller, and not at its deadline.
+        let left = linked.gateways.iter().map(|g| counter(g, "outcome=\"caller_left\""));
+        assert_eq!(left.sum::<u64>(), 2);
     });
 }
 
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -95,8 +95,8 @@
     pub received: Rc<RefCell<Vec<Received>>>,
     /// Number of connections accepted.
     pub connections: Rc<RefCell<u32>>,
-    /// Number of connections that the gateway closed before the replica had responded.
-    pub cancelled: Rc<RefCell<u32>>,
+    /// Ids of the calls whose connection the gateway closed before the replica had responded.
+    pub cancelled: Rc<RefCell<Vec<String>>>,
 }
 
 impl Replica {
@@ -157,7 +157,7 @@
                 Action::Silent => {
                     // Ends when the gateway closes the connection.
                     let _ = stream.read(&mut [0; 16]).await;
-                    *self.cancelled.borrow_mut() += 1;
+                    self.cancelled.borrow_mut().push(id);
                     return;
                 }
             }
