Test delegates that are cut off, full or lost, and what they learn

Questions about delegated calls that no test answered: a delegate that is cut off itself, most gateways cut off, a delegate with as many calls as it may have, a departure that a delegate learns of, the rank, a link to the delegate that breaks before the response or in a stream, and a replica that is silent for a second.

Two of them need a peer that breaks off: a stand-in announces itself by heartbeats and follows a script.

--- a/gateway/tests/cuts.rs
+++ b/gateway/tests/cuts.rs
@@ -92,6 +92,14 @@
     });
 }
 
+/// Sends calls that need new connections to a gateway without links until it knows of the loss.
+async fn lose(linked: &Linked, gateway: usize) {
+    let gateway = &linked.gateways[gateway];
+    while !gateway.shared.gateway.borrow().is_out_of_reach("service") {
+        let _ = call(gateway, "/once/x", "first").await;
+    }
+}
+
 /// Four replicas that follow the same script, and three gateways of which the first is cut off.
 async fn cut_off(script: Vec<Action>) -> (Vec<Replica>, Linked) {
     let mut all = Vec::new();
@@ -100,11 +108,7 @@
     }
     let linked = Linked::start(3, &all.iter().collect::<Vec<_>>()).await;
     linked.cut(0, Cut::Breaks).await;
-    let gateway = &linked.gateways[0];
-    // Without links, these calls run nowhere until the gateway delegates them.
-    while !gateway.shared.gateway.borrow().is_out_of_reach("service") {
-        let _ = call(gateway, "/once/x", "first").await;
-    }
+    lose(&linked, 0).await;
     for replica in &all {
         replica.received.borrow_mut().clear();
     }
@@ -129,6 +133,7 @@
         assert_eq!(seen.header("host"), Some("127.0.0.1"));
         assert_eq!(seen.header("authorization"), None);
         assert_eq!(seen.header("x-laburnum-organisation"), Some("museum"));
+        assert_eq!(seen.header("x-laburnum-rank"), Some("1"));
         assert_eq!(seen.header("laburnumwheel-delegation"), None);
         let left: u64 = seen.header("x-laburnum-patience-ms").unwrap().parse().unwrap();
         assert!(left < 3_000);
@@ -217,6 +222,165 @@
     });
 }
 
+/// A gateway learns by the calls delegated to it that it is cut off too. They must be served by the
+/// third one, although the directory still names the second.
+#[test]
+fn call_is_served_although_its_first_delegate_is_cut_off_too() {
+    run(async {
+        let answer = vec![Action::Write(response("200 OK", "answer"))];
+        let (all, linked) = cut_off(answer).await;
+        linked.cut(1, Cut::Breaks).await;
+
+        for i in 0..CALLS {
+            let id = format!("call-{i}");
+            let (status, _) = call(&linked.gateways[0], "/once/x", &id).await;
+            assert_eq!((status, arrivals(&all, &id)), (200, 1));
+        }
+
+        assert!(counter(&linked.gateways[1], "delegated_calls_total") > 0);
+    });
+}
+
+/// Most gateways of a fleet are cut off. Callers of each must be served by the one that is left, and
+/// new ones sent to it.
+#[test]
+fn callers_are_served_while_most_gateways_reach_no_replica() {
+    run(async {
+        let all = replicas(4, &response("200 OK", "answer")).await;
+        let linked = Linked::start(3, &all.iter().collect::<Vec<_>>()).await;
+        for gateway in 0..2 {
+            linked.cut(gateway, Cut::RefusesNew).await;
+            lose(&linked, gateway).await;
+        }
+        let is_given = || linked.addresses(2) == [address("gateway-2")];
+        wait_until("only the last gateway is given to callers", is_given).await;
+
+        let mut statuses = Vec::new();
+        for i in 0..2 * CALLS {
+            let id = format!("call-{i}");
+            statuses.push(call(&linked.gateways[i % 2], "/once/x", &id).await.0);
+        }
+
+        assert_eq!(statuses, [200; 2 * CALLS]);
+    });
+}
+
+/// A gateway that serves as many delegated calls as it may must not be given more, or its own
+/// callers would wait for those of the gateways that are cut off.
+#[test]
+fn full_delegate_is_passed_over() {
+    run(async {
+        let answer = vec![Action::Write(response("200 OK", "answer"))];
+        let (all, linked) = cut_off(answer).await;
+        let fill = |gateway: usize| linked.gateways[gateway].shared.delegated_calls.set(256);
+
+        fill(1);
+        let mut with_one = Vec::new();
+        for i in 0..CALLS {
+            with_one.push(call(&linked.gateways[0], "/once/x", &format!("one-{i}")).await.0);
+        }
+        fill(2);
+        let with_none = send(&linked.gateways[0], "/once/x", "none").await;
+
+        assert_eq!(with_one, [200; CALLS]);
+        assert_eq!(with_none.status(), 503);
+        assert!(with_none.headers().contains_key("retry-after"));
+        assert_eq!(arrivals(&all, "none"), 0);
+    });
+}
+
+/// A delegate learns from an answer that a replica leaves. The gateway that is cut off relays the
+/// answer, and must not send the replica calls when the cut ends.
+#[test]
+fn departure_in_the_answer_to_a_delegated_call_is_known_after_the_cut() {
+    run(async {
+        let leaving = response("200 OK", "a").replacen("\r\n", "\r\nx-laburnum-leaving: 1\r\n", 1);
+        let script = vec![Action::Write(leaving), Action::Write(response("200 OK", "answer"))];
+        let (all, linked) = cut_off(script).await;
+        let _ = call(&linked.gateways[0], "/once/x", "call-1").await;
+        let left = all.iter().position(|r| !r.received.borrow().is_empty()).unwrap();
+
+        linked.restore(0).await;
+        let reaches = || !linked.gateways[0].shared.gateway.borrow().is_out_of_reach("service");
+        wait_until("the replicas are in reach", reaches).await;
+        for i in 0..4 * CALLS {
+            let _ = call(&linked.gateways[0], "/once/x", &format!("later-{i}")).await;
+        }
+
+        let ids: Vec<String> =
+            all[left].received.borrow().iter().map(|call| call.id().to_owned()).collect();
+        assert_eq!(ids, ["call-1"]);
+    });
+}
+
+/// A sound replica falls silent for a second. No cut may be suspected, and no call that is not
+/// idempotent may be sent twice.
+#[test]
+fn silent_replica_is_no_cut_and_gets_its_calls_once() {
+    run(async {
+        let late = Action::WriteLater(response("200 OK", "answer"), Duration::from_millis(1_200));
+        let script = vec![late.clone(), late, Action::Write(response("200 OK", "answer"))];
+        let silent = Replica::start(script).await;
+        let linked = Linked::start(2, &[&silent]).await;
+
+        let (first, second) = tokio::join!(
+            call(&linked.gateways[0], "/once/x", "call-1"),
+            call(&linked.gateways[0], "/once/x", "call-2"),
+        );
+        let (later, _) = call(&linked.gateways[0], "/once/x", "call-3").await;
+
+        assert_eq!((first.0, second.0, later), (200, 200, 200));
+        assert_eq!(silent.received.borrow().len(), 3);
+        for gateway in &linked.gateways {
+            assert_eq!(counter(gateway, "reach_changes_total"), 0);
+            assert_eq!(counter(gateway, "delegations_total"), 0);
+        }
+    });
+}
+
+/// A gateway without links whose only peer is a stand-in that follows a script when it is asked to
+/// serve a call.
+async fn cut_off_with_delegate(action: Action) -> (Replica, Linked) {
+    let replica = Replica::start(vec![Action::Silent]).await;
+    let linked = Linked::start(1, &[&replica]).await;
+    let delegate = Replica::start(vec![action]).await;
+    linked.announce_delegate(delegate.address).await;
+    linked.cut(0, Cut::Breaks).await;
+    lose(&linked, 0).await;
+    delegate.received.borrow_mut().clear();
+    (delegate, linked)
+}
+
+/// The link to a delegate breaks before its response. The call may have run, so that it must be
+/// neither repeated nor reported as not run.
+#[test]
+fn call_is_unknown_if_the_link_to_its_delegate_breaks() {
+    run(async {
+        let broken = Action::WriteAndClose(String::new());
+        let (delegate, linked) = cut_off_with_delegate(broken).await;
+
+        let (status, _) = call(&linked.gateways[0], "/once/x", "call-1").await;
+
+        assert_eq!(status, 502);
+        let received = delegate.received.borrow();
+        assert_eq!(received.iter().filter(|call| call.id() == "call-1").count(), 1);
+    });
+}
+
+/// The link to a delegate breaks in the middle of a stream, which must not look complete.
+#[test]
+fn stream_is_broken_off_if_the_link_to_its_delegate_breaks() {
+    run(async {
+        let head = "laburnumwheel-outcome: answered\r\nx-request-id";
+        let start = events(1, 2).replacen("x-request-id", head, 1);
+        let (_delegate, linked) = cut_off_with_delegate(Action::WriteAndClose(start)).await;
+
+        let (status, body) = call(&linked.gateways[0], "/stream/x", "call-1").await;
+
+        assert_eq!((status, body), (200, Err(())));
+    });
+}
+
 /// Gateways that are all cut off must not pass a call round among them.
 #[test]
 fn call_makes_one_hop_when_all_gateways_are_cut_off() {
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -17,6 +17,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use laburnumwheel_core::gateway::Gateway;
 use laburnumwheel_core::gateway::Settings;
 use laburnumwheel_core::gateway::budget;
 use laburnumwheel_core::gateway::config::Config;
@@ -38,6 +39,8 @@
 use laburnumwheel_gateway::era::Eras;
 use laburnumwheel_gateway::gateway::Builder;
 use laburnumwheel_gateway::gateway::Running;
+use laburnumwheel_gateway::peers;
+use laburnumwheel_gateway::peers::Message;
 use laburnumwheel_gateway::store;
 use laburnumwheel_gateway::store::Reading;
 use laburnumwheel_gateway::store::Store;
@@ -46,12 +49,16 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
 pub const KEY: &str = "secret-key";
 /// Drain delay of the tested gateways, short so that the tests are.
 const DRAIN_DELAY: Duration = Duration::from_millis(200);
 
+/// Time between heartbeats of a stand-in for a gateway.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+
 /// A call as a replica received it.
 #[derive(Clone, Debug, Default)]
 pub struct Received {
@@ -407,6 +414,27 @@
         }
     }
 
+    /// Makes all gateways take whoever listens at `address` for another one that accepts callers.
+    pub async fn announce_delegate(&self, address: SocketAddr) {
+        let heartbeat = Gateway::new(settings("delegate", address), clock::now());
+        let mut heartbeat = heartbeat.heartbeat(clock::now());
+        heartbeat.demands[0].open = true;
+        let message = Message::Heartbeat(Box::new(heartbeat));
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let own = |g: &Running| g.shared.socket.local_addr().unwrap();
+        let gateways: Vec<SocketAddr> = self.gateways.iter().map(own).collect();
+        tokio::task::spawn_local(async move {
+            loop {
+                for gateway in &gateways {
+                    peers::send(&socket, *gateway, &message).await;
+                }
+                tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+            }
+        });
+        let knows = |g: &Running| g.shared.gateway.borrow().live_peers(clock::now()) > 0;
+        wait_until("the delegate is known", || self.gateways.iter().all(knows)).await;
+    }
+
     /// Address for messages between gateways.
     pub fn peer_address(&self, gateway: usize) -> String {
         let other = &self.gateways[(gateway + 1) % self.gateways.len()].shared.gateway;
