Delegate calls for which a gateway has no place at brittle replicas

Callers got 503 from every gateway that had no place at a brittle service, also while the service was idle: with more gateways than slots that is most of the fleet.

Cause: the shares of the slots bound what all gateways send together, and nothing let a gateway without a share use that of another.

After three without a free place the service's calls are not delegated for 100 ms to 1 s, the pause that lost services have (`delegation::Pause`).

Ruled out: more than a share for gateways that see an idle replica, as 985 of them would use it at once; a wait for a place, which holds calls that another gateway can serve.

The loop over delegates no longer has an arm that can't be reached.

--- a/core/src/gateway/brittle.rs
+++ b/core/src/gateway/brittle.rs
@@ -5,14 +5,19 @@
 //! after a refusal comes too late. While a service is brittle, each gateway keeps its calls in
 //! progress at a replica to its share of the replica's slots. All gateways derive the shares from
 //! the live gateways, without messages: each has the same whole number of slots, and the slots that
-//! are left go to those that follow the replica on a hash ring. Gateways that disagree about one
-//! other gateway then disagree about one slot of a replica.
+//! are left go to those that follow the replica on a hash ring. If there are fewer slots than
+//! gateways, those that follow the replica have a few slots each. Gateways that disagree about one
+//! other gateway then disagree about a few slots of a replica at most.
+//!
+//! A gateway without a free place delegates calls to one that has a place: a small service has fewer
+//! slots than a large fleet has gateways.
 
 use std::collections::BTreeMap;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::gateway::delegation::Pause;
 use crate::incarnation::Digest;
 use crate::time::Span;
 use crate::time::Time;
@@ -23,6 +28,10 @@
 /// caller has the answer, and gateways may disagree about who is live.
 const SPARE_DIVISOR: u32 = 8;
 
+/// Places that a gateway has at a replica if there are more gateways than places. With single ones, a
+/// gateway that is asked for a place would be without a free one as often as a place is in use.
+const BUNDLE: u32 = 3;
+
 /// Brittle service, as gateways pass it on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -36,6 +45,8 @@
 #[derive(Debug, Default)]
 pub struct Table {
     last_said: BTreeMap<u32, Time>,
+    /// Pauses of delegation to gateways with places.
+    pauses: BTreeMap<u32, Pause>,
 }
 
 impl Table {
@@ -52,6 +63,16 @@
         self.last_said.get(&service).is_some_and(|at| now.since(*at) < LIFETIME)
     }
 
+    /// Whether calls of a service may be delegated to gateways with places.
+    pub fn may_delegate(&self, now: Time, service: u32) -> bool {
+        self.pauses.get(&service).is_none_or(|pause| pause.is_over(now))
+    }
+
+    /// Records whether one of the gateways that were asked had a place for a call of a service.
+    pub fn record_delegation(&mut self, now: Time, service: u32, is_served: bool) {
+        self.pauses.entry(service).or_default().record(now, is_served);
+    }
+
     /// The brittle services.
     pub fn gossip(&self, now: Time) -> Vec<Record> {
         let ages = self.last_said.iter().map(|(service, at)| (*service, now.since(*at)));
@@ -91,9 +112,23 @@
     /// This gateway's share of `room` calls in progress at a replica.
     pub fn share(&self, replica: Digest, room: u32) -> u32 {
         let count = self.gateways.len().max(1);
-        let first = self.gateways.partition_point(|gateway| *gateway < replica.0);
-        let rank = (self.own + count - first) % count;
-        let (whole, left) = (room as usize / count, room as usize % count);
-        (whole + usize::from(rank < left)) as u32
+        let rank = ((self.own + count - self.first(replica)) % count) as u32;
+        let count = count as u32;
+        if count > room {
+            return room.saturating_sub(rank * BUNDLE).min(BUNDLE);
+        }
+        room / count + u32::from(rank < room % count)
+    }
+
+    /// The gateway that has place number `place` of `room` at a replica, by its short hash.
+    pub fn holder(&self, replica: Digest, place: u32, room: u32) -> Option<u32> {
+        let count = self.gateways.len().max(1);
+        let rank = if count as u32 > room { place / BUNDLE } else { place };
+        self.gateways.get((self.first(replica) + rank as usize) % count).copied()
+    }
+
+    /// Position of the first gateway that follows a replica.
+    fn first(&self, replica: Digest) -> usize {
+        self.gateways.partition_point(|gateway| *gateway < replica.0) % self.gateways.len().max(1)
     }
 }
--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -369,6 +369,12 @@
         Some(member.entry.peer_address.as_str())
     }
 
+    /// The gateway whose name has this short hash, if it is live and accepts callers.
+    pub fn open_entry(&self, now: Time, gateway: u32) -> Option<&Entry> {
+        let mut open = self.members.values().filter(|m| m.open && m.is_live(now));
+        open.find(|m| m.short_hash == gateway).map(|m| &m.entry)
+    }
+
     /// Whether the gateway whose name has this short hash is live.
     pub fn is_live(&self, now: Time, gateway: u32) -> bool {
         self.members.values().any(|m| m.short_hash == gateway && m.is_live(now))
--- a/core/src/gateway/fleet/places.rs
+++ b/core/src/gateway/fleet/places.rs
@@ -1,5 +1,8 @@
 //! Places at replicas of brittle services.
 
+use rand::Rng;
+use rand::rngs::SmallRng;
+
 use super::Fleet;
 use super::Replica;
 use super::cooldown::HIGHEST_RANK;
@@ -50,6 +53,21 @@
         replica.own_calls < self.share(replica) && replica.waiting(now) < 1.0
     }
 
+    /// The gateway that has a random place at the replicas of a service, by its short hash.
+    pub fn random_holder(&self, service: &str, rng: &mut SmallRng) -> Option<u32> {
+        let room = |replica: &Replica| brittle::room(replica.listing.slots);
+        let replicas = self.open_replicas(service).map(|(_, replica)| replica);
+        let total: u32 = replicas.map(room).sum();
+        let mut place = rng.random_range(0..total.max(1));
+        for (_, replica) in self.open_replicas(service) {
+            if place < room(replica) {
+                return self.ring.holder(replica.digest(), place, room(replica));
+            }
+            place -= room(replica);
+        }
+        None
+    }
+
     fn share(&self, replica: &Replica) -> u32 {
         self.ring.share(replica.digest(), brittle::room(replica.listing.slots))
     }
--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod brittle;
 pub mod budget;
 pub mod config;
+pub mod delegation;
 pub mod delta;
 pub mod departure;
 pub mod directory;
--- a/core/src/gateway/reach.rs
+++ b/core/src/gateway/reach.rs
@@ -9,6 +9,7 @@
 
 use derive_more::Display;
 
+use crate::gateway::delegation::Pause;
 use crate::incarnation::Digest;
 use crate::time::Span;
 use crate::time::Time;
@@ -24,11 +25,6 @@
 const LOST_REPLICAS: usize = 4;
 /// Time after which a loss is certain: the probes in it would have found a live replica.
 const CONFIRMATION_TIME: Span = Span::secs(1);
-/// Range of the time in which no call of a service is delegated after all peers that were asked
-/// reached no replica either. The service is down then, and asking for each call would multiply its
-/// load on the other gateways.
-const MIN_DELEGATION_PAUSE: Span = Span::millis(100);
-const MAX_DELEGATION_PAUSE: Span = Span::secs(1);
 
 /// Change of the reach of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
@@ -48,10 +44,8 @@
     lost_since: Option<Time>,
     /// Whether [`Reach::confirm_losses`] has returned this loss.
     is_confirmed: bool,
-    /// End of the time in which no call is delegated.
-    paused_until: Time,
-    /// Length of the last such time; zero if a peer has served a call since.
-    pause: Span,
+    /// Pause of delegation, as the service may be down.
+    pause: Pause,
 }
 
 /// Reach of all services.
@@ -149,19 +143,13 @@
     pub fn may_delegate(&self, now: Time, service: &str) -> bool {
         self.services
             .get(service)
-            .is_some_and(|known| known.lost_since.is_some() && now >= known.paused_until)
+            .is_some_and(|known| known.lost_since.is_some() && known.pause.is_over(now))
     }
 
     /// Records whether a peer that was asked to serve a call of a service reached a replica.
     pub fn record_delegation(&mut self, now: Time, service: &str, reached: bool) {
-        let Some(known) = self.services.get_mut(service) else {
-            return;
-        };
-        if reached {
-            known.pause = Span(0);
-            return;
+        if let Some(known) = self.services.get_mut(service) {
+            known.pause.record(now, reached);
         }
-        known.pause = Span(known.pause.0 * 2).max(MIN_DELEGATION_PAUSE).min(MAX_DELEGATION_PAUSE);
-        known.paused_until = now + known.pause;
     }
 }
--- a/core/src/gateway/refusal.rs
+++ b/core/src/gateway/refusal.rs
@@ -22,6 +22,8 @@
     NoReplica,
     /// Every replica is too loaded to answer in time.
     Overloaded,
+    /// This gateway has no place left at the replicas, which are brittle.
+    NoPlace,
     /// Every replica has a limit, and its permits go to other calls.
     Limited,
     /// Every replica asked for a time without calls, or has just begun to get some again.
--- a/core/src/gateway/state/brittle.rs
+++ b/core/src/gateway/state/brittle.rs
@@ -5,15 +5,19 @@
 use rand::Rng;
 
 use super::Gateway;
+use super::Grant;
 use crate::arena::Key;
 use crate::gateway::brittle::Record;
 use crate::gateway::brittle::Ring;
 use crate::gateway::directory;
+use crate::gateway::directory::Entry;
 use crate::gateway::fleet::Claim;
 use crate::gateway::fleet::Replica;
 use crate::time::Span;
 use crate::time::Time;
 
+/// Places that are drawn to find one of another gateway that is live.
+const MAX_DRAWS: usize = 8;
 /// Time between two updates of the gateways that share the places at replicas.
 const RING_INTERVAL: Span = Span::millis(250);
 /// Range of the time without calls of this gateway after a brittle replica refused one of them: its
@@ -47,6 +51,28 @@
         self.fleet.services().filter(is_named).map(str::to_owned).collect()
     }
 
+    /// The gateway to delegate a call to for which this one has no place: one with a random place at
+    /// the replicas of its service, other than those whose names are in `tried`.
+    pub fn select_holder(&mut self, now: Time, grant: &Grant, tried: &[String]) -> Option<Entry> {
+        if !self.fleet.brittle().may_delegate(now, directory::short_hash(&grant.service)) {
+            return None;
+        }
+        for _ in 0..MAX_DRAWS {
+            let holder = self.fleet.random_holder(&grant.service, &mut self.rng)?;
+            let entry = self.directory.open_entry(now, holder);
+            if let Some(entry) = entry.filter(|entry| !tried.contains(&entry.name)) {
+                return Some(entry.clone());
+            }
+        }
+        None
+    }
+
+    /// Records whether one of the gateways that were asked had a place for a call of a service.
+    pub fn record_holders(&mut self, now: Time, service: &str, had_place: bool) {
+        let service = directory::short_hash(service);
+        self.fleet.brittle_mut().record_delegation(now, service, had_place);
+    }
+
     /// Updates the gateways that share places, at once or if the last update is too old.
     pub(super) fn update_ring(&mut self, now: Time, at_once: bool) {
         if at_once || now.since(self.ring_updated) >= RING_INTERVAL {
--- a/core/src/gateway/state/pick.rs
+++ b/core/src/gateway/state/pick.rs
@@ -102,7 +102,7 @@
         let permit = self.fleet.first_permit(now, &grant.service, grant.rank.route);
         let cooldown_end = self.fleet.first_cooldown_end(now, &grant.service);
         if cooldown_end.is_none() && self.fleet.is_brittle(now, &grant.service) {
-            return Refusal::not_run(Reason::Overloaded, self.random_retry_after());
+            return Refusal::not_run(Reason::NoPlace, self.random_retry_after());
         }
         match (permit, cooldown_end) {
             (Some(permit), Some(end)) if end < permit => self.refuse_cooled(now, end),
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -29,6 +29,7 @@
 use laburnumwheel_core::gateway::fleet::Outcome;
 use laburnumwheel_core::gateway::limit::permit::Permit;
 use laburnumwheel_core::gateway::occupancy::Snapshot;
+use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::gateway::refusal::Refusal;
 use laburnumwheel_core::gateway::submission::Submission;
 use laburnumwheel_core::time::Span;
@@ -254,7 +255,7 @@
     }
 
     /// Makes one attempt, up to the head of the response. While this gateway can't reach the service
-    /// of the call, another one makes the attempt.
+    /// of the call, or has no place for it at brittle replicas, another one makes the attempt.
     ///
     /// # Errors
     ///
@@ -274,13 +275,32 @@
         }
         let queries = self.shared.gateway.borrow_mut().queries(now, &self.submission, &self.grant);
         let snapshots = peers::request_snapshots(&self.shared, queries).await;
-        let mut pick = self.pick_permitted(&snapshots, last_event.is_some()).await?;
+        let mut pick = match self.pick_permitted(&snapshots, last_event.is_some()).await {
+            Err(Failure::Denied(refusal)) if refusal.reason == Reason::NoPlace => {
+                return self.find_place(last_event, refusal).await;
+            }
+            picked => picked?,
+        };
         let channel = self.connect(&pick).await?;
         self.confirm(&pick)?;
         let request = self.request(&pick, last_event);
         self.send(&mut pick, channel, request).await
     }
 
+    /// Makes one attempt at a gateway that has a place for the call, unless another one delegated it.
+    async fn find_place(
+        &mut self,
+        last_event: Option<&Bytes>,
+        refusal: Refusal,
+    ) -> Result<Exchange, Failure> {
+        if self.is_delegated {
+            let mut gateway = self.shared.gateway.borrow_mut();
+            gateway.withdraw_call(clock::now(), &self.grant.service);
+            return Err(Failure::Denied(refusal));
+        }
+        self.delegate_to_holder(last_event, refusal).await
+    }
+
     /// Picks a replica that the call may be sent to now. If the replica has a limit, this needs a
     /// permit, and maybe a wait; without one, another replica is picked.
     async fn pick_permitted(
--- a/gateway/src/delegation.rs
+++ b/gateway/src/delegation.rs
@@ -1,4 +1,5 @@
-//! Delegates calls to other gateways while this one can't reach the replicas of their service.
+//! Delegates calls to other gateways while this one can't reach the replicas of their service, or has
+//! no place left at brittle ones.
 //!
 //! The delegate serves a call as it serves a caller's: it checks the key, chooses the replica,
 //! retries and counts the usage. The delegating gateway keeps the caller's connection and passes the
@@ -22,6 +23,8 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header;
+use laburnumwheel_core::gateway::Gateway;
+use laburnumwheel_core::gateway::Grant;
 use laburnumwheel_core::gateway::directory::Entry;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::gateway::refusal::Refusal;
@@ -49,6 +52,9 @@
 const OUTCOME: &str = "laburnumwheel-outcome";
 /// Most gateways that one attempt of a call is delegated to in turn.
 const MAX_DELEGATES: usize = 3;
+/// Most gateways that one attempt of a call is delegated to in turn for want of a place. In an
+/// overload of all replicas each of them costs a call that is refused in the end.
+const MAX_HOLDERS: usize = 3;
 /// Delegated calls that a gateway serves at a time; further ones are refused, so that its own
 /// callers are served when most of the fleet is cut off.
 const MAX_DELEGATED_CALLS: usize = 256;
@@ -119,6 +125,7 @@
         Reason::StaleConfiguration,
         Reason::Stopping,
         Reason::NoReplica,
+        Reason::NoPlace,
         Reason::Saturated,
     ];
     all.contains(&reason)
@@ -195,7 +202,8 @@
 }
 
 impl Call {
-    /// Makes one attempt of the call at another gateway, up to the head of the response.
+    /// Makes one attempt of a call whose service is out of reach at another gateway, up to the head
+    /// of the response.
     ///
     /// # Errors
     ///
@@ -204,35 +212,59 @@
         &mut self,
         last_event: Option<&Bytes>,
     ) -> Result<Exchange, Failure> {
-        let service = self.grant.service.clone();
+        let select = |gateway: &mut Gateway, _: &Grant, tried: &[String]| {
+            gateway.select_delegate(clock::now(), tried)
+        };
+        let result = self.delegate_in_turn(MAX_DELEGATES, last_event, select).await;
+        let mut gateway = self.shared.gateway.borrow_mut();
+        gateway.record_delegation(clock::now(), &self.grant.service, result.is_some());
+        result.unwrap_or_else(|| Err(Failure::Denied(gateway.refuse_unreachable())))
+    }
+
+    /// Makes one attempt of a call for which this gateway has no place, at one that has, up to the
+    /// head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no response to read; `refusal` if no gateway has a place.
+    pub(crate) async fn delegate_to_holder(
+        &mut self,
+        last_event: Option<&Bytes>,
+        refusal: Refusal,
+    ) -> Result<Exchange, Failure> {
+        let select = |gateway: &mut Gateway, grant: &Grant, tried: &[String]| {
+            gateway.select_holder(clock::now(), grant, tried)
+        };
+        let result = self.delegate_in_turn(MAX_HOLDERS, last_event, select).await;
+        let mut gateway = self.shared.gateway.borrow_mut();
+        gateway.record_holders(clock::now(), &self.grant.service, result.is_some());
+        result.unwrap_or(Err(Failure::Denied(refusal)))
+    }
+
+    /// Makes one attempt of the call at the first of the gateways that `select` returns that can
+    /// serve it; asks `most` of them. `None` if none can; the call has not run there.
+    async fn delegate_in_turn(
+        &mut self,
+        most: usize,
+        last_event: Option<&Bytes>,
+        select: impl Fn(&mut Gateway, &Grant, &[String]) -> Option<Entry>,
+    ) -> Option<Result<Exchange, Failure>> {
         let mut tried = Vec::new();
-        while tried.len() < MAX_DELEGATES {
-            let now = clock::now();
-            let delegate = self.shared.gateway.borrow_mut().select_delegate(now, &tried);
-            let Some(delegate) = delegate else {
-                break;
-            };
+        while tried.len() < most {
+            let delegate = select(&mut self.shared.gateway.borrow_mut(), &self.grant, &tried)?;
             tried.push(delegate.name.clone());
-            match self.delegate_to(&delegate, last_event).await {
-                Err(Rejection::Elsewhere) => {}
-                result => {
-                    let now = clock::now();
-                    let mut gateway = self.shared.gateway.borrow_mut();
-                    gateway.record_delegation(now, &service, true);
-                    if std::mem::take(&mut self.is_budgeted) {
-                        gateway.withdraw_call(now, &service);
-                    }
-                    drop(gateway);
-                    return result.map_err(|rejection| match rejection {
-                        Rejection::Failed(failure) => failure,
-                        Rejection::Elsewhere => Failure::Fault(Fault::Unreachable, None),
-                    });
-                }
+            let result = match self.delegate_to(&delegate, last_event).await {
+                Err(Rejection::Elsewhere) => continue,
+                Err(Rejection::Failed(failure)) => Err(failure),
+                Ok(exchange) => Ok(exchange),
+            };
+            if std::mem::take(&mut self.is_budgeted) {
+                let mut gateway = self.shared.gateway.borrow_mut();
+                gateway.withdraw_call(clock::now(), &self.grant.service);
             }
+            return Some(result);
         }
-        let mut gateway = self.shared.gateway.borrow_mut();
-        gateway.record_delegation(clock::now(), &service, false);
-        Err(Failure::Denied(gateway.refuse_unreachable()))
+        None
     }
 
     async fn delegate_to(
