Test guards of departures, cooldowns, limits, crashes and the leader

Each was taken out again and the new test fails: the random end of a cooldown, the random Retry-After of limits, crashes told from interrupted streams, a call that may outlast the lease, standing back after a lost term and after a start, a read that was overtaken and one that is old, departures in errors and refusals (the older test of these passes with or without the guard: its other replica serves, so that a failure keeps calls away as well).

Found while writing them: the first version of the test of interrupted streams passed without its guard, since the cause explained all crashes anyway. It now meets two causes.

Not tested: the check right before sending in `Call::confirm`. On the loopback interface a connection is ready before anything can change between the choice and the check.

--- a/core/tests/gateway/cooldowns.rs
+++ b/core/tests/gateway/cooldowns.rs
@@ -1,8 +1,12 @@
 //! Replicas that refuse calls and ask for a time without any.
 
+use std::sync::Arc;
+
 use laburnumwheel_core::gateway::Gateway;
 use laburnumwheel_core::gateway::Grant;
 use laburnumwheel_core::gateway::Pick;
+use laburnumwheel_core::gateway::Settings;
+use laburnumwheel_core::gateway::directory::Entry;
 use laburnumwheel_core::gateway::fleet::Listing;
 use laburnumwheel_core::gateway::fleet::Outcome;
 use laburnumwheel_core::gateway::limit::Kind;
@@ -17,10 +21,12 @@
 
 use crate::net::Net;
 use crate::support::START;
+use crate::support::config;
 use crate::support::entry;
 use crate::support::gateway;
 use crate::support::listing;
 use crate::support::listings;
+use crate::support::settings;
 use crate::support::submission;
 
 const WAIT: Span = Span::secs(3);
@@ -92,6 +98,30 @@
     assert_eq!(at(&mut gateway, WAIT + EXTENSION), None);
 }
 
+/// Guards against gateways that were refused together and return to an overloaded engine in the same
+/// moment.
+#[test]
+fn cooldowns_of_many_gateways_end_at_different_times() {
+    let entries: Vec<Entry> = (0..100).map(|i| entry(&format!("g{i}"))).collect();
+    let cooldown_end = |(seed, own): (u64, &Entry)| {
+        let settings = Settings { entry: own.clone(), seed, ..settings("one") };
+        let mut gateway = Gateway::new(settings, START);
+        gateway.record_read(START, Some(Arc::new(config(1))));
+        gateway.update_lists(START, START, listings(1), entries.clone());
+        let pick = send(&mut gateway, START, "chat").unwrap();
+        refuse(&mut gateway, START, pick, WAIT);
+        gateway.fleet().first_cooldown_end(START, "engines").unwrap()
+    };
+
+    let mut ends: Vec<Time> = (0..).zip(&entries).map(cooldown_end).collect();
+    ends.sort();
+
+    assert!(ends[0] >= START + WAIT);
+    // On average 25 of them end in a tenth of a second.
+    let crowd = ends.windows(50).find(|some| some[49].since(some[0]) < Span::millis(100));
+    assert_eq!(crowd, None);
+}
+
 /// Guards against an overlapping request for a shorter time that ends a longer one.
 #[test]
 fn overlapping_cooldowns_end_with_the_last() {
--- a/core/tests/gateway/leader.rs
+++ b/core/tests/gateway/leader.rs
@@ -6,6 +6,7 @@
 
 mod model;
 
+use laburnumwheel_core::gateway::leader::Cause;
 use laburnumwheel_core::gateway::leader::Election;
 use laburnumwheel_core::gateway::leader::Lease;
 use laburnumwheel_core::gateway::leader::Outcome;
@@ -142,6 +143,77 @@
     assert_eq!(election.active_token(now), None);
 }
 
+/// Time at which the terms of the tests begin, longer after the start than the cooldown.
+const BEGAN: Time = Time(60_000_000);
+
+fn lease() -> Lease {
+    let position = Position { era: 1, revision: 7 };
+    Lease { sent: BEGAN, id: 5, ttl: TIMING.lease_duration, position, last_era: Some(1) }
+}
+
+/// Time from `from` on at which a gateway campaigns that reads all the time that there is no leader.
+fn first_campaign(mut election: Election, from: Time) -> Time {
+    let times = (0..).map(|step| from + Span::millis(50 * step));
+    let mut campaigns = |at: &Time| {
+        election.observe(*at, *at, None);
+        election.step(*at, 1, 0) == Step::Campaign
+    };
+    times.into_iter().find(&mut campaigns).unwrap()
+}
+
+/// A call that begins shortly before the lease ends would arrive after those of the next leader.
+#[test]
+fn no_call_begins_that_may_outlast_the_lease() {
+    let mut election = Election::new(TIMING, Time(0), false);
+    election.begin_term(BEGAN, &lease());
+    let last = BEGAN + TIMING.lease_duration - TIMING.call_timeout;
+
+    let in_time = election.begin_call(last, 1);
+    let too_late = election.begin_call(last + Span(1), 1);
+
+    assert!(in_time.is_some());
+    assert_eq!(too_late, None);
+}
+
+/// A gateway that lost its term must not act again between two others, or holders would alternate.
+#[test]
+fn gateway_that_lost_its_term_stands_back() {
+    let mut election = Election::new(TIMING, Time(0), false);
+    election.begin_term(BEGAN, &lease());
+    let lost = BEGAN + Span::secs(1);
+    election.end_term(lost, Cause::LeaseEnded);
+
+    let campaign = first_campaign(election, lost);
+
+    assert!(campaign >= lost + TIMING.cooldown);
+    assert!(campaign <= lost + TIMING.cooldown + Span::millis(50));
+}
+
+/// A process that has just started may have led before, and does not know.
+#[test]
+fn gateway_that_has_started_stands_back_unless_the_whole_system_starts() {
+    let restarted = first_campaign(Election::new(TIMING, BEGAN, false), BEGAN);
+    let first = first_campaign(Election::new(TIMING, BEGAN, true), BEGAN);
+
+    assert!(restarted >= BEGAN + TIMING.cooldown);
+    assert_eq!(first, BEGAN);
+}
+
+/// Reads overtake each other. One that was sent before a leader's record was written must not hide
+/// it, and one that is old shows no longer that there is none.
+#[test]
+fn stale_read_shows_no_vacancy() {
+    let mut overtaken = Election::new(TIMING, BEGAN, true);
+    let mut outdated = Election::new(TIMING, BEGAN, true);
+
+    overtaken.observe(BEGAN + Span::millis(20), BEGAN + Span::millis(10), Some(7));
+    overtaken.observe(BEGAN + Span::millis(30), BEGAN, None);
+    outdated.observe(BEGAN, BEGAN, None);
+
+    assert_ne!(overtaken.step(BEGAN + Span::millis(30), 1, 0), Step::Campaign);
+    assert_ne!(outdated.step(BEGAN + Span::secs(2), 1, 0), Step::Campaign);
+}
+
 #[test]
 fn a_position_out_of_range_has_no_token() {
     let position = Position { era: 1 << 13, revision: 1 };
--- a/core/tests/gateway/limits.rs
+++ b/core/tests/gateway/limits.rs
@@ -503,3 +503,19 @@
         }
     }
 }
+
+/// Guards against callers that were refused together for want of permits and return together.
+#[test]
+fn callers_that_get_no_permit_return_at_different_times() {
+    let mut gateway = gateway(1);
+    let grant = gateway.admit(START, &submission("chat", &[])).unwrap();
+
+    let refusals = (0..100).map(|_| gateway.refuse_limited(START, &grant).retry_after);
+    let mut waits: Vec<Span> = refusals.collect();
+    waits.sort();
+
+    assert!(waits[0] >= Span::millis(100));
+    // On average 20 of them return in 20 ms.
+    let crowd = waits.windows(50).find(|some| some[49].0 - some[0].0 < Span::millis(20).0);
+    assert_eq!(crowd, None);
+}
--- a/core/tests/gateway/quarantine.rs
+++ b/core/tests/gateway/quarantine.rs
@@ -422,6 +422,43 @@
     assert_eq!(gateway.fingerprints_quarantined(later), 0);
 }
 
+/// Sends a call to the engine of this number; returns its claim.
+fn send_to(gateway: &mut Gateway, engine: usize, fingerprint: Fingerprint) -> (Grant, Claim) {
+    let call = submission("chat", &[(1, 500)]);
+    gateway.confirm_view(START);
+    let mut grant = gateway.admit(START, &call).unwrap();
+    grant.fingerprint = Some(fingerprint);
+    grant.tried = gateway.fleet().open_replicas("engines").map(|(key, _)| key).collect();
+    grant.tried.remove(engine);
+    let mut pick = gateway.pick(START, &call, &mut grant, &[]).unwrap();
+    gateway.record_sent(START, &call, &mut grant, &mut pick);
+    (grant, pick.claim)
+}
+
+/// A long stream meets more crashes than any one of the requests that cause them. It had begun to be
+/// answered at each engine. Counted like theirs, its crashes would explain all of them, so that it
+/// would be quarantined and the causes would not.
+#[test]
+fn stream_that_others_crashes_interrupt_is_not_quarantined() {
+    let mut gateway = gateway(12);
+    for engine in 0..=CRASH_THRESHOLD {
+        let (stream, mut interrupted) = send_to(&mut gateway, engine, HARMLESS);
+        gateway.record_event(START, &mut interrupted);
+        let cause = if engine < CRASH_THRESHOLD { CRASHING } else { Fingerprint(3) };
+        let (cause, crashed) = send_to(&mut gateway, engine, cause);
+        gateway.record_crash(START, &stream, &interrupted);
+        gateway.record_crash(START, &cause, &crashed);
+    }
+
+    let later = START + LIVENESS_DELAY + Span::millis(1);
+    let transitions = gateway.reevaluate_quarantine(later);
+
+    let quarantined: Vec<Fingerprint> =
+        transitions.iter().filter(|t| t.quarantined).map(|t| t.fingerprint).collect();
+    assert_eq!(quarantined, [CRASHING]);
+    assert_eq!(gateway.fingerprints_quarantined(later), 1);
+}
+
 /// All gateways stop at once and new ones start with the records of the store. The record must be
 /// stored once, not by each gateway in turn, must take effect after the restart, and must be
 /// removed after a complete answer.
--- a/gateway/tests/withheld.rs
+++ b/gateway/tests/withheld.rs
@@ -5,6 +5,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use hyper::header;
 use laburnumwheel_gateway::dialect::own;
@@ -24,6 +25,9 @@
 use crate::support::view;
 use crate::support::wait_until;
 
+/// Longer than the time in which replicas that leave get the calls that no other can take.
+const LAST_RESORT_TIME: Duration = Duration::from_millis(1_100);
+
 /// Adds a header to an answer.
 fn with(answer: &str, name: &str, value: &str) -> String {
     answer.replacen("\r\n", &format!("\r\n{name}: {value}\r\n"), 1)
@@ -76,6 +80,30 @@
     });
 }
 
+/// Guards against a departure that is not read in errors and refusals. Both replicas fail alike, so
+/// that nothing else keeps calls away from them.
+#[test]
+fn replicas_that_leave_with_an_error_get_no_further_calls() {
+    run(async {
+        for answer in [response("500 Error", "failed"), refusal()] {
+            let (first, second) = replicas(leaving(&answer), leaving(&answer)).await;
+            let running = gateway_with(&[&first, &second]).await;
+            let counts = || [&first, &second].map(|replica| replica.received.borrow().len());
+            while counts().contains(&0) {
+                let _ = call(&running, "/once/x", "first").await;
+            }
+
+            tokio::time::sleep(LAST_RESORT_TIME).await;
+            let before = counts();
+            for i in 0..5 {
+                assert_eq!(call(&running, "/once/x", &format!("call-{i}")).await.0, 503);
+            }
+
+            assert_eq!(counts(), before);
+        }
+    });
+}
+
 /// Guards against refusals that are not attributed to a call, and therefore not heard at all.
 #[test]
 fn cooldown_counts_in_a_response_without_an_id() {
@@ -121,7 +149,7 @@
         let mut statuses = Vec::new();
         for i in 1..50 {
             statuses.push(call(&running, "/safe/x", &format!("call-{i}")).await.0);
-            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
         }
 
         assert!(statuses.contains(&200), "{statuses:?}");
