Test that a delegate with a newer configuration refuses

The gateway had lost the store and its peers and delegated a call to one that had read version 3; the next call was its own again. The same could happen in a cut from the replicas while a configuration spreads. Only older delegates refused.

--- a/core/tests/gateway/reach.rs
+++ b/core/tests/gateway/reach.rs
@@ -227,6 +227,18 @@
     assert_eq!((refusal.reason, refusal.not_run), (Reason::StaleConfiguration, true));
 }
 
+/// Served by a newer version, a call would show its effects at the delegating gateway, which would
+/// serve the next one by the older version: its configuration would go back.
+#[test]
+fn delegate_with_a_newer_configuration_refuses() {
+    let mut delegate = gateway(2);
+    delegate.record_read(START, Some(Arc::new(config(3))));
+
+    let refusal = delegate.admit_delegated(START, &submission("chat", &[]), 2).unwrap_err();
+
+    assert_eq!((refusal.reason, refusal.not_run), (Reason::StaleConfiguration, true));
+}
+
 /// A fleet of `count` gateways in `domains` failure domains, known to the gateway `one`, of which
 /// those named by `is_open` accept callers.
 fn fleet(count: usize, domains: usize, is_open: impl Fn(usize) -> bool) -> Gateway {
@@ -270,6 +282,21 @@
     assert!((share(&mut small, "domain-0", "g3") - 0.5).abs() < 0.05, "two of three keep all");
 }
 
+/// Two or all of the three gateways of a failure domain are cut off. Its callers must be spread over
+/// the gateways that are left.
+#[test]
+fn callers_of_a_small_domain_that_is_cut_off_are_spread_over_the_others() {
+    let mut most = fleet(9, 3, |i| i % 3 != 0 || i == 0);
+    let mut whole = fleet(9, 3, |i| i % 3 != 0);
+
+    assert!(share(&mut most, "domain-0", "g0") < 2.2 / 3.0);
+    for other in [1, 2, 4, 5, 7, 8] {
+        let other = format!("g{other}");
+        assert!(share(&mut most, "domain-0", &other) < 0.2);
+        assert!((share(&mut whole, "domain-0", &other) - 1.0 / 6.0).abs() < 0.05);
+    }
+}
+
 /// All gateways of a failure domain may be cut off with the one that delegates.
 #[test]
 fn second_delegate_is_of_another_domain() {
