Refuse delegated calls unless both gateways have the same configuration

Cause: a call shows the effects of its delegate's version at the delegating gateway, which serves the next one itself by an older version. Only delegates with an older version refused; a newer one is as wrong for the gateway whose version it is not.

Change: a delegate with any other version refuses, before admission and, if it reads a new one meanwhile, before the attempt; the next delegate is asked. Versions differ for less than a second after a change, in which a gateway that is cut off may refuse some calls more. Ruled out: to apply the delegate's version from then on, as the delegating gateway may not be able to read it, and would refuse all its callers.

The test of forged calls has one case more, and its case with version 0 is refused for the version before the key is looked at.

--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -109,6 +109,8 @@
     pub attempts: u32,
     /// The last replica that was chosen, also if the call was then refused for overload.
     pub last_pick: Option<Pick>,
+    /// Another gateway delegated the call to this one.
+    pub is_delegated: bool,
     version: u64,
 }
 
@@ -423,6 +425,7 @@
             attempts: 0,
             last_pick: None,
             version: config.version,
+            is_delegated: false,
             route: Arc::clone(route),
         })
     }
@@ -433,7 +436,7 @@
     }
 
     /// Checks that a call is still allowed, right before an attempt is sent. A grant of an older
-    /// configuration is resolved again.
+    /// configuration is resolved again, unless a peer delegated the call by that version.
     ///
     /// # Errors
     ///
@@ -452,6 +455,9 @@
         if grant.version == self.version() {
             return Ok(());
         }
+        if grant.is_delegated {
+            return Err(Refusal::not_run(Reason::StaleConfiguration, RETRY_ELSEWHERE));
+        }
         let mut renewed = self.resolve(now, grant.arrived, submission)?;
         renewed.fingerprint = grant.fingerprint;
         renewed.tried = std::mem::take(&mut grant.tried);
--- a/core/src/gateway/state/reach.rs
+++ b/core/src/gateway/state/reach.rs
@@ -131,17 +131,19 @@
     ///
     /// # Errors
     ///
-    /// The refusal to answer the peer with. An older configuration than the peer's is not applied:
-    /// its caller has seen the effects of the newer one.
+    /// The refusal to answer the peer with. No other version than the peer's is applied: its callers
+    /// may have seen the effects of a newer one, and must not see those of one that they do not get
+    /// from it afterwards.
     pub fn admit_delegated(
         &mut self,
         now: Time,
         submission: &Submission,
         version: u64,
     ) -> Result<Grant, Refusal> {
-        if version > self.version() {
+        if version != self.version() {
             return Err(Refusal::not_run(Reason::StaleConfiguration, super::RETRY_ELSEWHERE));
         }
-        self.admit(now, submission)
+        let grant = self.admit(now, submission)?;
+        Ok(Grant { is_delegated: true, ..grant })
     }
 }
--- a/core/tests/gateway/reach.rs
+++ b/core/tests/gateway/reach.rs
@@ -239,6 +239,21 @@
     assert_eq!((refusal.reason, refusal.not_run), (Reason::StaleConfiguration, true));
 }
 
+/// A delegate reads a newer configuration between the admission of a call and its attempt.
+#[test]
+fn delegated_call_is_refused_if_the_configuration_changes_before_its_attempt() {
+    let mut delegate = gateway(2);
+    let call = submission("chat", &[]);
+    let mut grant = delegate.admit_delegated(START, &call, 1).unwrap();
+    let mut own = delegate.admit(START, &call).unwrap();
+
+    delegate.record_read(START, Some(Arc::new(config(2))));
+
+    let refusal = delegate.pick(START, &call, &mut grant, &[]).unwrap_err();
+    assert_eq!((refusal.reason, refusal.not_run), (Reason::StaleConfiguration, true));
+    assert!(delegate.pick(START, &call, &mut own, &[]).is_ok());
+}
+
 /// A fleet of `count` gateways in `domains` failure domains, known to the gateway `one`, of which
 /// those named by `is_open` accept callers.
 fn fleet(count: usize, domains: usize, is_open: impl Fn(usize) -> bool) -> Gateway {
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -82,8 +82,6 @@
     pub responding: bool,
     /// The call has been counted for its organisation.
     pub metered: bool,
-    /// Another gateway delegated the call to this one.
-    pub is_delegated: bool,
     /// The call counts for this gateway's part of the retry budget.
     pub is_budgeted: bool,
 }
@@ -265,12 +263,15 @@
         if !self.may_have_run {
             self.shared.gateway.borrow().may_begin(now, &self.grant).map_err(Failure::Denied)?;
         }
-        if self.is_delegated && self.shared.gateway.borrow().is_out_of_reach(&self.grant.service) {
+        if self.grant.is_delegated
+            && self.shared.gateway.borrow().is_out_of_reach(&self.grant.service)
+        {
             let mut gateway = self.shared.gateway.borrow_mut();
             gateway.withdraw_call(now, &self.grant.service);
             return Err(Failure::Denied(gateway.refuse_unreachable()));
         }
-        if !self.is_delegated && self.shared.gateway.borrow().must_delegate(now, &self.grant) {
+        if !self.grant.is_delegated && self.shared.gateway.borrow().must_delegate(now, &self.grant)
+        {
             return self.delegate(last_event).await;
         }
         let queries = self.shared.gateway.borrow_mut().queries(now, &self.submission, &self.grant);
@@ -293,7 +294,7 @@
         last_event: Option<&Bytes>,
         refusal: Refusal,
     ) -> Result<Exchange, Failure> {
-        if self.is_delegated {
+        if self.grant.is_delegated {
             let mut gateway = self.shared.gateway.borrow_mut();
             gateway.withdraw_call(clock::now(), &self.grant.service);
             return Err(Failure::Denied(refusal));
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -242,7 +242,6 @@
         may_have_run: false,
         responding: false,
         metered: delegation.is_some_and(|delegation| delegation.metered),
-        is_delegated: delegation.is_some(),
         is_budgeted: true,
     };
     run(call, recorder).await
--- a/gateway/tests/cuts.rs
+++ b/gateway/tests/cuts.rs
@@ -413,7 +413,9 @@
         let linked = Linked::start(3, &all.iter().collect::<Vec<_>>()).await;
         let address = linked.peer_address(1);
         let mut statuses = Vec::new();
-        for (key, delegation) in [("wrong", "1,0,0"), ("wrong", "0,0,0"), ("wrong", "x")] {
+        for (key, delegation) in
+            [("wrong", "1,0,0"), ("wrong", "1,1,1"), ("wrong", "0,0,0"), ("wrong", "x")]
+        {
             let mut channel = laburnumwheel_gateway::channel::open(&address).await.unwrap();
             let mut forged = request("/once/x", "forged");
             let headers = forged.headers_mut();
@@ -422,7 +424,7 @@
             statuses.push(channel.sender.send_request(forged).await.unwrap().status().as_u16());
         }
 
-        assert_eq!(statuses, [401, 401, 400]);
+        assert_eq!(statuses, [401, 401, 503, 400]);
         assert_eq!(arrivals(&all, "forged"), 0);
     });
 }
