End a brittle time with the first answer that does not state it, and share places anew

Cause: a service counted as brittle for 5 s after the last statement, and each ordinary refusal of a replica in that time kept the gateway from it for 1 to 2 s, so that all its replicas were paused at once. Replicas say in all their answers that they are brittle, so that the first one without the header ends it; older statements of others don't bring it back.

Also: gateways that stop or are cut off have no places, which the others use; a gateway that is paused at its replicas delegates like one without places; and the pause after no holder had a free place is 100 ms, not up to 1 s.

Two new tests in virtual time.

--- a/core/src/gateway/delegation.rs
+++ b/core/src/gateway/delegation.rs
@@ -3,10 +3,9 @@
 use crate::time::Span;
 use crate::time::Time;
 
-/// Range of the time in which no call of a service is delegated after all gateways that were asked
-/// could not serve one either. Asking for each call would multiply the load on the other gateways.
-const MIN_PAUSE: Span = Span::millis(100);
-const MAX_PAUSE: Span = Span::secs(1);
+/// Shortest time in which no call of a service is delegated after all gateways that were asked could
+/// not serve one either. Asking for each call would multiply the load on the other gateways.
+pub const MIN_PAUSE: Span = Span::millis(100);
 
 /// Time in which no call of a service is delegated.
 #[derive(Clone, Copy, Debug, Default)]
@@ -22,13 +21,14 @@
         now >= self.until
     }
 
-    /// Records whether one of the gateways that were asked could serve a call.
-    pub fn record(&mut self, now: Time, is_served: bool) {
+    /// Records whether one of the gateways that were asked could serve a call. Each pause is twice as
+    /// long as the one before, and none is longer than `longest`.
+    pub fn record(&mut self, now: Time, is_served: bool, longest: Span) {
         if is_served {
             self.length = Span(0);
             return;
         }
-        self.length = Span(self.length.0 * 2).max(MIN_PAUSE).min(MAX_PAUSE);
+        self.length = Span(self.length.0 * 2).max(MIN_PAUSE).min(longest);
         self.until = now + self.length;
     }
 }
--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -380,11 +380,11 @@
         self.members.values().any(|m| m.short_hash == gateway && m.is_live(now))
     }
 
-    /// Short hashes of the names of the live gateways, and of those that may run although they have
-    /// not sent a heartbeat yet.
-    pub fn live_hashes(&self, now: Time) -> impl Iterator<Item = u32> {
+    /// Short hashes of the names of the gateways that accept callers, also of those that may run
+    /// although they have not sent a heartbeat yet.
+    pub fn open_hashes(&self, now: Time) -> impl Iterator<Item = u32> {
         let live = self.members.values().filter(move |m| m.is_live(now) || m.is_starting(now));
-        live.map(|m| m.short_hash)
+        live.filter(|m| m.open).map(|m| m.short_hash)
     }
 
     /// Number of live peers.
--- a/core/src/gateway/reach.rs
+++ b/core/src/gateway/reach.rs
@@ -26,6 +26,9 @@
 /// Time after which a loss is certain: the probes in it would have found a live replica.
 const CONFIRMATION_TIME: Span = Span::secs(1);
 
+/// Longest time in which no call of a service is delegated that no gateway reaches: it is down then.
+const MAX_DELEGATION_PAUSE: Span = Span::secs(1);
+
 /// Change of the reach of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[display(rename_all = "snake_case")]
@@ -149,7 +152,7 @@
     /// Records whether a peer that was asked to serve a call of a service reached a replica.
     pub fn record_delegation(&mut self, now: Time, service: &str, reached: bool) {
         if let Some(known) = self.services.get_mut(service) {
-            known.pause.record(now, reached);
+            known.pause.record(now, reached, MAX_DELEGATION_PAUSE);
         }
     }
 }
--- a/core/src/gateway/state/brittle.rs
+++ b/core/src/gateway/state/brittle.rs
@@ -36,6 +36,14 @@
         is_new.then_some(service)
     }
 
+    /// Records that an answer does not say that its replica is brittle.
+    pub fn record_sturdy(&mut self, now: Time, claim: &Claim) {
+        if let Some(replica) = self.fleet.get(claim.replica) {
+            let service = directory::short_hash(&replica.listing.service);
+            self.fleet.brittle_mut().deny(now, service);
+        }
+    }
+
     /// Brittle services to gossip.
     pub fn gossip_brittle(&self, now: Time) -> Vec<Record> {
         self.fleet.brittle().gossip(now)
@@ -77,7 +85,8 @@
     pub(super) fn update_ring(&mut self, now: Time, at_once: bool) {
         if at_once || now.since(self.ring_updated) >= RING_INTERVAL {
             self.ring_updated = now;
-            let ring = Ring::new(self.short_hash(), self.directory.live_hashes(now));
+            let own = self.takes_callers(now).then_some(self.short_hash());
+            let ring = Ring::new(own, self.directory.open_hashes(now));
             self.fleet.set_ring(ring);
         }
     }
--- a/core/src/gateway/state/pick.rs
+++ b/core/src/gateway/state/pick.rs
@@ -100,10 +100,11 @@
     /// The refusal of a call that no replica can take now; it says when the first one can.
     fn refuse_unavailable(&mut self, now: Time, grant: &Grant) -> Refusal {
         let permit = self.fleet.first_permit(now, &grant.service, grant.rank.route);
-        let cooldown_end = self.fleet.first_cooldown_end(now, &grant.service);
-        if cooldown_end.is_none() && self.fleet.is_brittle(now, &grant.service) {
+        // Other gateways may have places where this one was refused.
+        if permit.is_none() && self.fleet.is_brittle(now, &grant.service) {
             return Refusal::not_run(Reason::NoPlace, self.random_retry_after());
         }
+        let cooldown_end = self.fleet.first_cooldown_end(now, &grant.service);
         match (permit, cooldown_end) {
             (Some(permit), Some(end)) if end < permit => self.refuse_cooled(now, end),
             (Some(_), _) => self.refuse_limited(now, grant),
--- a/core/tests/gateway/brittle.rs
+++ b/core/tests/gateway/brittle.rs
@@ -177,7 +177,7 @@
         for _ in 0..missing {
             others.swap_remove(rng.random_range(0..others.len()));
         }
-        Ring::new(hashes[own], others)
+        Ring::new(Some(hashes[own]), others)
     };
     let rings: Vec<Ring> = (0..hashes.len()).map(|own| view(own, &mut rng)).collect();
 
@@ -266,6 +266,28 @@
     assert!(used * 10 >= room * 9, "{used} of {room} places");
 }
 
+/// Gateways that stop or are cut off use no places. The others must use all of them, and one that stops
+/// must have its calls served by them.
+#[test]
+fn places_are_shared_by_the_gateways_that_accept_callers() {
+    let mut all = gateways(9);
+    for gateway in &mut all[..5] {
+        gateway.stop(START, Span::secs(3), Span::secs(7));
+    }
+    let now = START + Span::millis(300);
+    exchange_heartbeats(&mut all, now);
+    let mut senders: BTreeMap<usize, u32> = BTreeMap::new();
+
+    for i in 0..4 * ENGINES * SLOTS as usize {
+        if let Some((sender, _)) = send_by_any(&mut all, i % 9, now, "chat") {
+            *senders.entry(sender).or_default() += 1;
+        }
+    }
+
+    assert_eq!(senders.keys().copied().collect::<Vec<_>>(), [5, 6, 7, 8]);
+    assert_eq!(senders.values().sum::<u32>(), ENGINES as u32 * brittle::room(SLOTS));
+}
+
 /// In an overload of all replicas, gateways without places would ask others for each call.
 #[test]
 fn gateways_with_places_are_not_asked_while_none_has_a_free_one() {
@@ -457,6 +479,27 @@
     assert!(!sent.collect::<Vec<_>>().contains(&claim.incarnation));
 }
 
+/// Replicas say in all their answers that they are brittle. One that does not any more must end it at
+/// once, or calls would be refused for nothing, and what others heard before must not bring it back.
+#[test]
+fn answer_without_the_statement_ends_a_brittle_time() {
+    let mut gateway = gateways(1).remove(0);
+    let (_, claim) = send(&mut gateway, START, "chat").unwrap();
+    let at = |ms| START + Span::millis(ms);
+
+    gateway.record_sturdy(at(100), &claim);
+    let is_over = !gateway.fleet().is_brittle(at(100), "engines");
+    gateway.receive_brittle(at(200), &[Record { age_ms: 150, ..brittle_record() }]);
+    let stays_over = !gateway.fleet().is_brittle(at(200), "engines");
+    let gossip = gateway.gossip_brittle(at(200));
+    gateway.record_brittle(at(300), &claim);
+
+    assert!(is_over);
+    assert!(stays_over);
+    assert_eq!(gossip, []);
+    assert!(gateway.fleet().is_brittle(at(300), "engines"));
+}
+
 /// A service that is no longer brittle uses its whole room again.
 #[test]
 fn service_is_brittle_for_as_long_as_its_replicas_say_so() {
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -46,6 +46,8 @@
         }
         if metadata.brittle {
             brittle::record(&self.shared, claim);
+        } else if metadata.sealed || metadata.not_run {
+            self.shared.gateway.borrow_mut().record_sturdy(clock::now(), claim);
         }
         match metadata.advice.with_status(status) {
             Advice::Absent => {}
