Go on delegating while configurations differ for a moment

Found by reading, after delegates refuse calls of gateways with another version: three such refusals counted like a service that no gateway reaches, so that the calls after them were refused for 100 ms to 1 s, with each change of the configuration.

Change: a refusal for the version has an outcome of its own, `other_version`, after which the next delegate is asked, and which pauses nothing. The new test fails without it: the first call after a delegate has the same version gets 503 in place of 200.

--- a/gateway/src/delegation.rs
+++ b/gateway/src/delegation.rs
@@ -97,6 +97,8 @@
     Refused,
     /// The delegate could not serve the call, which has not run; another gateway may.
     Elsewhere,
+    /// The same, because its configuration is another one. That ends when both have the newer one.
+    OtherVersion,
     /// The call failed and may have run.
     Unknown,
 }
@@ -106,29 +108,33 @@
         match response.extensions().get::<Refusal>() {
             None => Outcome::Answered,
             Some(refusal) if !refusal.not_run => Outcome::Unknown,
+            Some(refusal) if is_of_version(refusal.reason) => Outcome::OtherVersion,
             Some(refusal) if is_local(refusal.reason) => Outcome::Elsewhere,
             Some(_) => Outcome::Refused,
         }
     }
 
     fn parse(headers: &HeaderMap) -> Option<Outcome> {
-        let all = [Outcome::Answered, Outcome::Refused, Outcome::Elsewhere, Outcome::Unknown];
+        let all = [
+            Outcome::Answered,
+            Outcome::Refused,
+            Outcome::Elsewhere,
+            Outcome::OtherVersion,
+            Outcome::Unknown,
+        ];
         let text = headers.get(OUTCOME)?.to_str().ok()?;
         all.into_iter().find(|outcome| outcome.to_string() == text)
     }
 }
 
+/// Whether a refusal for this reason concerns the configuration of the gateway that refused.
+fn is_of_version(reason: Reason) -> bool {
+    [Reason::NoConfiguration, Reason::StaleConfiguration].contains(&reason)
+}
+
 /// Whether a refusal for this reason concerns the gateway that refused and not the others.
 fn is_local(reason: Reason) -> bool {
-    let all = [
-        Reason::NoConfiguration,
-        Reason::StaleConfiguration,
-        Reason::Stopping,
-        Reason::NoReplica,
-        Reason::NoPlace,
-        Reason::Saturated,
-    ];
-    all.contains(&reason)
+    [Reason::Stopping, Reason::NoReplica, Reason::NoPlace, Reason::Saturated].contains(&reason)
 }
 
 /// Whether a peer delegates a call with this request.
@@ -197,10 +203,40 @@
 enum Rejection {
     /// The call has not run; another delegate may serve it.
     Elsewhere,
+    /// The same, because the delegate's configuration is another one.
+    OtherVersion,
     /// The attempt is over.
     Failed(Failure),
 }
 
+/// Outcome of the search for a gateway that serves a call.
+enum Search {
+    /// One did, or the call may have run there.
+    Ended(Box<Result<Exchange, Failure>>),
+    /// None of those that were asked can serve the call, which has not run.
+    NotServed,
+    /// The same, but some might with the same configuration, so that the next call may be served.
+    OtherVersion,
+}
+
+impl Search {
+    /// Whether a gateway could serve the call; `None` if that is not known.
+    fn is_served(&self) -> Option<bool> {
+        match self {
+            Search::Ended(_) => Some(true),
+            Search::NotServed => Some(false),
+            Search::OtherVersion => None,
+        }
+    }
+
+    fn unwrap_or_else(self, refuse: impl FnOnce() -> Refusal) -> Result<Exchange, Failure> {
+        match self {
+            Search::Ended(result) => *result,
+            Search::NotServed | Search::OtherVersion => Err(Failure::Denied(refuse())),
+        }
+    }
+}
+
 impl Call {
     /// Makes one attempt of a call whose service is out of reach at another gateway, up to the head
     /// of the response.
@@ -217,8 +253,10 @@
         };
         let result = self.delegate_in_turn(MAX_DELEGATES, last_event, select).await;
         let mut gateway = self.shared.gateway.borrow_mut();
-        gateway.record_delegation(clock::now(), &self.grant.service, result.is_some());
-        result.unwrap_or_else(|| Err(Failure::Denied(gateway.refuse_unreachable())))
+        if let Some(is_served) = result.is_served() {
+            gateway.record_delegation(clock::now(), &self.grant.service, is_served);
+        }
+        result.unwrap_or_else(|| gateway.refuse_unreachable())
     }
 
     /// Makes one attempt of a call for which this gateway has no place, at one that has, up to the
@@ -236,25 +274,35 @@
             gateway.select_holder(clock::now(), grant, tried)
         };
         let result = self.delegate_in_turn(MAX_HOLDERS, last_event, select).await;
-        let mut gateway = self.shared.gateway.borrow_mut();
-        gateway.record_holders(clock::now(), &self.grant.service, result.is_some());
-        result.unwrap_or(Err(Failure::Denied(refusal)))
+        if let Some(is_served) = result.is_served() {
+            let mut gateway = self.shared.gateway.borrow_mut();
+            gateway.record_holders(clock::now(), &self.grant.service, is_served);
+        }
+        result.unwrap_or_else(|| refusal)
     }
 
     /// Makes one attempt of the call at the first of the gateways that `select` returns that can
-    /// serve it; asks `most` of them. `None` if none can; the call has not run there.
+    /// serve it; asks `most` of them.
     async fn delegate_in_turn(
         &mut self,
         most: usize,
         last_event: Option<&Bytes>,
         select: impl Fn(&mut Gateway, &Grant, &[String]) -> Option<Entry>,
-    ) -> Option<Result<Exchange, Failure>> {
+    ) -> Search {
         let mut tried = Vec::new();
+        let mut by_version = false;
         while tried.len() < most {
-            let delegate = select(&mut self.shared.gateway.borrow_mut(), &self.grant, &tried)?;
+            let delegate = select(&mut self.shared.gateway.borrow_mut(), &self.grant, &tried);
+            let Some(delegate) = delegate else {
+                break;
+            };
             tried.push(delegate.name.clone());
             let result = match self.delegate_to(&delegate, last_event).await {
                 Err(Rejection::Elsewhere) => continue,
+                Err(Rejection::OtherVersion) => {
+                    by_version = true;
+                    continue;
+                }
                 Err(Rejection::Failed(failure)) => Err(failure),
                 Ok(exchange) => Ok(exchange),
             };
@@ -262,9 +310,9 @@
                 let mut gateway = self.shared.gateway.borrow_mut();
                 gateway.withdraw_call(clock::now(), &self.grant.service);
             }
-            return Some(result);
+            return Search::Ended(Box::new(result));
         }
-        None
+        if by_version { Search::OtherVersion } else { Search::NotServed }
     }
 
     async fn delegate_to(
@@ -330,6 +378,11 @@
                         _ => Fault::Broken,
                     }
                 }
+                Some(Outcome::OtherVersion) => {
+                    self.count_delegation(delegate, "other_version");
+                    self.grant.attempts = attempts;
+                    return Err(Rejection::OtherVersion);
+                }
                 // An earlier release takes the call for a request for a view.
                 Some(Outcome::Elsewhere) | None => {
                     self.count_delegation(delegate, "elsewhere");
--- a/gateway/tests/cuts.rs
+++ b/gateway/tests/cuts.rs
@@ -2,8 +2,11 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use laburnumwheel_gateway::clock;
+
 use crate::support::Action;
 use crate::support::Cut;
 use crate::support::END;
@@ -11,6 +14,7 @@
 use crate::support::Replica;
 use crate::support::address;
 use crate::support::call;
+use crate::support::config;
 use crate::support::counter;
 use crate::support::events;
 use crate::support::request;
@@ -265,6 +269,31 @@
     });
 }
 
+/// Gateways get a new configuration at different times. While no delegate has the same one as a gateway
+/// that is cut off, its calls are refused; those right after must be served.
+#[test]
+fn calls_are_served_as_soon_as_a_delegate_has_the_same_configuration() {
+    run(async {
+        let answer = vec![Action::Write(response("200 OK", "answer"))];
+        let (all, linked) = cut_off(answer).await;
+        let read = |gateway: usize| {
+            let newer = Some(Arc::new(config(2)));
+            linked.gateways[gateway].shared.gateway.borrow_mut().record_read(clock::now(), newer);
+        };
+
+        read(0);
+        let mut before = Vec::new();
+        for i in 0..2 {
+            before.push(call(&linked.gateways[0], "/once/x", &format!("before-{i}")).await.0);
+        }
+        read(1);
+        let (after, _) = call(&linked.gateways[0], "/once/x", "after").await;
+
+        assert_eq!((before, after), (vec![503, 503], 200));
+        assert_eq!(arrivals(&all, "before-0") + arrivals(&all, "before-1"), 0);
+    });
+}
+
 /// A gateway that serves as many delegated calls as it may must not be given more, or its own
 /// callers would wait for those of the gateways that are cut off.
 #[test]
