--- a/core/src/gateway/brittle.rs
+++ b/core/src/gateway/brittle.rs
@@ -4,10 +4,10 @@
 //! Refusals count over all gateways, and a burst meets all of them at once, so that backing off
 //! after a refusal comes too late. While a service is brittle, each gateway keeps its calls in
 //! progress at a replica to its share of the replica's slots. All gateways derive the shares from
-//! the gateways that accept callers, without messages: each has the same whole number of slots, and the slots that
-//! are left go to those that follow the replica on a hash ring. If there are fewer slots than
-//! gateways, those that follow the replica have a few slots each. Gateways that disagree about one
-//! other gateway then disagree about a few slots of a replica at most.
+//! the gateways that accept callers, without messages: each has the same whole number of slots, and
+//! the slots that are left go to those that follow the replica on a hash ring. If there are fewer
+//! slots than gateways, those that follow the replica have a few slots each. Gateways that disagree
+//! about one other gateway then disagree about a few slots of a replica at most.
 //!
 //! A gateway without a free place delegates calls to one that has a place: a small service has fewer
 //! slots than a large fleet has gateways.
