Log the software versions of replicas and the streams that are taken up

Neither logs nor metrics told which version began a stream and which continued it, so that the hypotheses of the incident could not be told apart. Lines about calls name the version of the replica and the attempt that is continued; a new line names both replicas of a stream that is resumed within its response. No decision uses any of it yet.

--- a/core/src/gateway/fleet/replica.rs
+++ b/core/src/gateway/fleet/replica.rs
@@ -37,6 +37,8 @@
     pub slots: u32,
     /// Whether the replica is leaving, so that it must get no new calls.
     pub leaving: bool,
+    /// Version of the replica's software, if the entry states it.
+    pub build: Option<String>,
 }
 
 impl Listing {
@@ -49,6 +51,7 @@
             domain: String::new(),
             slots: 0,
             leaving: true,
+            build: None,
         }
     }
 
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -134,6 +134,8 @@
     pub id: String,
     /// Address of the replica.
     pub address: String,
+    /// Version of the replica's software, if its entry states it.
+    pub build: Option<String>,
     /// Whether the replica is a model engine.
     pub engine: bool,
     /// Kind of permit to ask for if the replica has a limit.
--- a/core/src/gateway/state/pick.rs
+++ b/core/src/gateway/state/pick.rs
@@ -79,6 +79,7 @@
             claim,
             id: replica.listing.incarnation.id.clone(),
             address: replica.listing.address.clone(),
+            build: replica.listing.build.clone(),
             engine: criteria.is_some(),
             permit,
         };
--- a/core/tests/gateway/support.rs
+++ b/core/tests/gateway/support.rs
@@ -93,6 +93,7 @@
         domain: "mixco".to_owned(),
         slots: 16,
         leaving: false,
+        build: None,
     }
 }
 
@@ -118,5 +119,7 @@
         patience: Some(Span::secs(4)),
         parts: parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect(),
         max_output_tokens: 50,
+        last_event: None,
+        resumes: None,
     }
 }
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -99,6 +99,7 @@
         let grant = &call.grant;
         let labels = format!("route=\"{}\",outcome=\"{outcome}\"", grant.route.name);
         self.shared.metrics.count("calls_total", labels);
+        let resumes = call.submission.resumes.as_deref().map(String::from_utf8_lossy);
         let now = clock::now();
         let proof = self.shared.gateway.borrow().proof_age(now);
         let line = self
@@ -110,7 +111,8 @@
             .with("first_ms", self.first_event.get().map_or(-1, |f| f.as_millis() as i64))
             .with("pause_ms", self.longest_pause.get().as_millis())
             .with("version", self.shared.gateway.borrow().version())
-            .with("proof_age_ms", proof.map_or(-1, |p| p.as_millis() as i64));
+            .with("proof_age_ms", proof.map_or(-1, |p| p.as_millis() as i64))
+            .with("resumes", resumes.as_deref().unwrap_or("-"));
         self.shared.log(match &grant.last_pick {
             Some(pick) => with_choice(line, pick),
             None => line,
@@ -147,6 +149,7 @@
 fn with_choice(line: Line, pick: &Pick) -> Line {
     let claim = &pick.claim;
     line.with("replica", &pick.id)
+        .with("build", pick.build.as_deref().unwrap_or("-"))
         .with("expected_ms", claim.expected_ms.round())
         .with("reading_ms", claim.prefill_ms.round())
         .with("load", claim.load.round())
--- a/gateway/src/dialect/own.rs
+++ b/gateway/src/dialect/own.rs
@@ -32,6 +32,8 @@
 pub const RANK: &str = "x-laburnum-rank";
 /// Id of the last event that the caller has.
 pub const LAST_EVENT: &str = "last-event-id";
+/// Id of the caller's attempt that brought the first event of a stream that is taken up.
+pub const RESUMES: &str = "x-laburnum-resumes";
 /// Proves that the response comes from a replica.
 pub const PROOF: &str = "x-laburnum-proof";
 /// Present if the replica did not run the call.
@@ -76,16 +78,22 @@
     let key = text(headers, "authorization").and_then(|v| v.strip_prefix("Bearer "));
     let prompt = text(headers, PROMPT).unwrap_or_default();
     Ok(Submission {
-        id: Bytes::copy_from_slice(id.as_bytes()),
+        id: value_bytes(id),
         host: host.to_ascii_lowercase(),
         path: parts.uri.path().to_owned(),
         key: key.map(|k| Bytes::copy_from_slice(k.as_bytes())),
         patience: number(headers, PATIENCE)?.map(Span::millis),
         parts: prompt.split(',').filter_map(part).collect(),
         max_output_tokens: 0,
+        last_event: headers.get(LAST_EVENT).map(value_bytes),
+        resumes: headers.get(RESUMES).map(value_bytes),
     })
 }
 
+fn value_bytes(value: &HeaderValue) -> Bytes {
+    Bytes::copy_from_slice(value.as_bytes())
+}
+
 fn part(entry: &str) -> Option<Part> {
     let (id, tokens) = entry.trim().split_once(':')?;
     Some(Part { id: u64::from_str_radix(id, 16).ok()?, tokens: tokens.parse().ok()? })
@@ -124,7 +132,7 @@
         Some(Load { running, waiting, slots: numbers.next()?? })
     };
     Metadata {
-        id: headers.get(ID).map(|v| Bytes::copy_from_slice(v.as_bytes())),
+        id: headers.get(ID).map(value_bytes),
         sealed: headers.contains_key(PROOF),
         not_run: headers.contains_key(NOT_RUN),
         load: text(headers, LOAD).and_then(load),
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -9,6 +9,7 @@
 use futures_util::stream;
 use http_body_util::BodyExt;
 use hyper::http::response;
+use laburnumwheel_core::gateway::Pick;
 use laburnumwheel_core::gateway::events::Splitter;
 use laburnumwheel_core::gateway::fleet::Outcome;
 
@@ -116,8 +117,10 @@
                 .with("attempt", self.call.grant.attempts)
                 .with("age_ms", clock::now().since(self.call.grant.arrived).as_millis());
             self.call.shared.log(line);
+            let before = self.call.grant.last_pick.clone();
             match self.call.attempt(last.as_ref()).await {
                 Ok(exchange) => {
+                    self.log_resumed(before.as_ref());
                     self.exchange = Some(exchange);
                     return Ok(());
                 }
@@ -126,6 +129,21 @@
         }
     }
 
+    /// Logs from which replica to which other one the stream has moved.
+    fn log_resumed(&self, before: Option<&Pick>) {
+        let after = self.call.grant.last_pick.as_ref();
+        let id = |pick: Option<&Pick>| pick.map_or("-".to_owned(), |pick| pick.id.clone());
+        let build =
+            |pick: Option<&Pick>| pick.and_then(|p| p.build.clone()).unwrap_or("-".to_owned());
+        let line = Line::new("stream_resumed")
+            .with("request", String::from_utf8_lossy(&self.call.submission.id))
+            .with("from", id(before))
+            .with("from_build", build(before))
+            .with("replica", id(after))
+            .with("build", build(after));
+        self.call.shared.log(line);
+    }
+
     fn may_resume(&self, failure: &Failure) -> bool {
         let Failure::Fault(fault, _) = failure else {
             return false;
--- a/gateway/tests/decoders.rs
+++ b/gateway/tests/decoders.rs
@@ -68,6 +68,7 @@
         domain: "mixco".to_owned(),
         slots: 6,
         leaving: false,
+        build: Some("v1".to_owned()),
     };
     let replicas = ["i-1", "i-2", "i-3"].map(listing).to_vec();
     let view = View { config: None, replicas, gateways: vec![entry()] };
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -267,6 +267,7 @@
         domain: "mixco".to_owned(),
         slots: 6,
         leaving: false,
+        build: None,
     }
 }
 
