--- a/core/src/gateway/config.rs
+++ b/core/src/gateway/config.rs
@@ -129,6 +129,8 @@
     keys: BTreeMap<Bytes, Arc<str>>,
     /// Lowest rank (the greatest number) of the routes to each service.
     lowest_rank: BTreeMap<String, u8>,
+    /// Longest timeout of the routes whose answers are streams.
+    longest_stream: Span,
 }
 
 impl Config {
@@ -141,6 +143,9 @@
     pub fn with_route(mut self, route: impl Into<Arc<Route>>) -> Config {
         let route = route.into();
         self.add_rank(&route);
+        if route.streams {
+            self.longest_stream = self.longest_stream.max(route.timeout);
+        }
         let routes = self.routes.entry(route.host.clone()).or_default();
         if routes.insert(route.prefix.clone(), route).is_some() {
             // The replaced route may have been the only one of its rank.
@@ -216,6 +221,11 @@
         route.priority >= lowest_rank
     }
 
+    /// Longest timeout of the routes whose answers are streams, replaced ones included.
+    pub fn longest_stream(&self) -> Span {
+        self.longest_stream
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.routes.values().map(BTreeMap::len).sum()
--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -363,6 +363,21 @@
         Some((first.short_hash, first.entry.peer_address.as_str()))
     }
 
+    /// Addresses for datagrams of the live gateways that hold copies under a key: at most `count`, in
+    /// the order in which they are chosen.
+    pub fn holders(&self, now: Time, key: u64, count: usize) -> Vec<String> {
+        let live = self.members.values().filter(|m| m.is_live(now) || m.is_starting(now));
+        let score = |m: &Member| rendezvous::score(key, u64::from(m.short_hash));
+        let mut ranked: Vec<(Reverse<u64>, &Member)> =
+            live.map(|m| (Reverse(score(m)), m)).collect();
+        if count < ranked.len() {
+            ranked.select_nth_unstable_by_key(count, |(score, _)| *score);
+            ranked.truncate(count);
+        }
+        ranked.sort_unstable_by_key(|(score, _)| *score);
+        ranked.into_iter().map(|(_, m)| m.entry.peer_address.clone()).collect()
+    }
+
     /// Address for datagrams of the gateway whose name has this short hash.
     pub fn address(&self, gateway: u32) -> Option<&str> {
         let member = self.members.values().find(|m| m.short_hash == gateway)?;
--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -5,6 +5,7 @@
 //! incarnation of a replica: a report about an earlier incarnation never counts for the current
 //! one.
 
+mod builds;
 mod choice;
 mod cooldown;
 mod departures;
@@ -19,6 +20,7 @@
 use crate::arena::Arena;
 use crate::arena::Key;
 use crate::gateway::brittle;
+use crate::gateway::build::Census;
 use crate::gateway::departure;
 use crate::gateway::gossip;
 use crate::gateway::gossip::Observation;
@@ -61,6 +63,9 @@
     by_service: BTreeMap<String, Vec<Key<Replica>>>,
     /// Incarnations that were removed.
     removed: BTreeMap<Digest, Removed>,
+    /// Incarnations in whose place another one was listed, with the times of that.
+    replaced: BTreeMap<Digest, Time>,
+    census: Census,
     /// Number of the last list of replicas.
     list_number: u64,
     /// Number of the last attempt, by which owners of engines identify it.
@@ -305,6 +310,7 @@
         };
         replica.failure_rate += OUTCOME_WEIGHT * (failure - replica.failure_rate);
         if outcome == Outcome::Unreachable {
+            replica.broken_at = Some(now);
             replica.backoff_until = now + replica.backoff;
             replica.backoff = Span(replica.backoff.0 * 2).min(MAX_BACKOFF);
         }
--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -9,6 +9,7 @@
 use crate::gateway::directory;
 use crate::gateway::limit::Kind;
 use crate::gateway::occupancy::Snapshot;
+use crate::gateway::origin::Origin;
 use crate::gateway::prefill;
 use crate::gateway::prefill::Estimator;
 use crate::gateway::submission::Part;
@@ -68,6 +69,8 @@
     pub parts: &'a [Part],
     /// Criteria for engines; `None` for plain services.
     pub engine: Option<Criteria>,
+    /// What began the call's stream, if it goes on with one.
+    pub origin: Option<Origin>,
     /// Occupancy snapshots from the owners; if any is valid, the call goes to one of these engines.
     pub snapshots: &'a [Snapshot],
 }
@@ -217,6 +220,7 @@
             .collect();
         let mut usable: Vec<(Key<Replica>, &Replica)> =
             open.iter().filter(|(_, r)| r.is_usable(now)).copied().collect();
+        self.retain_build(now, &mut usable, requirements.origin);
         if !requirements.may_retry && usable.iter().any(|(_, r)| !r.is_untested()) {
             usable.retain(|(_, r)| !r.is_untested());
         }
@@ -228,6 +232,7 @@
         let is_eligible = |key: &Key<Replica>, replica: &Replica| {
             !tried.contains(key)
                 && !is_reserved
+                && replica.continues(requirements.origin)
                 && (!is_brittle || self.has_share_left(now, replica))
                 && replica.admits(now, requirements.rank)
                 && !self.is_denied(now, replica, requirements.permit, requirements.rank)
--- a/core/src/gateway/fleet/cooldown.rs
+++ b/core/src/gateway/fleet/cooldown.rs
@@ -7,6 +7,7 @@
 use super::Fleet;
 use super::Replica;
 use crate::arena::Key;
+use crate::gateway::origin::Origin;
 use crate::incarnation::Digest;
 use crate::time::Time;
 
@@ -105,11 +106,17 @@
         }
     }
 
-    /// Earliest time at which a replica of a service that is in a cooldown may get calls; `None` if
-    /// no open one is, or recovers from one.
-    pub fn first_cooldown_end(&self, now: Time, service: &str) -> Option<Time> {
+    /// Earliest time at which a replica of a service that is in a cooldown, and may continue streams
+    /// of `origin`, may get calls; `None` if no open one is, or recovers from one.
+    pub fn first_cooldown_end(
+        &self,
+        now: Time,
+        service: &str,
+        origin: Option<Origin>,
+    ) -> Option<Time> {
         let keys = self.by_service.get(service).into_iter().flatten();
-        let open = keys.filter_map(|key| self.replicas.get(*key)).filter(|r| r.is_open());
+        let replicas = keys.filter_map(|key| self.replicas.get(*key));
+        let open = replicas.filter(|r| r.is_open() && r.continues(origin));
         open.filter_map(|replica| replica.cooldown).map(|c| c.until.max(now)).min()
     }
 }
--- a/core/src/gateway/fleet/limits.rs
+++ b/core/src/gateway/fleet/limits.rs
@@ -5,6 +5,7 @@
 use crate::arena::Key;
 use crate::gateway::limit::Kind;
 use crate::gateway::limit::Table;
+use crate::gateway::origin::Origin;
 use crate::incarnation::Digest;
 use crate::time::Time;
 
@@ -32,11 +33,18 @@
     }
 
     /// Whether a service has a replica without a limit besides those in `tried` that may get calls
-    /// at `now`.
-    pub fn has_unlimited(&self, now: Time, service: &str, tried: &[Key<Replica>]) -> bool {
+    /// at `now`, and may continue streams of `origin`.
+    pub fn has_unlimited(
+        &self,
+        now: Time,
+        service: &str,
+        origin: Option<Origin>,
+        tried: &[Key<Replica>],
+    ) -> bool {
         let mut keys = self.by_service.get(service).into_iter().flatten();
         keys.any(|key| {
-            let is_unlimited = |r: &Replica| r.is_usable(now) && !self.is_limited(r);
+            let is_unlimited =
+                |r: &Replica| r.is_usable(now) && r.continues(origin) && !self.is_limited(r);
             !tried.contains(key) && self.replicas.get(*key).is_some_and(is_unlimited)
         })
     }
@@ -58,10 +66,17 @@
     }
 
     /// Earliest time at which a call of `rank` may get a permit that it was denied for a replica of
-    /// a service; `None` if it was denied none.
-    pub fn first_permit(&self, now: Time, service: &str, rank: u8) -> Option<Time> {
+    /// a service that may continue streams of `origin`; `None` if it was denied none.
+    pub fn first_permit(
+        &self,
+        now: Time,
+        service: &str,
+        origin: Option<Origin>,
+        rank: u8,
+    ) -> Option<Time> {
         let keys = self.by_service.get(service).into_iter().flatten();
-        let usable = keys.filter_map(|k| self.replicas.get(*k)).filter(|r| r.is_usable(now));
+        let replicas = keys.filter_map(|k| self.replicas.get(*k));
+        let usable = replicas.filter(|r| r.is_usable(now) && r.continues(origin));
         let denied = |r: &Replica| self.limits.denied_until(now, r.digest(), Kind::Immediate, rank);
         usable.filter_map(denied).min()
     }
--- a/core/src/gateway/fleet/list.rs
+++ b/core/src/gateway/fleet/list.rs
@@ -12,6 +12,7 @@
 use super::cooldown;
 use super::reconcile::Removed;
 use crate::arena::Key;
+use crate::gateway::build::Build;
 use crate::gateway::outage::Absence;
 use crate::time::Time;
 
@@ -79,6 +80,9 @@
             Some(key) if self.is_same_incarnation(key, &listing) => key,
             Some(key) => {
                 // Late events of the earlier incarnation find no replica under its key.
+                if let Some(replica) = self.replicas.get(key) {
+                    self.replaced.insert(replica.digest(), now);
+                }
                 self.remove(now, id, key);
                 changes.replaced.push(id.clone());
                 self.insert(now, listing.clone())
@@ -97,6 +101,10 @@
             replica.closed = listing.leaving;
             replica.retained = false;
             if replica.listing != listing {
+                let (old, new) = (replica.build, listing.build.as_deref().map(Build::of));
+                self.census.remove(now, &listing.service, old);
+                self.census.add(now, &listing.service, new);
+                replica.build = new;
                 replica.listing = listing;
             }
         }
@@ -108,7 +116,9 @@
         }
     }
 
-    /// Whether an entry has the known incarnation, service and address of the replica.
+    /// Whether an entry has the known incarnation, service and address of the replica, and not another
+    /// build: a replica without a stated start may have restarted with one under its id. An entry
+    /// that lacks the build for a time is of the same incarnation.
     ///
     /// Incarnations are compared for equality and not for their order, because the list is the
     /// newest information: if a clock was set back, an order would favour the earlier incarnation.
@@ -118,6 +128,9 @@
             known.incarnation == listing.incarnation
                 && known.service == listing.service
                 && known.address == listing.address
+                && (known.build == listing.build
+                    || known.build.is_none()
+                    || listing.build.is_none())
         })
     }
 
@@ -204,6 +217,7 @@
         let removed = self.removed.remove(&digest);
         let cooldown = cooldown::restored(removed.and_then(|removed| removed.cooldown));
         let replica = Replica { departed_at, cooldown, ..Replica::new(listing, now) };
+        self.census.add(now, &service, replica.build);
         let key = self.replicas.insert(replica);
         self.by_id.insert(id, key);
         self.by_digest.insert(digest, key);
@@ -217,6 +231,7 @@
             return;
         };
         self.by_digest.remove(&replica.digest());
+        self.census.remove(now, &replica.listing.service, replica.build);
         let removed = Removed { at: now, cooldown: replica.cooldown };
         self.removed.insert(replica.digest(), removed);
         if let Some(keys) = self.by_service.get_mut(&replica.listing.service) {
--- a/core/src/gateway/fleet/places.rs
+++ b/core/src/gateway/fleet/places.rs
@@ -11,6 +11,7 @@
 use crate::gateway::brittle::Ring;
 use crate::gateway::brittle::Table;
 use crate::gateway::directory;
+use crate::gateway::origin::Origin;
 use crate::time::Time;
 
 /// Divisor of this gateway's places at a service that gives those kept for calls of the highest rank.
@@ -53,13 +54,22 @@
         replica.own_calls < self.share(replica) && replica.waiting(now) < 1.0
     }
 
-    /// The gateway that has a random place at the replicas of a service, by its short hash.
-    pub fn random_holder(&self, service: &str, rng: &mut SmallRng) -> Option<u32> {
+    /// The gateway that has a random place at the replicas of a service that may continue streams of
+    /// `origin`, by its short hash.
+    pub fn random_holder(
+        &self,
+        service: &str,
+        origin: Option<Origin>,
+        rng: &mut SmallRng,
+    ) -> Option<u32> {
         let room = |replica: &Replica| brittle::room(replica.listing.slots);
-        let replicas = self.open_replicas(service).map(|(_, replica)| replica);
-        let total: u32 = replicas.map(room).sum();
+        let replicas = || {
+            let open = self.open_replicas(service).map(|(_, replica)| replica);
+            open.filter(move |replica| replica.continues(origin))
+        };
+        let total: u32 = replicas().map(room).sum();
         let mut place = rng.random_range(0..total.max(1));
-        for (_, replica) in self.open_replicas(service) {
+        for replica in replicas() {
             if place < room(replica) {
                 return self.ring.holder(replica.digest(), place, room(replica));
             }
--- a/core/src/gateway/fleet/reconcile.rs
+++ b/core/src/gateway/fleet/reconcile.rs
@@ -27,6 +27,7 @@
     /// Drops removed incarnations whose lifetime has ended.
     pub(super) fn expire_removed(&mut self, now: Time) {
         self.removed.retain(|_, removed| now.since(removed.at) < REMOVED_LIFETIME);
+        self.replaced.retain(|_, at| now.since(*at) < REMOVED_LIFETIME);
     }
 
     /// Corrects a list by newer knowledge: incarnations that were closed, removed or replaced get
--- a/core/src/gateway/fleet/replica.rs
+++ b/core/src/gateway/fleet/replica.rs
@@ -2,6 +2,7 @@
 
 use super::cooldown::Cooldown;
 use super::cooldown::HIGHEST_RANK;
+use crate::gateway::build::Build;
 use crate::gateway::engine::Cache;
 use crate::incarnation::Digest;
 use crate::incarnation::Incarnation;
@@ -104,6 +105,10 @@
 pub struct Replica {
     /// Newest entry in the list of replicas.
     pub listing: Listing,
+    /// Version of the replica's software, if its entry states it.
+    pub(super) build: Option<Build>,
+    /// Time when a connection to the replica last broke, or could not be opened.
+    pub(super) broken_at: Option<Time>,
     /// Whether the list of replicas shows that the replica must get no new calls: it is leaving, or
     /// its entry is missing. Another incarnation at its address has the same effect.
     pub closed: bool,
@@ -147,6 +152,8 @@
     pub(super) fn new(listing: Listing, now: Time) -> Replica {
         Replica {
             hash: listing.incarnation.hash(),
+            build: listing.build.as_deref().map(Build::of),
+            broken_at: None,
             closed: listing.leaving,
             departed_at: None,
             retained: false,
--- /dev/null
+++ b/core/src/gateway/origin.rs
@@ -0,0 +1,153 @@
+//! Origins of streams: the replica and the build that began a stream.
+//!
+//! A caller may take up a stream at any gateway, often because its own was killed, stopped or cut off.
+//! While a service may have several builds, the gateway that passes on the first event of a stream
+//! sends the origin to some others before the event, so that the origin outlives it. These holders
+//! follow from the id of the call: a gateway at which a caller takes up the stream asks them.
+//! While a service has had one build for as long as streams last, nothing is sent; the streams of that
+//! time are made known once there is another build, or once this gateway can't tell.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::gateway::build::Build;
+use crate::incarnation::Digest;
+use crate::rendezvous;
+use crate::time::Span;
+use crate::time::Time;
+
+/// Most origins that a gateway keeps; the oldest are dropped.
+const MAX_RECORDS: usize = 200_000;
+/// Time from the start of a replica under the id of an earlier one until gateways have its new entry: a
+/// heartbeat interval and the age of a list. A stream that began in that time may be of either one.
+const ENTRY_LAG: Span = Span::secs(3);
+
+/// Hash of the id of a caller's attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+#[display("{_0:016x}")]
+pub struct Call(pub u64);
+
+impl Call {
+    /// The attempt with this id.
+    pub fn of(id: &[u8]) -> Call {
+        Call(rendezvous::hash(&[id]))
+    }
+}
+
+/// What began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// Incarnation of the replica.
+    pub replica: Digest,
+    /// Build of the replica, if its entry stated one.
+    pub build: Option<Build>,
+}
+
+/// Origin of a stream, as gateways pass it on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The attempt that brought the first event.
+    pub call: Call,
+    /// Short hash of the service's name.
+    pub service: u32,
+    /// What began the stream.
+    pub origin: Origin,
+}
+
+/// A gateway's question for the origin of a stream that a caller takes up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// The attempt that brought the first event.
+    pub call: Call,
+    /// Short hash of the service's name.
+    pub service: u32,
+}
+
+/// What a gateway knows of the origin of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// What began the stream.
+    Known(Origin),
+    /// The service has had only this build for as long as streams last.
+    Only(Option<Build>),
+    /// Nothing.
+    Unknown,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    at: Time,
+    service: u32,
+    origin: Origin,
+}
+
+/// Origins that this gateway knows: of its own streams and of those of others.
+#[derive(Debug, Default)]
+pub struct Table {
+    entries: BTreeMap<Call, Entry>,
+    /// Calls in the order of their records.
+    order: VecDeque<(Time, Call)>,
+    /// Own streams that no other gateway knows of, by service.
+    untold: BTreeSet<(u32, Call)>,
+}
+
+impl Table {
+    /// Records the origin of a stream; `is_told` says whether other gateways know it.
+    pub fn record(&mut self, now: Time, record: &Record, is_told: bool) {
+        let Record { call, service, origin } = *record;
+        self.entries.insert(call, Entry { at: now, service, origin });
+        self.order.push_back((now, call));
+        if !is_told {
+            self.untold.insert((service, call));
+        }
+    }
+
+    /// Drops origins from before `oldest`.
+    pub fn sweep(&mut self, oldest: Time) {
+        while let Some((at, call)) = self.order.front().copied()
+            && (at < oldest || self.order.len() > MAX_RECORDS)
+        {
+            self.order.pop_front();
+            // A later record of the same call stays.
+            if let Some(entry) = self.entries.get(&call).filter(|entry| entry.at <= at) {
+                self.untold.remove(&(entry.service, call));
+                self.entries.remove(&call);
+            }
+        }
+    }
+
+    /// Origin of a stream and the time of its record.
+    pub fn get(&self, call: Call) -> Option<(Time, Origin)> {
+        self.entries.get(&call).map(|entry| (entry.at, entry.origin))
+    }
+
+    /// Services with own streams that no other gateway knows of, by their short hashes.
+    pub fn untold_services(&self) -> BTreeSet<u32> {
+        self.untold.iter().map(|(service, _)| *service).collect()
+    }
+
+    /// Takes the own streams of a service that no other gateway knows of, to tell them.
+    pub fn take_untold(&mut self, service: u32) -> Vec<Record> {
+        let first = (service, Call(0));
+        let calls: Vec<(u32, Call)> =
+            self.untold.range(first..=(service, Call(u64::MAX))).copied().collect();
+        let mut records = Vec::new();
+        for key in calls {
+            self.untold.remove(&key);
+            let entry = self.entries.get(&key.1);
+            records.extend(entry.map(|e| Record { call: key.1, service, origin: e.origin }));
+        }
+        records
+    }
+}
+
+/// Whether a stream that began at `began` may be of either of two incarnations of its replica, the
+/// entry of the later of which was seen at `replaced`.
+pub fn is_doubtful(began: Time, replaced: Time) -> bool {
+    began <= replaced && replaced.since(began) < ENTRY_LAG
+}
--- a/core/src/gateway/refusal.rs
+++ b/core/src/gateway/refusal.rs
@@ -20,6 +20,10 @@
     UnknownKey,
     /// No replica of the service is usable.
     NoReplica,
+    /// The call takes up a stream of which no gateway knows what began it.
+    UnknownOrigin,
+    /// The call takes up a stream, and no replica has the build that began it.
+    BuildGone,
     /// Every replica is too loaded to answer in time.
     Overloaded,
     /// This gateway has no place left at the replicas, which are brittle.
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -9,6 +9,7 @@
 mod cooldowns;
 mod departures;
 mod limits;
+mod origins;
 mod owner;
 mod pick;
 mod plans;
@@ -47,6 +48,8 @@
 use super::limit::issuer::Issuer;
 use super::model::Model;
 use super::occupancy::Occupancy;
+use super::origin;
+use super::origin::Origin;
 use super::outage::Outage;
 use super::plan::Comparison;
 use super::plan::Planner;
@@ -107,6 +110,8 @@
     pub denials: usize,
     /// Number of attempts that may have run.
     pub attempts: u32,
+    /// What began the stream that the call goes on with; `None` before its first event.
+    pub origin: Option<Origin>,
     /// The last replica that was chosen, also if the call was then refused for overload.
     pub last_pick: Option<Pick>,
     /// Another gateway delegated the call to this one.
@@ -164,6 +169,7 @@
     ring_updated: Time,
     occupancy: Occupancy,
     issuer: Issuer,
+    origins: origin::Table,
     last_sweep: Time,
     outage: Outage,
     rollback: Rollback,
@@ -194,6 +200,7 @@
             ring_updated: now,
             occupancy: Occupancy::default(),
             issuer: Issuer::default(),
+            origins: origin::Table::default(),
             last_sweep: now,
             outage: Outage::default(),
             rollback: Rollback::default(),
@@ -425,6 +432,7 @@
             tried: Vec::new(),
             denials: 0,
             attempts: 0,
+            origin: None,
             last_pick: None,
             version: config.version,
             is_delegated: false,
@@ -465,6 +473,7 @@
         renewed.tried = std::mem::take(&mut grant.tried);
         renewed.denials = grant.denials;
         renewed.attempts = grant.attempts;
+        renewed.origin = grant.origin;
         *grant = renewed;
         Ok(())
     }
@@ -479,7 +488,7 @@
     pub fn may_reroute(&self, now: Time, submission: &Submission, grant: &Grant) -> bool {
         let mut renewed = grant.clone();
         let allowed = self.recheck(now, submission, &mut renewed).is_ok();
-        allowed && self.fleet.has_unlimited(now, &renewed.service, &grant.tried)
+        allowed && self.fleet.has_unlimited(now, &renewed.service, grant.origin, &grant.tried)
     }
 
     /// Spends one retry of the service's budget; `false` if none is left.
--- a/core/src/gateway/state/brittle.rs
+++ b/core/src/gateway/state/brittle.rs
@@ -66,7 +66,7 @@
             return None;
         }
         for _ in 0..MAX_DRAWS {
-            let holder = self.fleet.random_holder(&grant.service, &mut self.rng)?;
+            let holder = self.fleet.random_holder(&grant.service, grant.origin, &mut self.rng)?;
             let entry = self.directory.open_entry(now, holder);
             if let Some(entry) = entry.filter(|entry| !tried.contains(&entry.name)) {
                 return Some(entry.clone());
--- a/core/src/gateway/state/cooldowns.rs
+++ b/core/src/gateway/state/cooldowns.rs
@@ -48,7 +48,7 @@
     /// may return at once if a replica is usable.
     pub fn refuse_rejected(&mut self, now: Time, grant: &Grant, retry_after: Span) -> Refusal {
         if self.fleet.usable(now, &grant.service) == 0
-            && let Some(end) = self.fleet.first_cooldown_end(now, &grant.service)
+            && let Some(end) = self.fleet.first_cooldown_end(now, &grant.service, grant.origin)
         {
             return self.refuse_cooled(now, end);
         }
--- a/core/src/gateway/state/limits.rs
+++ b/core/src/gateway/state/limits.rs
@@ -118,7 +118,7 @@
     /// Longest time that a call waits for a permit. It does not wait while another replica could
     /// take it at once, and no longer than for its first event in an overload.
     fn permit_patience(&self, now: Time, grant: &Grant, pick: &Pick, resumes: bool) -> Span {
-        if self.fleet.has_unlimited(now, &grant.service, &grant.tried) {
+        if self.fleet.has_unlimited(now, &grant.service, grant.origin, &grant.tried) {
             return Span(0);
         }
         let lowest_rank =
@@ -187,7 +187,7 @@
     /// The refusal of a call that gets no permit for any replica. It says when the first permit may
     /// be had, at a random time so that callers refused together do not return together.
     pub fn refuse_limited(&mut self, now: Time, grant: &Grant) -> Refusal {
-        let first = self.fleet.first_permit(now, &grant.service, grant.rank.route);
+        let first = self.fleet.first_permit(now, &grant.service, grant.origin, grant.rank.route);
         let wait = first.map_or(Span(0), |at| at.since(now));
         let wait = wait.max(MIN_RETRY_LIMITED);
         let spread = self.rng.random_range(0..=wait.0);
--- /dev/null
+++ b/core/src/gateway/state/origins.rs
@@ -0,0 +1,216 @@
+//! Origins of streams: which streams may go on where, and which gateways know it.
+//!
+//! See [`crate::gateway::origin`].
+
+use std::collections::BTreeMap;
+
+use super::Gateway;
+use super::Grant;
+use crate::gateway::build::Build;
+use crate::gateway::directory;
+use crate::gateway::fleet::Claim;
+use crate::gateway::origin;
+use crate::gateway::origin::Answer;
+use crate::gateway::origin::Call;
+use crate::gateway::origin::Origin;
+use crate::gateway::origin::Question;
+use crate::gateway::origin::Record;
+use crate::gateway::refusal::Reason;
+use crate::gateway::refusal::Refusal;
+use crate::gateway::submission::Submission;
+use crate::incarnation::Digest;
+use crate::time::Span;
+use crate::time::Time;
+
+/// Gateways that each origin is sent to. The origins of a gateway that is killed with four fifths of all
+/// others are then known in three of five cases.
+const COPIES: usize = 4;
+/// Number of live gateways up to which each of them gets all origins.
+const SMALL_FLEET: usize = 8;
+/// Gateways that are asked for an origin, in the order in which origins are sent. Some that got it may
+/// have ended since, and others may have taken their places.
+const ASKED: usize = 8;
+/// Time after which a caller retries whose stream can't go on now.
+const RETRY_STREAM: Span = Span::millis(300);
+
+/// Records by the address of the gateway that gets them.
+pub type Copies = BTreeMap<String, Vec<Record>>;
+
+impl Gateway {
+    /// Records that the first event of a stream has arrived. Returns what other gateways must know
+    /// before the caller gets the event; nothing while the service has one build.
+    pub fn record_stream(
+        &mut self,
+        now: Time,
+        submission: &Submission,
+        grant: &mut Grant,
+        claim: &Claim,
+    ) -> Copies {
+        // A stream that is taken up keeps its origin, by which its caller names it.
+        let began = submission.last_event.is_none();
+        let origin = self.fleet.origin(claim, &grant.service).filter(|_| began);
+        let Some(origin) = origin else {
+            return Copies::new();
+        };
+        grant.origin = Some(origin);
+        self.origins.sweep(now - self.stream_lifetime());
+        let service = directory::short_hash(&grant.service);
+        let record = Record { call: Call::of(&submission.id), service, origin };
+        let must_tell = self.only_build(now, &grant.service).is_none();
+        self.origins.record(now, &record, must_tell);
+        if must_tell { self.copies(now, vec![record]) } else { Copies::new() }
+    }
+
+    /// Records of own streams that other gateways must know from now on: those of services that had one
+    /// build when the streams began, and of which that is not certain any more.
+    pub fn take_untold_streams(&mut self, now: Time) -> Copies {
+        let is_unsettled = |service: &&str| {
+            self.fleet.states_builds(service) && self.only_build(now, service).is_none()
+        };
+        let unsettled: Vec<u32> =
+            self.fleet.services().filter(is_unsettled).map(directory::short_hash).collect();
+        let mut records = Vec::new();
+        for service in self.origins.untold_services() {
+            if unsettled.contains(&service) {
+                records.extend(self.origins.take_untold(service));
+            }
+        }
+        self.copies(now, records)
+    }
+
+    /// Records origins of streams that another gateway began.
+    pub fn receive_origins(&mut self, now: Time, records: &[Record]) {
+        self.origins.sweep(now - self.stream_lifetime());
+        for record in records {
+            self.origins.record(now, record, true);
+        }
+    }
+
+    /// Answers another gateway's question.
+    pub fn answer_origin(&self, now: Time, question: &Question) -> Answer {
+        if let Some((at, origin)) = self.origins.get(question.call) {
+            return self.confirmed(at, origin).map_or(Answer::Unknown, Answer::Known);
+        }
+        let is_asked = |service: &&str| directory::short_hash(service) == question.service;
+        let service = self.fleet.services().find(is_asked);
+        let only = service.and_then(|service| self.only_build(now, service));
+        only.map_or(Answer::Unknown, Answer::Only)
+    }
+
+    /// Decides where the stream that a call takes up may go on. Returns a question, and the addresses of
+    /// the gateways to ask, if this one doesn't know; [`Gateway::record_answers`] then decides.
+    ///
+    /// # Errors
+    ///
+    /// The refusal to answer the caller with.
+    pub fn resolve_origin(
+        &self,
+        now: Time,
+        submission: &Submission,
+        grant: &mut Grant,
+    ) -> Result<Option<(Question, Vec<String>)>, Refusal> {
+        let takes_up = grant.route.streams && submission.last_event.is_some();
+        if !takes_up || grant.origin.is_some() || !self.fleet.states_builds(&grant.service) {
+            return Ok(None);
+        }
+        let Some(first) = &submission.resumes else {
+            // Without a name of the stream, only the absence of other builds tells its own.
+            let seen = self.fleet.only_build(&grant.service, Time(0));
+            let build = seen.ok_or(Refusal::not_run(Reason::UnknownOrigin, RETRY_STREAM))?;
+            grant.origin = origin_of(build);
+            return Ok(None);
+        };
+        let call = Call::of(first);
+        if let Some((at, origin)) = self.origins.get(call) {
+            let confirmed = self.confirmed(at, origin);
+            grant.origin =
+                Some(confirmed.ok_or(Refusal::not_run(Reason::UnknownOrigin, RETRY_STREAM))?);
+            return Ok(None);
+        }
+        let question = Question { call, service: directory::short_hash(&grant.service) };
+        Ok(Some((question, self.holders(now, call, ASKED))))
+    }
+
+    /// Decides by the answers of other gateways where the stream that a call takes up may go on.
+    ///
+    /// # Errors
+    ///
+    /// The refusal to answer the caller with.
+    pub fn record_answers(
+        &self,
+        now: Time,
+        grant: &mut Grant,
+        answers: &[Answer],
+    ) -> Result<(), Refusal> {
+        let known = answers.iter().find_map(|answer| match answer {
+            Answer::Known(origin) => Some(*origin),
+            _ => None,
+        });
+        if known.is_some() {
+            grant.origin = known;
+            return Ok(());
+        }
+        let told = answers.iter().find_map(|answer| match answer {
+            Answer::Only(build) => Some(*build),
+            _ => None,
+        });
+        let only = self.only_build(now, &grant.service).or(told);
+        grant.origin =
+            origin_of(only.ok_or(Refusal::not_run(Reason::UnknownOrigin, RETRY_STREAM))?);
+        Ok(())
+    }
+
+    /// Checks, before a stream is resumed within its response, that its origin is still certain.
+    pub fn confirm_origin(&self, submission: &Submission, grant: &mut Grant) {
+        if let Some((at, origin)) = self.origins.get(Call::of(&submission.id))
+            && self.confirmed(at, origin).is_none()
+        {
+            // No replica continues a stream of which neither the build nor the replica is known.
+            grant.origin = Some(Origin { replica: Digest(0), build: None });
+        }
+    }
+
+    /// The origin of a stream that was recorded at `at`, unless its replica may have restarted with
+    /// another build by then.
+    fn confirmed(&self, at: Time, origin: Origin) -> Option<Origin> {
+        let replaced = self.fleet.replaced_at(origin.replica);
+        let is_doubtful = replaced.is_some_and(|replaced| origin::is_doubtful(at, replaced));
+        (!is_doubtful).then_some(origin)
+    }
+
+    /// The one build that a service has had for as long as streams last, as far as this gateway can
+    /// tell: its lists were current for all of that time.
+    fn only_build(&self, now: Time, service: &str) -> Option<Option<Build>> {
+        let since = now - self.stream_lifetime();
+        let is_informed = self.freshness.unbroken_since(now).is_some_and(|from| from <= since);
+        self.fleet.only_build(service, since).filter(|_| is_informed)
+    }
+
+    /// Time for which a caller may go on with a stream: two attempts that each last to the route's
+    /// timeout.
+    fn stream_lifetime(&self) -> Span {
+        self.config.as_ref().map_or(Span(0), |config| Span(config.longest_stream().0 * 2))
+    }
+
+    fn copies(&self, now: Time, records: Vec<Record>) -> Copies {
+        let mut copies = Copies::new();
+        for record in records {
+            for holder in self.holders(now, record.call, COPIES) {
+                copies.entry(holder).or_default().push(record);
+            }
+        }
+        copies
+    }
+
+    /// Addresses of the first `count` gateways that hold the origin of a call's stream, or of all of
+    /// them in a small fleet.
+    fn holders(&self, now: Time, call: Call, count: usize) -> Vec<String> {
+        let count = if self.directory.live_peers(now) <= SMALL_FLEET { SMALL_FLEET } else { count };
+        self.directory.holders(now, call.0, count)
+    }
+}
+
+/// The origin of a stream of which only the build is known; `None` if its service states none.
+fn origin_of(build: Option<Build>) -> Option<Origin> {
+    build.map(|build| Origin { replica: Digest(0), build: Some(build) })
+}
--- a/core/src/gateway/state/pick.rs
+++ b/core/src/gateway/state/pick.rs
@@ -91,7 +91,8 @@
         };
         let max_wait = criteria.map(|c| max_wait_ms(&grant.route, c.lowest_rank));
         // A call that may have run is not refused for overload, which would report it as not run.
-        let first = grant.attempts == 0;
+        // Nor is a stream that goes on, as its caller has a part of it already and can't go elsewhere.
+        let first = grant.attempts == 0 && grant.origin.is_none();
         if first && max_wait.is_some_and(|max_wait| claim.expected_ms * dither > max_wait) {
             return Err(Refusal::not_run(Reason::Overloaded, self.random_retry_after()));
         }
@@ -100,12 +101,16 @@
 
     /// The refusal of a call that no replica can take now; it says when the first one can.
     fn refuse_unavailable(&mut self, now: Time, grant: &Grant) -> Refusal {
-        let permit = self.fleet.first_permit(now, &grant.service, grant.rank.route);
+        let is_gone = |origin| !self.fleet.may_continue(&grant.service, origin);
+        if grant.origin.is_some_and(is_gone) {
+            return Refusal::not_run(Reason::BuildGone, RETRY_NO_REPLICA);
+        }
+        let permit = self.fleet.first_permit(now, &grant.service, grant.origin, grant.rank.route);
         // Other gateways may have places where this one was refused.
         if permit.is_none() && self.fleet.is_brittle(now, &grant.service) {
             return Refusal::not_run(Reason::NoPlace, self.random_retry_after());
         }
-        let cooldown_end = self.fleet.first_cooldown_end(now, &grant.service);
+        let cooldown_end = self.fleet.first_cooldown_end(now, &grant.service, grant.origin);
         match (permit, cooldown_end) {
             (Some(permit), Some(end)) if end < permit => self.refuse_cooled(now, end),
             (Some(_), _) => self.refuse_limited(now, grant),
@@ -167,6 +172,7 @@
         permit: permit_kind(grant),
         may_retry: grant.attempts + 1 < grant.route.attempts,
         parts: &submission.parts,
+        origin: grant.origin,
         engine: criteria,
         snapshots,
     }
--- a/core/src/gateway/state/poison.rs
+++ b/core/src/gateway/state/poison.rs
@@ -37,6 +37,7 @@
     /// While the replica's service is out of reach, this says something about this gateway's links
     /// and nothing about the request.
     pub fn record_crash(&mut self, now: Time, grant: &Grant, claim: &Claim) {
+        self.fleet.record_broken(now, claim.replica);
         let Some(fingerprint) = grant.fingerprint else {
             return;
         };
--- a/core/tests/gateway/cooldowns.rs
+++ b/core/tests/gateway/cooldowns.rs
@@ -110,7 +110,7 @@
         gateway.update_lists(START, START, listings(1), entries.clone());
         let pick = send(&mut gateway, START, "chat").unwrap();
         refuse(&mut gateway, START, pick, WAIT);
-        gateway.fleet().first_cooldown_end(START, "engines").unwrap()
+        gateway.fleet().first_cooldown_end(START, "engines", None).unwrap()
     };
 
     let mut ends: Vec<Time> = (0..).zip(&entries).map(cooldown_end).collect();
--- a/core/tests/gateway/limits.rs
+++ b/core/tests/gateway/limits.rs
@@ -100,6 +100,7 @@
         permit: Kind::Immediate,
         may_retry: true,
         parts: &[],
+        origin: None,
         engine: Some(Criteria {
             slots: 16,
             sensitive,
--- /dev/null
+++ b/core/tests/gateway/origins.rs
@@ -0,0 +1,393 @@
+//! Fleets of gateways before replicas of two builds: callers take up their streams elsewhere after their
+//! gateways were killed, cut off or restarted.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use laburnumwheel_core::gateway::Gateway;
+use laburnumwheel_core::gateway::Settings;
+use laburnumwheel_core::gateway::directory;
+use laburnumwheel_core::gateway::directory::Entry;
+use laburnumwheel_core::gateway::fleet::Listing;
+use laburnumwheel_core::gateway::gossip::Demand;
+use laburnumwheel_core::gateway::origin::Answer;
+use laburnumwheel_core::gateway::origin::Call;
+use laburnumwheel_core::gateway::origin::Origin;
+use laburnumwheel_core::gateway::origin::Question;
+use laburnumwheel_core::gateway::origin::Record;
+use laburnumwheel_core::gateway::submission::Submission;
+use laburnumwheel_core::time::Span;
+use laburnumwheel_core::time::Time;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+
+use crate::support::START;
+use crate::support::config;
+use crate::support::entry;
+use crate::support::listing;
+use crate::support::settings;
+use crate::support::submission;
+
+/// Streams of one check.
+const STREAMS: usize = 400;
+const DOMAINS: usize = 4;
+
+/// What became of streams that callers took up.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcome {
+    taken_up: usize,
+    /// Went on at the build that began them.
+    continued: usize,
+    /// Went on at another build.
+    joined: usize,
+}
+
+/// Gateways, of which some serve callers and the others only keep origins.
+struct World {
+    now: Time,
+    rng: SmallRng,
+    entries: Vec<Entry>,
+    /// The gateways that serve callers are the first of `entries`.
+    serving: Vec<Gateway>,
+    kept: BTreeMap<String, BTreeMap<Call, Origin>>,
+    replicas: Vec<Listing>,
+    /// Addresses of gateways that have ended.
+    killed: BTreeSet<String>,
+    /// Addresses of gateways that exchange no messages.
+    cut: BTreeSet<String>,
+    /// Share of datagrams that are lost.
+    loss: f64,
+    /// Number of records sent.
+    sent: usize,
+}
+
+fn name(n: usize) -> String {
+    format!("gateway-{n}")
+}
+
+fn built(n: usize) -> Listing {
+    Listing { build: Some(["v1", "v2"][n % 2].to_owned()), ..listing(&format!("engine-{n}")) }
+}
+
+impl World {
+    fn start(gateways: usize, serving: usize, seed: u64) -> World {
+        let entries: Vec<Entry> = (0..gateways).map(|n| entry(&name(n))).collect();
+        let mut world = World {
+            now: START,
+            rng: SmallRng::seed_from_u64(seed),
+            serving: (0..serving).map(start).collect(),
+            entries,
+            kept: BTreeMap::new(),
+            replicas: (0..18).map(built).collect(),
+            killed: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            loss: 0.0,
+            sent: 0,
+        };
+        world.refresh();
+        world
+    }
+
+    fn address(&self, n: usize) -> String {
+        self.entries[n].peer_address.clone()
+    }
+
+    /// Lets the serving gateways read the store and hear of all others.
+    fn refresh(&mut self) {
+        let demand = |entry: &Entry| Demand {
+            gateway: directory::short_hash(&entry.name),
+            open: true,
+            sensitive: 0,
+            age_ms: 0,
+        };
+        let demands: Vec<Demand> = self.entries.iter().map(demand).collect();
+        let mut heartbeat = start(usize::MAX).heartbeat(self.now);
+        heartbeat.demands = demands;
+        heartbeat.entry = self.entries[0].clone();
+        let mut second = heartbeat.clone();
+        second.entry = self.entries[1].clone();
+        for (n, gateway) in self.serving.iter_mut().enumerate() {
+            gateway.record_read(self.now, None);
+            gateway.update_lists(self.now, self.now, self.replicas.clone(), self.entries.clone());
+            gateway.receive(self.now, if n == 0 { &second } else { &heartbeat });
+        }
+    }
+
+    fn is_reached(&mut self, from: usize, to: &str) -> bool {
+        let is_lost = self.rng.random_bool(self.loss);
+        let is_cut = self.cut.contains(to) || self.cut.contains(&self.address(from));
+        !is_lost && !is_cut && !self.killed.contains(to)
+    }
+
+    fn position(&self, address: &str) -> usize {
+        self.entries.iter().position(|entry| entry.peer_address == address).unwrap()
+    }
+
+    fn deliver(&mut self, from: usize, copies: BTreeMap<String, Vec<Record>>) {
+        for (to, records) in copies {
+            self.sent += records.len();
+            if !self.is_reached(from, &to) {
+                continue;
+            }
+            match self.position(&to) {
+                at if at < self.serving.len() => {
+                    self.serving[at].receive_origins(self.now, &records);
+                }
+                _ => self
+                    .kept
+                    .entry(to)
+                    .or_default()
+                    .extend(records.iter().map(|r| (r.call, r.origin))),
+            }
+        }
+    }
+
+    /// Begins a stream at a gateway; returns the build.
+    fn begin(&mut self, at: usize, id: &str) -> Option<String> {
+        let call = call(id);
+        let gateway = &mut self.serving[at];
+        let mut grant = gateway.admit(self.now, &call).unwrap();
+        let mut pick = gateway.pick(self.now, &call, &mut grant, &[]).unwrap();
+        gateway.record_sent(self.now, &call, &mut grant, &mut pick);
+        gateway.record_event(self.now, &mut pick.claim);
+        let copies = gateway.record_stream(self.now, &call, &mut grant, &pick.claim);
+        let untold = gateway.take_untold_streams(self.now);
+        self.deliver(at, copies);
+        self.deliver(at, untold);
+        pick.build
+    }
+
+    fn ask(&mut self, from: usize, to: &str, question: &Question) -> Option<Answer> {
+        // The question or the answer may be lost.
+        if !self.is_reached(from, to) || !self.is_reached(from, to) {
+            return None;
+        }
+        let at = self.position(to);
+        if at < self.serving.len() {
+            return Some(self.serving[at].answer_origin(self.now, question));
+        }
+        let kept = self.kept.get(to).and_then(|kept| kept.get(&question.call));
+        Some(kept.map_or(Answer::Unknown, |origin| Answer::Known(*origin)))
+    }
+
+    /// Takes up a stream at a gateway; returns the build at which it goes on, if it does.
+    fn take_up(&mut self, at: usize, first: &str) -> Option<Option<String>> {
+        let call = Submission {
+            last_event: Some("3".into()),
+            resumes: Some(first.to_owned().into()),
+            ..call("again")
+        };
+        let mut grant = self.serving[at].admit(self.now, &call).unwrap();
+        let asked = self.serving[at].resolve_origin(self.now, &call, &mut grant).ok()?;
+        if let Some((question, addresses)) = asked {
+            let answers: Vec<Answer> =
+                addresses.iter().filter_map(|to| self.ask(at, to, &question)).collect();
+            self.serving[at].record_answers(self.now, &mut grant, &answers).ok()?;
+        }
+        let pick = self.serving[at].pick(self.now, &call, &mut grant, &[]).ok()?;
+        Some(pick.build)
+    }
+
+    /// Begins streams at all serving gateways, lets `disturb` happen, and lets the callers of the streams
+    /// whose gateways have ended or are cut off take them up at others.
+    fn check(&mut self, disturb: impl FnOnce(&mut World)) -> Outcome {
+        let begun: Vec<(usize, String, Option<String>)> = (0..STREAMS)
+            .map(|n| {
+                let at = self.rng.random_range(0..self.serving.len());
+                let id = format!("call-{n}");
+                let build = self.begin(at, &id);
+                (at, id, build)
+            })
+            .collect();
+        disturb(self);
+        self.now = self.now + Span::millis(100);
+        let is_left = |world: &World, at: usize| {
+            let address = world.address(at);
+            !world.killed.contains(&address) && !world.cut.contains(&address)
+        };
+        let left: Vec<usize> = (0..self.serving.len()).filter(|at| is_left(self, *at)).collect();
+        let mut outcome = Outcome::default();
+        for (at, id, build) in begun {
+            if is_left(self, at) {
+                continue;
+            }
+            outcome.taken_up += 1;
+            let to = *left.choose(&mut self.rng).unwrap();
+            match self.take_up(to, &id) {
+                Some(other) if other == build => outcome.continued += 1,
+                Some(_) => outcome.joined += 1,
+                None => {}
+            }
+        }
+        outcome
+    }
+
+    fn kill(&mut self, n: usize) {
+        let address = self.address(n);
+        self.kept.remove(&address);
+        self.killed.insert(address);
+    }
+
+    /// Kills a share of all gateways, but at least one that serves lives on.
+    fn kill_share(&mut self, share: f64) {
+        for n in 1..self.entries.len() {
+            if self.rng.random_bool(share) {
+                self.kill(n);
+            }
+        }
+    }
+}
+
+fn start(n: usize) -> Gateway {
+    let settings = Settings { seed: n as u64, ..settings(&name(n)) };
+    let mut gateway = Gateway::new(settings, START);
+    gateway.record_read(START, Some(Arc::new(config(1))));
+    gateway
+}
+
+fn call(id: &str) -> Submission {
+    Submission { id: id.to_owned().into(), ..submission("chat", &[]) }
+}
+
+/// Fleets of nine gateways, and of 985 of which 40 serve.
+fn worlds() -> [World; 2] {
+    [World::start(9, 9, 1), World::start(985, 40, 2)]
+}
+
+/// No stream may be joined, and the share that goes on must be at least half of the share of new streams
+/// that begin, which is all of them here.
+fn assert_kept(outcome: Outcome) {
+    assert!(outcome.taken_up >= 12, "{outcome:?}");
+    assert_eq!(outcome.joined, 0, "{outcome:?}");
+    assert!(outcome.continued * 2 >= outcome.taken_up, "{outcome:?}");
+}
+
+/// Guards against streams that go on at another build, or not at all, after their gateways were killed.
+#[test]
+fn streams_go_on_after_their_gateways_were_killed() {
+    for share in [0.3, 0.6, 0.75] {
+        for mut world in worlds() {
+            let outcome = world.check(|world| world.kill_share(share));
+            assert_kept(outcome);
+        }
+    }
+}
+
+/// Guards against copies that end together with most of the failure domain of their gateway.
+#[test]
+fn streams_go_on_after_most_of_a_failure_domain_was_killed() {
+    for mut world in worlds() {
+        let outcome = world.check(|world| {
+            for n in (0..world.entries.len()).filter(|n| n % DOMAINS == 1) {
+                if world.rng.random_bool(0.9) {
+                    world.kill(n);
+                }
+            }
+        });
+        assert_kept(outcome);
+    }
+}
+
+/// Guards against origins that are lost with single datagrams.
+#[test]
+fn streams_go_on_although_datagrams_are_lost() {
+    for mut world in worlds() {
+        world.loss = 0.25;
+        let outcome = world.check(|world| world.kill_share(0.3));
+        assert_kept(outcome);
+    }
+}
+
+/// Guards against questions that miss the holders because gateways have joined since.
+#[test]
+fn streams_go_on_after_gateways_have_joined() {
+    for mut world in worlds() {
+        let outcome = world.check(|world| {
+            let known = world.entries.len();
+            let joined = (known..known + known.div_ceil(5)).map(|n| entry(&name(n)));
+            world.entries.extend(joined);
+            world.refresh();
+            for n in 1..known {
+                if world.rng.random_bool(0.3) {
+                    world.kill(n);
+                }
+            }
+        });
+        assert_kept(outcome);
+    }
+}
+
+/// Guards against a restarted gateway that takes part in the answers with what it does not know.
+#[test]
+fn streams_go_on_at_gateways_that_have_just_restarted() {
+    for mut world in worlds() {
+        let outcome = world.check(|world| {
+            world.kill_share(0.5);
+            world.serving[0] = start(0);
+            world.refresh();
+        });
+        assert_kept(outcome);
+    }
+}
+
+/// Guards against streams that are joined after all gateways restarted: nothing knows what began them.
+#[test]
+fn no_stream_goes_on_after_all_gateways_have_restarted() {
+    for mut world in worlds() {
+        let outcome = world.check(|world| {
+            world.kept.clear();
+            for n in 0..world.serving.len() {
+                world.serving[n] = start(n);
+            }
+            world.refresh();
+            let first = world.address(0);
+            world.killed.insert(first);
+            // The callers of all others have been cut off too.
+            for n in 2..world.serving.len() {
+                let address = world.address(n);
+                world.killed.insert(address);
+            }
+        });
+        assert!(outcome.taken_up > 0);
+        assert_eq!(outcome.continued + outcome.joined, 0, "{outcome:?}");
+    }
+}
+
+/// Guards against streams that are joined because their gateway reached no other one.
+#[test]
+fn no_stream_of_a_gateway_without_peers_is_joined() {
+    for mut world in worlds() {
+        let cut = world.address(3);
+        world.cut.insert(cut);
+        let outcome = world.check(|_| {});
+        assert_eq!(outcome.joined, 0, "{outcome:?}");
+    }
+}
+
+/// Guards against streams that began before the second build was listed and that nobody was told of.
+#[test]
+fn streams_from_before_a_release_go_on_after_their_gateways_were_killed() {
+    for mut world in worlds() {
+        let mixed = world.replicas.clone();
+        world.replicas.retain(|replica| replica.build.as_deref() == Some("v1"));
+        world.serving = (0..world.serving.len()).map(start).collect();
+        while world.now < START + Span::secs(32) {
+            world.now = world.now + Span::millis(500);
+            world.refresh();
+        }
+        let outcome = world.check(|world| {
+            assert_eq!(world.sent, 0);
+            world.replicas = mixed;
+            world.refresh();
+            for at in 0..world.serving.len() {
+                let untold = world.serving[at].take_untold_streams(world.now);
+                world.deliver(at, untold);
+            }
+            world.kill_share(0.5);
+        });
+        assert_kept(outcome);
+    }
+}
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -166,6 +166,11 @@
         InFlight { shared: shared.clone(), claim: None, ended: Cell::new(false) }
     }
 
+    /// Claim on the replica; `None` if another gateway serves the call.
+    pub fn claim(&self) -> Option<Claim> {
+        self.claim
+    }
+
     /// Time at which a replica got the call; `None` if another gateway serves it.
     pub fn sent(&self) -> Option<Time> {
         self.claim.map(|claim| claim.sent)
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -35,6 +35,7 @@
 use crate::clock;
 use crate::delegation::Delegation;
 use crate::log::Line;
+use crate::origin;
 use crate::relay::Relay;
 use crate::shared::Shared;
 
@@ -233,6 +234,10 @@
         body: &body,
     }));
     grant.attempts = delegation.map_or(0, |delegation| delegation.attempts);
+    grant.origin = delegation.and_then(|delegation| delegation.origin);
+    if let Err(refusal) = origin::resolve(shared, &submission, &mut grant).await {
+        return refuse(shared, &recorder, &submission.id, &refusal);
+    }
     let shared = shared.clone();
     let call = Call {
         shared,
--- a/gateway/src/delegation.rs
+++ b/gateway/src/delegation.rs
@@ -25,9 +25,12 @@
 use hyper::header;
 use laburnumwheel_core::gateway::Gateway;
 use laburnumwheel_core::gateway::Grant;
+use laburnumwheel_core::gateway::build::Build;
 use laburnumwheel_core::gateway::directory::Entry;
+use laburnumwheel_core::gateway::origin::Origin;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::gateway::refusal::Refusal;
+use laburnumwheel_core::incarnation::Digest;
 use laburnumwheel_core::time::Span;
 
 use crate::attempt::Call;
@@ -66,7 +69,7 @@
 
 /// What the delegating gateway tells its delegate about a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
-#[display("{version},{attempts},{}", u8::from(*metered))]
+#[display("{version},{attempts},{}{}", u8::from(*metered), format_origin(*origin))]
 pub struct Delegation {
     /// Version of the delegating gateway's configuration.
     pub version: u64,
@@ -74,6 +77,16 @@
     pub attempts: u32,
     /// The call has been counted for its organisation.
     pub metered: bool,
+    /// What began the stream that the call goes on with.
+    pub origin: Option<Origin>,
+}
+
+/// Formats the incarnation and the build of a stream's origin, if there is one, in hexadecimal.
+fn format_origin(origin: Option<Origin>) -> String {
+    origin.map_or_else(String::new, |origin| {
+        let build = origin.build.map_or_else(String::new, |build| build.to_string());
+        format!(",{},{build}", origin.replica)
+    })
 }
 
 impl FromStr for Delegation {
@@ -83,7 +96,16 @@
         let mut numbers = text.split(',').map(str::trim);
         let mut next = || numbers.next().unwrap_or_default();
         let (version, attempts) = (next().parse()?, next().parse()?);
-        Ok(Delegation { version, attempts, metered: next().parse::<u8>()? != 0 })
+        let metered = next().parse::<u8>()? != 0;
+        let hash = |text: &str| u32::from_str_radix(text, 16);
+        let origin = match (next(), next()) {
+            ("", _) => None,
+            (replica, "") => Some(Origin { replica: Digest(hash(replica)?), build: None }),
+            (replica, build) => {
+                Some(Origin { replica: Digest(hash(replica)?), build: Some(Build(hash(build)?)) })
+            }
+        };
+        Ok(Delegation { version, attempts, metered, origin })
     }
 }
 
@@ -341,6 +363,7 @@
             version: self.shared.gateway.borrow().version(),
             attempts: self.grant.attempts,
             metered: self.metered,
+            origin: self.grant.origin,
         };
         if let Ok(value) = header::HeaderValue::from_str(&delegation.to_string()) {
             headers.insert(DELEGATION, value);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod limit;
 pub mod log;
 pub mod metrics;
+pub mod origin;
 pub mod peers;
 pub mod quarantine;
 pub mod reach;
--- /dev/null
+++ b/gateway/src/origin.rs
@@ -0,0 +1,139 @@
+//! Origins of streams: tells them to other gateways, and asks for those of streams that callers take up.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use laburnumwheel_core::gateway::Grant;
+use laburnumwheel_core::gateway::fleet::Claim;
+use laburnumwheel_core::gateway::origin::Answer;
+use laburnumwheel_core::gateway::origin::Question;
+use laburnumwheel_core::gateway::origin::Record;
+use laburnumwheel_core::gateway::refusal::Refusal;
+use laburnumwheel_core::gateway::submission::Submission;
+use rand::Rng;
+use tokio::sync::oneshot;
+
+use crate::clock;
+use crate::log::Line;
+use crate::peers;
+use crate::peers::Message;
+use crate::shared::Shared;
+
+/// Time for answers to a question: several round trips between failure domains.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
+/// Times that a question is sent to gateways that do not answer, as datagrams may be lost.
+const ROUNDS: usize = 2;
+/// Records in one datagram.
+const MAX_RECORDS: usize = 128;
+
+/// Records that a replica has sent the first event of a stream, and tells it to other gateways if they
+/// must know before the caller gets the event.
+pub async fn record(shared: &Shared, submission: &Submission, grant: &mut Grant, claim: &Claim) {
+    let now = clock::now();
+    let copies = shared.gateway.borrow_mut().record_stream(now, submission, grant, claim);
+    send(shared, copies).await;
+}
+
+/// Tells other gateways of the streams that they must know of from now on.
+pub async fn tell(shared: &Shared) {
+    let copies = shared.gateway.borrow_mut().take_untold_streams(clock::now());
+    send(shared, copies).await;
+}
+
+async fn send(shared: &Shared, copies: BTreeMap<String, Vec<Record>>) {
+    for (address, records) in copies {
+        let Ok(address) = address.parse::<SocketAddr>() else {
+            continue;
+        };
+        for records in records.chunks(MAX_RECORDS) {
+            shared.metrics.add("origins_sent_total", String::new(), records.len() as u64);
+            let message = Message::Origins(records.to_vec());
+            // A lost copy is made up for by the others.
+            peers::send(&shared.socket, address, &message).await;
+        }
+    }
+}
+
+/// Decides where the stream that a call takes up may go on; asks other gateways if need be.
+///
+/// # Errors
+///
+/// Returns the refusal to answer the caller with.
+pub async fn resolve(
+    shared: &Shared,
+    submission: &Submission,
+    grant: &mut Grant,
+) -> Result<(), Refusal> {
+    if submission.last_event.is_none() {
+        return Ok(());
+    }
+    let asked = shared.gateway.borrow().resolve_origin(clock::now(), submission, grant);
+    let (result, answers) = match asked {
+        Err(refusal) => (Err(refusal), 0),
+        Ok(None) => (Ok(()), 0),
+        Ok(Some((question, addresses))) => {
+            let answers = ask(shared, question, addresses).await;
+            let gateway = shared.gateway.borrow();
+            (gateway.record_answers(clock::now(), grant, &answers), answers.len())
+        }
+    };
+    log(shared, submission, grant, answers, result.is_ok());
+    result
+}
+
+/// Asks gateways until one of them knows the origin, all have answered, or the time is over.
+async fn ask(shared: &Shared, question: Question, mut addresses: Vec<String>) -> Vec<Answer> {
+    let mut answers = Vec::new();
+    for _ in 0..ROUNDS {
+        let mut pending: FuturesUnordered<_> =
+            addresses.drain(..).map(|address| ask_one(shared, question, address)).collect();
+        let mut silent = Vec::new();
+        while let Some((address, answer)) = pending.next().await {
+            match answer {
+                Some(answer @ Answer::Known(_)) => return vec![answer],
+                Some(answer) => answers.push(answer),
+                None => silent.push(address),
+            }
+        }
+        addresses = silent;
+    }
+    answers
+}
+
+async fn ask_one(shared: &Shared, question: Question, address: String) -> (String, Option<Answer>) {
+    let Ok(to) = address.parse::<SocketAddr>() else {
+        return (address, None);
+    };
+    let request = shared.rng.borrow_mut().random();
+    let (sender, response) = oneshot::channel();
+    shared.pending.borrow_mut().origins.insert(request, sender);
+    let message = Message::OriginRequest(request, question);
+    let answer = match peers::send(&shared.socket, to, &message).await {
+        true => tokio::time::timeout(ANSWER_TIMEOUT, response).await.ok().and_then(Result::ok),
+        false => None,
+    };
+    shared.pending.borrow_mut().origins.remove(&request);
+    (address, answer)
+}
+
+/// Logs where a stream that a caller takes up may go on.
+fn log(shared: &Shared, submission: &Submission, grant: &Grant, answers: usize, resolved: bool) {
+    let outcome = match (resolved, grant.origin) {
+        (false, _) => "unknown",
+        (true, None) => "any",
+        (true, Some(_)) => "known",
+    };
+    shared.metrics.count("streams_taken_up_total", format!("origin=\"{outcome}\""));
+    let build = grant.origin.and_then(|origin| origin.build);
+    let first = submission.resumes.as_deref().map(String::from_utf8_lossy);
+    let line = Line::new("stream_taken_up")
+        .with("request", String::from_utf8_lossy(&submission.id))
+        .with("resumes", first.as_deref().unwrap_or("-"))
+        .with("origin", outcome)
+        .with("build", build.map_or("-".to_owned(), |build| build.to_string()))
+        .with("answers", answers);
+    shared.log(line);
+}
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -18,6 +18,7 @@
 use laburnumwheel_core::gateway::liveness::Summary;
 use laburnumwheel_core::gateway::occupancy::Snapshot;
 use laburnumwheel_core::gateway::occupancy::Update;
+use laburnumwheel_core::gateway::origin;
 use laburnumwheel_core::gateway::plan::Comparison;
 use laburnumwheel_core::gateway::tally::Report;
 use laburnumwheel_core::gateway::usage;
@@ -38,6 +39,7 @@
 use crate::duty;
 use crate::limit as limits;
 use crate::log::Line;
+use crate::origin as origins;
 use crate::quarantine;
 use crate::shared::Shared;
 
@@ -83,6 +85,12 @@
     Departures(Vec<departure::Record>),
     /// Brittle services, as answers of their replicas said.
     Brittle(Vec<brittle::Record>),
+    /// Origins of streams that the sender began.
+    Origins(Vec<origin::Record>),
+    /// Asks for the origin of a stream; holds an id of the request.
+    OriginRequest(u64, origin::Question),
+    /// Response to the origin request with this id.
+    Origin(u64, origin::Answer),
 }
 
 /// Data after a heartbeat in its datagram, which gateways of earlier releases ignore.
@@ -129,6 +137,8 @@
     snapshots: BTreeMap<u64, oneshot::Sender<Vec<Snapshot>>>,
     /// Requests for permits.
     pub permits: BTreeMap<u64, oneshot::Sender<limit::permit::Reply>>,
+    /// Requests for origins of streams.
+    pub origins: BTreeMap<u64, oneshot::Sender<origin::Answer>>,
 }
 
 /// Proof of what the store held, sent by a reader.
@@ -263,6 +273,7 @@
 /// Sends heartbeats, forever.
 pub async fn send_heartbeats(shared: Shared) {
     loop {
+        origins::tell(&shared).await;
         send_heartbeat(&shared).await;
         let interval = {
             let gateway = shared.gateway.borrow();
@@ -410,6 +421,20 @@
             Message::Limits(records) => limits::receive(&shared, &records),
             Message::Departures(records) => departures::receive(&shared, &records),
             Message::Brittle(records) => brittle_services::receive(&shared, &records),
+            Message::Origins(records) => {
+                shared.gateway.borrow_mut().receive_origins(clock::now(), &records);
+            }
+            Message::OriginRequest(request, question) => {
+                let answer = shared.gateway.borrow().answer_origin(clock::now(), &question);
+                send(&shared.socket, from, &Message::Origin(request, answer)).await;
+            }
+            Message::Origin(request, answer) => {
+                let waiting = shared.pending.borrow_mut().origins.remove(&request);
+                if let Some(sender) = waiting {
+                    // The request may have timed out.
+                    let _ = sender.send(answer);
+                }
+            }
             Message::PermitRequest(request, permit) => {
                 let reply = limits::issue(&shared, &permit);
                 send(&shared.socket, from, &Message::Permit(request, reply)).await;
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -2,7 +2,8 @@
 //!
 //! Only whole events are passed on, so a stream resumes after the last whole event. The previous
 //! attempt is cancelled first, so that no two replicas work on one stream. A stream that can't be
-//! resumed is aborted, so that the caller does not take it for complete.
+//! resumed is aborted, so that the caller does not take it for complete. A stream is resumed at the
+//! build that began it.
 
 use bytes::Bytes;
 use futures_util::Stream;
@@ -21,6 +22,7 @@
 use crate::call::Recorder;
 use crate::clock;
 use crate::log::Line;
+use crate::origin;
 
 /// A stream on its way from a replica to a caller.
 pub struct Relay {
@@ -55,6 +57,11 @@
         match read_events(&mut call, &mut exchange, &mut splitter).await {
             Ok(Step::Events(events)) => {
                 recorder.record_event();
+                let claim = exchange.as_ref().and_then(|open| open.in_flight.claim());
+                if let Some(claim) = claim {
+                    let shared = call.shared.clone();
+                    origin::record(&shared, &call.submission, &mut call.grant, &claim).await;
+                }
                 call.responding = true;
                 let first = Some(events);
                 Ok((head, Relay { call, exchange, splitter, first, recorder }))
@@ -105,6 +112,8 @@
     async fn resume(&mut self, mut failure: Failure) -> Result<(), Aborted> {
         self.exchange = None;
         self.splitter.discard_pending();
+        let call = &mut self.call;
+        call.shared.gateway.borrow().confirm_origin(&call.submission, &mut call.grant);
         loop {
             if !self.may_resume(&failure) {
                 self.recorder.record_end(&self.call, "broken_off", 200);
