Tell restarted gateways the origins of streams, and send fewer copies

A fleet that is restarted one by one lost the origins of its streams: each holder began with nothing, and the last gateway's streams were refused when it stopped. Gateways now tell one that they see for the first time, or again, the streams that it is a holder of. Streams that can't be resumed are not told at all.

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -363,6 +363,13 @@
         Some((first.short_hash, first.entry.peer_address.as_str()))
     }
 
+    /// Addresses for datagrams of the gateways that were first seen at `since` or later; a restarted one
+    /// is another.
+    pub fn joined_since(&self, since: Time) -> impl Iterator<Item = &str> {
+        let joined = self.members.values().filter(move |m| m.first_seen >= since);
+        joined.map(|m| m.entry.peer_address.as_str())
+    }
+
     /// Addresses for datagrams of the live gateways that hold copies under a key: at most `count`, in
     /// the order in which they are chosen.
     pub fn holders(&self, now: Time, key: u64, count: usize) -> Vec<String> {
--- a/core/src/gateway/origin.rs
+++ b/core/src/gateway/origin.rs
@@ -53,8 +53,6 @@
 pub struct Record {
     /// The attempt that brought the first event.
     pub call: Call,
-    /// Short hash of the service's name.
-    pub service: u32,
     /// What began the stream.
     pub origin: Origin,
 }
@@ -79,11 +77,21 @@
     Unknown,
 }
 
+/// A stream that this gateway began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Own {
+    /// Short hash of the service's name.
+    pub service: u32,
+    /// Whether other gateways were told of the stream.
+    pub is_told: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     at: Time,
-    service: u32,
     origin: Origin,
+    /// `None` if another gateway began the stream.
+    own: Option<Own>,
 }
 
 /// Origins that this gateway knows: of its own streams and of those of others.
@@ -97,13 +105,13 @@
 }
 
 impl Table {
-    /// Records the origin of a stream; `is_told` says whether other gateways know it.
-    pub fn record(&mut self, now: Time, record: &Record, is_told: bool) {
-        let Record { call, service, origin } = *record;
-        self.entries.insert(call, Entry { at: now, service, origin });
+    /// Records the origin of a stream, which this gateway began or another one.
+    pub fn record(&mut self, now: Time, record: &Record, own: Option<Own>) {
+        let Record { call, origin } = *record;
+        self.entries.insert(call, Entry { at: now, origin, own });
         self.order.push_back((now, call));
-        if !is_told {
-            self.untold.insert((service, call));
+        if let Some(own) = own.filter(|own| !own.is_told) {
+            self.untold.insert((own.service, call));
         }
     }
 
@@ -115,7 +123,9 @@
             self.order.pop_front();
             // A later record of the same call stays.
             if let Some(entry) = self.entries.get(&call).filter(|entry| entry.at <= at) {
-                self.untold.remove(&(entry.service, call));
+                if let Some(own) = entry.own {
+                    self.untold.remove(&(own.service, call));
+                }
                 self.entries.remove(&call);
             }
         }
@@ -139,11 +149,19 @@
         let mut records = Vec::new();
         for key in calls {
             self.untold.remove(&key);
-            let entry = self.entries.get(&key.1);
-            records.extend(entry.map(|e| Record { call: key.1, service, origin: e.origin }));
+            if let Some(entry) = self.entries.get_mut(&key.1) {
+                entry.own = Some(Own { service, is_told: true });
+                records.push(Record { call: key.1, origin: entry.origin });
+            }
         }
         records
     }
+
+    /// Own streams that other gateways were told of.
+    pub fn told(&self) -> impl Iterator<Item = Record> {
+        let told = self.entries.iter().filter(|(_, entry)| entry.own.is_some_and(|o| o.is_told));
+        told.map(|(call, entry)| Record { call: *call, origin: entry.origin })
+    }
 }
 
 /// Whether a stream that began at `began` may be of either of two incarnations of its replica, the
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -170,6 +170,8 @@
     occupancy: Occupancy,
     issuer: Issuer,
     origins: origin::Table,
+    /// Time when other gateways were last told of streams.
+    streams_told: Time,
     last_sweep: Time,
     outage: Outage,
     rollback: Rollback,
@@ -201,6 +203,7 @@
             occupancy: Occupancy::default(),
             issuer: Issuer::default(),
             origins: origin::Table::default(),
+            streams_told: now,
             last_sweep: now,
             outage: Outage::default(),
             rollback: Rollback::default(),
--- a/core/src/gateway/state/origins.rs
+++ b/core/src/gateway/state/origins.rs
@@ -13,6 +13,7 @@
 use crate::gateway::origin::Answer;
 use crate::gateway::origin::Call;
 use crate::gateway::origin::Origin;
+use crate::gateway::origin::Own;
 use crate::gateway::origin::Question;
 use crate::gateway::origin::Record;
 use crate::gateway::refusal::Reason;
@@ -22,10 +23,12 @@
 use crate::time::Span;
 use crate::time::Time;
 
-/// Gateways that each origin is sent to. The origins of a gateway that is killed with four fifths of all
-/// others are then known in three of five cases.
-const COPIES: usize = 4;
-/// Number of live gateways up to which each of them gets all origins.
+/// Gateways that each origin is sent to. Of the streams of gateways that are killed together with three
+/// quarters of all others, more than half are then known.
+const COPIES: usize = 3;
+/// The same in a small fleet, of which a greater share may end at once.
+const SMALL_FLEET_COPIES: usize = 4;
+/// Number of live peers up to which a fleet is small.
 const SMALL_FLEET: usize = 8;
 /// Gateways that are asked for an origin, in the order in which origins are sent. Some that got it may
 /// have ended since, and others may have taken their places.
@@ -47,7 +50,7 @@
         claim: &Claim,
     ) -> Copies {
         // A stream that is taken up keeps its origin, by which its caller names it.
-        let began = submission.last_event.is_none();
+        let began = submission.last_event.is_none() && grant.route.idempotent;
         let origin = self.fleet.origin(claim, &grant.service).filter(|_| began);
         let Some(origin) = origin else {
             return Copies::new();
@@ -55,9 +58,9 @@
         grant.origin = Some(origin);
         self.origins.sweep(now - self.stream_lifetime());
         let service = directory::short_hash(&grant.service);
-        let record = Record { call: Call::of(&submission.id), service, origin };
+        let record = Record { call: Call::of(&submission.id), origin };
         let must_tell = self.only_build(now, &grant.service).is_none();
-        self.origins.record(now, &record, must_tell);
+        self.origins.record(now, &record, Some(Own { service, is_told: must_tell }));
         if must_tell { self.copies(now, vec![record]) } else { Copies::new() }
     }
 
@@ -75,14 +78,31 @@
                 records.extend(self.origins.take_untold(service));
             }
         }
-        self.copies(now, records)
+        let mut copies = self.copies(now, records);
+        self.add_joined(now, &mut copies);
+        copies
+    }
+
+    /// Adds the records that gateways which have started since the last time must hold.
+    fn add_joined(&mut self, now: Time, copies: &mut Copies) {
+        let since = std::mem::replace(&mut self.streams_told, now);
+        let joined: Vec<String> = self.directory.joined_since(since).map(str::to_owned).collect();
+        if joined.is_empty() {
+            return;
+        }
+        for record in self.origins.told() {
+            let holders = self.holders(now, record.call);
+            for holder in holders.into_iter().filter(|holder| joined.contains(holder)) {
+                copies.entry(holder).or_default().push(record);
+            }
+        }
     }
 
     /// Records origins of streams that another gateway began.
     pub fn receive_origins(&mut self, now: Time, records: &[Record]) {
         self.origins.sweep(now - self.stream_lifetime());
         for record in records {
-            self.origins.record(now, record, true);
+            self.origins.record(now, record, None);
         }
     }
 
@@ -128,7 +148,7 @@
             return Ok(None);
         }
         let question = Question { call, service: directory::short_hash(&grant.service) };
-        Ok(Some((question, self.holders(now, call, ASKED))))
+        Ok(Some((question, self.directory.holders(now, call.0, ASKED))))
     }
 
     /// Decides by the answers of other gateways where the stream that a call takes up may go on.
@@ -195,17 +215,17 @@
     fn copies(&self, now: Time, records: Vec<Record>) -> Copies {
         let mut copies = Copies::new();
         for record in records {
-            for holder in self.holders(now, record.call, COPIES) {
+            for holder in self.holders(now, record.call) {
                 copies.entry(holder).or_default().push(record);
             }
         }
         copies
     }
 
-    /// Addresses of the first `count` gateways that hold the origin of a call's stream, or of all of
-    /// them in a small fleet.
-    fn holders(&self, now: Time, call: Call, count: usize) -> Vec<String> {
-        let count = if self.directory.live_peers(now) <= SMALL_FLEET { SMALL_FLEET } else { count };
+    /// Addresses of the gateways that hold the origin of a call's stream.
+    fn holders(&self, now: Time, call: Call) -> Vec<String> {
+        let is_small = self.directory.live_peers(now) <= SMALL_FLEET;
+        let count = if is_small { SMALL_FLEET_COPIES } else { COPIES };
         self.directory.holders(now, call.0, count)
     }
 }
--- a/core/tests/gateway/origins.rs
+++ b/core/tests/gateway/origins.rs
@@ -32,7 +32,7 @@
 use crate::support::submission;
 
 /// Streams of one check.
-const STREAMS: usize = 400;
+const STREAMS: usize = 1_000;
 const DOMAINS: usize = 4;
 
 /// What became of streams that callers took up.
@@ -241,6 +241,24 @@
     }
 }
 
+impl World {
+    /// Restarts a gateway, which then knows nothing; the others learn of it.
+    fn restart(&mut self, n: usize) {
+        let address = self.address(n);
+        self.kept.remove(&address);
+        self.entries[n].incarnation += 1;
+        if n < self.serving.len() {
+            self.serving[n] = start(n);
+        }
+        self.now = self.now + Span::millis(250);
+        self.refresh();
+        for at in 0..self.serving.len() {
+            let copies = self.serving[at].take_untold_streams(self.now);
+            self.deliver(at, copies);
+        }
+    }
+}
+
 fn start(n: usize) -> Gateway {
     let settings = Settings { seed: n as u64, ..settings(&name(n)) };
     let mut gateway = Gateway::new(settings, START);
@@ -367,6 +385,20 @@
     }
 }
 
+/// Guards against origins that end with their holders, one after the other, while their gateway lives on.
+#[test]
+fn streams_go_on_after_all_other_gateways_were_restarted_in_turn() {
+    for mut world in worlds() {
+        let last = world.serving.len() - 1;
+        let others = world.entries.len().min(40);
+        let outcome = world.check(|world| {
+            (0..others).filter(|n| *n != last).for_each(|n| world.restart(n));
+            world.kill(last);
+        });
+        assert_kept(outcome);
+    }
+}
+
 /// Guards against streams that began before the second build was listed and that nobody was told of.
 #[test]
 fn streams_from_before_a_release_go_on_after_their_gateways_were_killed() {
