--- a/core/src/gateway/origin.rs
+++ b/core/src/gateway/origin.rs
@@ -141,8 +141,9 @@
         self.untold.iter().map(|(service, _)| *service).collect()
     }
 
-    /// Takes the own streams of a service that no other gateway knows of, to tell them.
-    pub fn take_untold(&mut self, service: u32) -> Vec<Record> {
+    /// Takes the own streams of a service that no other gateway knows of, to tell them, with the times of
+    /// their first events.
+    pub fn take_untold(&mut self, service: u32) -> Vec<(Time, Record)> {
         let first = (service, Call(0));
         let calls: Vec<(u32, Call)> =
             self.untold.range(first..=(service, Call(u64::MAX))).copied().collect();
@@ -151,16 +152,16 @@
             self.untold.remove(&key);
             if let Some(entry) = self.entries.get_mut(&key.1) {
                 entry.own = Some(Own { service, is_told: true });
-                records.push(Record { call: key.1, origin: entry.origin });
+                records.push((entry.at, Record { call: key.1, origin: entry.origin }));
             }
         }
         records
     }
 
-    /// Own streams that other gateways were told of.
-    pub fn told(&self) -> impl Iterator<Item = Record> {
+    /// Own streams that other gateways were told of, with the times of their first events.
+    pub fn told(&self) -> impl Iterator<Item = (Time, Record)> {
         let told = self.entries.iter().filter(|(_, entry)| entry.own.is_some_and(|o| o.is_told));
-        told.map(|(call, entry)| Record { call: *call, origin: entry.origin })
+        told.map(|(call, entry)| (entry.at, Record { call: *call, origin: entry.origin }))
     }
 }
 
--- a/core/src/gateway/state/origins.rs
+++ b/core/src/gateway/state/origins.rs
@@ -78,7 +78,9 @@
                 records.extend(self.origins.take_untold(service));
             }
         }
-        let mut copies = self.copies(now, records);
+        let certain = records.into_iter().filter(|(at, r)| self.confirmed(*at, r.origin).is_some());
+        let certain: Vec<Record> = certain.map(|(_, record)| record).collect();
+        let mut copies = self.copies(now, certain);
         self.add_joined(now, &mut copies);
         copies
     }
@@ -90,7 +92,8 @@
         if joined.is_empty() {
             return;
         }
-        for record in self.origins.told() {
+        let certain = self.origins.told().filter(|(at, r)| self.confirmed(*at, r.origin).is_some());
+        for (_, record) in certain {
             let holders = self.holders(now, record.call);
             for holder in holders.into_iter().filter(|holder| joined.contains(holder)) {
                 copies.entry(holder).or_default().push(record);
--- a/core/tests/gateway/builds.rs
+++ b/core/tests/gateway/builds.rs
@@ -116,6 +116,30 @@
     }
 }
 
+/// Guards against streams that go on at a replica which may have restarted with another build, as its
+/// connections have just broken, while another one has their build for certain.
+#[test]
+fn stream_is_resumed_where_no_connection_has_just_broken() {
+    let replicas = [built("engine-0", "v1"), built("engine-1", "v1"), built("engine-2", "v1")];
+    for n in 0..STREAMS {
+        let mut gateway = gateway_before(&[&replicas[..], &[built("engine-3", "v2")]].concat());
+        let (call, other) = (call(&format!("call-{n}")), call("other"));
+        let begun = begin(&mut gateway, START, &call);
+        if begun.1.build.as_deref() != Some("v1") {
+            continue;
+        }
+        let mut grant = gateway.admit(START, &other).unwrap();
+        grant.tried.push(begun.1.claim.replica);
+        let broken = pick(&mut gateway, START, &other, &mut grant).unwrap();
+        gateway.record_crash(START, &grant, &broken.claim);
+
+        let resumed = resume(&mut gateway, START, &call, begun).unwrap();
+
+        assert_ne!(resumed.id, broken.id);
+        assert_eq!(resumed.build.as_deref(), Some("v1"));
+    }
+}
+
 /// Guards against limits and cooldowns that make a stream go on at another build, or that let it wait
 /// for replicas of another build.
 #[test]
--- /dev/null
+++ b/gateway/tests/builds.rs
@@ -0,0 +1,109 @@
+//! Gateways before replicas of two builds, at which callers take up streams that others began.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use hyper::header::HeaderValue;
+use laburnumwheel_gateway::dialect::own;
+use laburnumwheel_gateway::gateway::Running;
+
+use crate::support::Action;
+use crate::support::Cut;
+use crate::support::END;
+use crate::support::Linked;
+use crate::support::Replica;
+use crate::support::call;
+use crate::support::connect;
+use crate::support::events;
+use crate::support::request;
+use crate::support::run;
+
+/// Streams of one check.
+const STREAMS: usize = 12;
+
+async fn replicas() -> Vec<Replica> {
+    let mut all = Vec::new();
+    for _ in 0..4 {
+        all.push(Replica::start(vec![Action::Write(events(1, 2) + END)]).await);
+    }
+    all
+}
+
+/// Build, as a number, of the replica that got the call with this id last.
+fn build(replicas: &[Replica], id: &str) -> Option<usize> {
+    let got = |r: &Replica| r.received.borrow().iter().any(|received| received.id() == id);
+    replicas.iter().position(got).map(|n| n % 2)
+}
+
+/// Takes up the stream that `first` began; returns the status.
+async fn take_up(gateway: &Running, id: &str, first: &str) -> u16 {
+    let mut request = request("/stream/x", id);
+    let headers = request.headers_mut();
+    headers.insert(own::LAST_EVENT, HeaderValue::from_static("1"));
+    headers.insert(own::RESUMES, HeaderValue::from_str(first).unwrap());
+    let mut channel = connect(gateway).await;
+    channel.sender.send_request(request).await.unwrap().status().as_u16()
+}
+
+/// Begins streams at one gateway and takes them up at another one; returns how many went on at each pair
+/// of builds, and the statuses.
+async fn check(linked: &Linked, all: &[Replica]) -> (BTreeMap<(usize, usize), usize>, Vec<u16>) {
+    let (mut pairs, mut statuses) = (BTreeMap::new(), Vec::new());
+    for n in 0..STREAMS {
+        let (first, again) = (format!("call-{n}"), format!("again-{n}"));
+        let (status, _) = call(&linked.gateways[1], "/stream/x", &first).await;
+        assert_eq!(status, 200);
+        statuses.push(take_up(&linked.gateways[0], &again, &first).await);
+        if let Some(after) = build(all, &again) {
+            *pairs.entry((build(all, &first).unwrap(), after)).or_default() += 1;
+        }
+    }
+    (pairs, statuses)
+}
+
+/// Guards against streams that go on at another build where another gateway began them.
+#[test]
+fn stream_goes_on_at_its_build_at_another_gateway() {
+    run(async {
+        let all = replicas().await;
+        let linked = Linked::start_mixed(3, &all.iter().collect::<Vec<_>>()).await;
+
+        let (pairs, statuses) = check(&linked, &all).await;
+
+        assert_eq!(statuses, [200; STREAMS]);
+        assert!(pairs.keys().all(|(before, after)| before == after), "{pairs:?}");
+    });
+}
+
+/// Guards against delegates that do not know what began the streams of delegated calls.
+#[test]
+fn stream_goes_on_at_its_build_at_a_delegate() {
+    run(async {
+        let all = replicas().await;
+        let linked = Linked::start_mixed(3, &all.iter().collect::<Vec<_>>()).await;
+        linked.cut(0, Cut::Breaks).await;
+        for n in 0..8 {
+            let _ = call(&linked.gateways[0], "/safe/x", &format!("lost-{n}")).await;
+        }
+        assert!(linked.gateways[0].shared.gateway.borrow().is_out_of_reach("service"));
+
+        let (pairs, statuses) = check(&linked, &all).await;
+
+        assert_eq!(statuses, [200; STREAMS]);
+        assert!(pairs.keys().all(|(before, after)| before == after), "{pairs:?}");
+    });
+}
+
+/// Guards against streams of which nobody knows what began them: they run nowhere.
+#[test]
+fn stream_of_unknown_origin_is_refused_and_does_not_run() {
+    run(async {
+        let all = replicas().await;
+        let linked = Linked::start_mixed(3, &all.iter().collect::<Vec<_>>()).await;
+
+        let status = take_up(&linked.gateways[0], "again", "call-of-nobody").await;
+
+        assert_eq!((status, build(&all, "again")), (503, None));
+    });
+}
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -380,7 +380,20 @@
     /// Starts `count` gateways before these replicas and waits until they know each other. All of
     /// them read the store themselves, because only three do not read for others.
     pub async fn start(count: u64, replicas: &[&Replica]) -> Linked {
-        let contents: Contents = Rc::new(RefCell::new(Some(view(replicas))));
+        Linked::start_viewing(count, replicas, view(replicas)).await
+    }
+
+    /// Starts gateways before replicas of two builds in turn.
+    pub async fn start_mixed(count: u64, replicas: &[&Replica]) -> Linked {
+        let mut view = view(replicas);
+        for (n, replica) in view.replicas.iter_mut().enumerate() {
+            replica.build = Some(["v1", "v2"][n % 2].to_owned());
+        }
+        Linked::start_viewing(count, replicas, view).await
+    }
+
+    async fn start_viewing(count: u64, replicas: &[&Replica], view: View) -> Linked {
+        let contents: Contents = Rc::new(RefCell::new(Some(view)));
         let (mut links, mut stores) = (Vec::new(), Vec::new());
         for _ in 0..count {
             let mut own = Vec::new();
