--- a/core/src/gateway/origin.rs
+++ b/core/src/gateway/origin.rs
@@ -1,11 +1,11 @@
 //! Origins of streams: the replica and the build that began a stream.
 //!
-//! A caller may take up a stream at any gateway, often because its own was killed, stopped or cut off.
-//! While a service may have several builds, the gateway that passes on the first event of a stream
-//! sends the origin to some others before the event, so that the origin outlives it. These holders
-//! follow from the id of the call: a gateway at which a caller takes up the stream asks them.
+//! A caller may resume a stream at any gateway, often because its own was killed, stopped or cut off.
+//! While a service may have several builds, the gateway that forwards the first event of a stream
+//! replicates the origin to some others before the event, so that the origin outlives it. The id of
+//! the call determines these holders: a gateway at which a caller resumes the stream queries them.
 //! While a service has had one build for as long as streams last, nothing is sent; the streams of that
-//! time are made known once there is another build, or once this gateway can't tell.
+//! time are replicated once another build is listed, or once this gateway's lists are stale.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -57,7 +57,7 @@
     pub origin: Origin,
 }
 
-/// A gateway's question for the origin of a stream that a caller takes up.
+/// Query for the origin of a stream that a caller resumes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Question {
     /// The attempt that brought the first event.
@@ -82,8 +82,8 @@
 pub struct Own {
     /// Short hash of the service's name.
     pub service: u32,
-    /// Whether other gateways were told of the stream.
-    pub is_told: bool,
+    /// Whether the origin was sent to other gateways.
+    pub is_replicated: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -100,8 +100,8 @@
     entries: BTreeMap<Call, Entry>,
     /// Calls in the order of their records.
     order: VecDeque<(Time, Call)>,
-    /// Own streams that no other gateway knows of, by service.
-    untold: BTreeSet<(u32, Call)>,
+    /// Own streams whose origins were not replicated, by service.
+    unreplicated: BTreeSet<(u32, Call)>,
 }
 
 impl Table {
@@ -110,8 +110,8 @@
         let Record { call, origin } = *record;
         self.entries.insert(call, Entry { at: now, origin, own });
         self.order.push_back((now, call));
-        if let Some(own) = own.filter(|own| !own.is_told) {
-            self.untold.insert((own.service, call));
+        if let Some(own) = own.filter(|own| !own.is_replicated) {
+            self.unreplicated.insert((own.service, call));
         }
     }
 
@@ -124,7 +124,7 @@
             // A later record of the same call stays.
             if let Some(entry) = self.entries.get(&call).filter(|entry| entry.at <= at) {
                 if let Some(own) = entry.own {
-                    self.untold.remove(&(own.service, call));
+                    self.unreplicated.remove(&(own.service, call));
                 }
                 self.entries.remove(&call);
             }
@@ -136,32 +136,33 @@
         self.entries.get(&call).map(|entry| (entry.at, entry.origin))
     }
 
-    /// Services with own streams that no other gateway knows of, by their short hashes.
-    pub fn untold_services(&self) -> BTreeSet<u32> {
-        self.untold.iter().map(|(service, _)| *service).collect()
+    /// Short hashes of the services with own streams whose origins were not replicated.
+    pub fn unreplicated_services(&self) -> BTreeSet<u32> {
+        self.unreplicated.iter().map(|(service, _)| *service).collect()
     }
 
-    /// Takes the own streams of a service that no other gateway knows of, to tell them, with the times of
-    /// their first events.
-    pub fn take_untold(&mut self, service: u32) -> Vec<(Time, Record)> {
+    /// Takes the origins of own streams of a service that were not replicated yet, with the times of the
+    /// first events.
+    pub fn take_unreplicated(&mut self, service: u32) -> Vec<(Time, Record)> {
         let first = (service, Call(0));
         let calls: Vec<(u32, Call)> =
-            self.untold.range(first..=(service, Call(u64::MAX))).copied().collect();
+            self.unreplicated.range(first..=(service, Call(u64::MAX))).copied().collect();
         let mut records = Vec::new();
         for key in calls {
-            self.untold.remove(&key);
+            self.unreplicated.remove(&key);
             if let Some(entry) = self.entries.get_mut(&key.1) {
-                entry.own = Some(Own { service, is_told: true });
+                entry.own = Some(Own { service, is_replicated: true });
                 records.push((entry.at, Record { call: key.1, origin: entry.origin }));
             }
         }
         records
     }
 
-    /// Own streams that other gateways were told of, with the times of their first events.
-    pub fn told(&self) -> impl Iterator<Item = (Time, Record)> {
-        let told = self.entries.iter().filter(|(_, entry)| entry.own.is_some_and(|o| o.is_told));
-        told.map(|(call, entry)| (entry.at, Record { call: *call, origin: entry.origin }))
+    /// Replicated origins of own streams, with the times of the first events.
+    pub fn replicated(&self) -> impl Iterator<Item = (Time, Record)> {
+        let replicated =
+            self.entries.iter().filter(|(_, entry)| entry.own.is_some_and(|o| o.is_replicated));
+        replicated.map(|(call, entry)| (entry.at, Record { call: *call, origin: entry.origin }))
     }
 }
 
--- a/core/src/gateway/refusal.rs
+++ b/core/src/gateway/refusal.rs
@@ -20,9 +20,9 @@
     UnknownKey,
     /// No replica of the service is usable.
     NoReplica,
-    /// The call takes up a stream of which no gateway knows what began it.
+    /// The call resumes a stream whose origin no gateway knows.
     UnknownOrigin,
-    /// The call takes up a stream, and no replica has the build that began it.
+    /// The call resumes a stream, and no replica has the build that began it.
     BuildGone,
     /// Every replica is too loaded to answer in time.
     Overloaded,
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -170,8 +170,8 @@
     occupancy: Occupancy,
     issuer: Issuer,
     origins: origin::Table,
-    /// Time when other gateways were last told of streams.
-    streams_told: Time,
+    /// Time of the last replication of origins to gateways that had started.
+    streams_replicated: Time,
     last_sweep: Time,
     outage: Outage,
     rollback: Rollback,
@@ -203,7 +203,7 @@
             occupancy: Occupancy::default(),
             issuer: Issuer::default(),
             origins: origin::Table::default(),
-            streams_told: now,
+            streams_replicated: now,
             last_sweep: now,
             outage: Outage::default(),
             rollback: Rollback::default(),
--- a/core/src/gateway/state/origins.rs
+++ b/core/src/gateway/state/origins.rs
@@ -1,4 +1,4 @@
-//! Origins of streams: which streams may go on where, and which gateways know it.
+//! Origins of streams: replicates them, and finds those of streams that callers resume.
 //!
 //! See [`crate::gateway::origin`].
 
@@ -23,16 +23,16 @@
 use crate::time::Span;
 use crate::time::Time;
 
-/// Gateways that each origin is sent to. Of the streams of gateways that are killed together with three
+/// Gateways that each origin is replicated to. Of the streams of gateways that are killed together with three
 /// quarters of all others, more than half are then known.
 const COPIES: usize = 3;
 /// The same in a small fleet, of which a greater share may end at once.
 const SMALL_FLEET_COPIES: usize = 4;
 /// Number of live peers up to which a fleet is small.
 const SMALL_FLEET: usize = 8;
-/// Gateways that are asked for an origin, in the order in which origins are sent. Some that got it may
-/// have ended since, and others may have taken their places.
-const ASKED: usize = 8;
+/// Gateways that are queried for an origin, in the order of replication. Some that hold it may have
+/// ended since, and others may have taken their places.
+const QUERIED: usize = 8;
 /// Time after which a caller retries whose stream can't go on now.
 const RETRY_STREAM: Span = Span::millis(300);
 
@@ -40,8 +40,8 @@
 pub type Copies = BTreeMap<String, Vec<Record>>;
 
 impl Gateway {
-    /// Records that the first event of a stream has arrived. Returns what other gateways must know
-    /// before the caller gets the event; nothing while the service has one build.
+    /// Records that the first event of a stream has arrived. Returns the records to replicate before
+    /// the event is forwarded; none while the service has one build.
     pub fn record_stream(
         &mut self,
         now: Time,
@@ -49,7 +49,7 @@
         grant: &mut Grant,
         claim: &Claim,
     ) -> Copies {
-        // A stream that is taken up keeps its origin, by which its caller names it.
+        // A resumed stream keeps the origin of the attempt that its caller names.
         let began = submission.last_event.is_none() && grant.route.idempotent;
         let origin = self.fleet.origin(claim, &grant.service).filter(|_| began);
         let Some(origin) = origin else {
@@ -59,23 +59,23 @@
         self.origins.sweep(now - self.stream_lifetime());
         let service = directory::short_hash(&grant.service);
         let record = Record { call: Call::of(&submission.id), origin };
-        let must_tell = self.only_build(now, &grant.service).is_none();
-        self.origins.record(now, &record, Some(Own { service, is_told: must_tell }));
-        if must_tell { self.copies(now, vec![record]) } else { Copies::new() }
+        let must_replicate = self.only_build(now, &grant.service).is_none();
+        self.origins.record(now, &record, Some(Own { service, is_replicated: must_replicate }));
+        if must_replicate { self.copies(now, vec![record]) } else { Copies::new() }
     }
 
-    /// Records of own streams that other gateways must know from now on: those of services that had one
-    /// build when the streams began, and of which that is not certain any more.
-    pub fn take_untold_streams(&mut self, now: Time) -> Copies {
+    /// Records to replicate from now on: of own streams that began while their service had one build, if
+    /// that is no longer certain, and those for gateways that have started since the last call.
+    pub fn take_unreplicated_streams(&mut self, now: Time) -> Copies {
         let is_unsettled = |service: &&str| {
             self.fleet.states_builds(service) && self.only_build(now, service).is_none()
         };
         let unsettled: Vec<u32> =
             self.fleet.services().filter(is_unsettled).map(directory::short_hash).collect();
         let mut records = Vec::new();
-        for service in self.origins.untold_services() {
+        for service in self.origins.unreplicated_services() {
             if unsettled.contains(&service) {
-                records.extend(self.origins.take_untold(service));
+                records.extend(self.origins.take_unreplicated(service));
             }
         }
         let certain = records.into_iter().filter(|(at, r)| self.confirmed(*at, r.origin).is_some());
@@ -85,14 +85,15 @@
         copies
     }
 
-    /// Adds the records that gateways which have started since the last time must hold.
+    /// Adds the records that belong to gateways which have started since the last call.
     fn add_joined(&mut self, now: Time, copies: &mut Copies) {
-        let since = std::mem::replace(&mut self.streams_told, now);
+        let since = std::mem::replace(&mut self.streams_replicated, now);
         let joined: Vec<String> = self.directory.joined_since(since).map(str::to_owned).collect();
         if joined.is_empty() {
             return;
         }
-        let certain = self.origins.told().filter(|(at, r)| self.confirmed(*at, r.origin).is_some());
+        let certain =
+            self.origins.replicated().filter(|(at, r)| self.confirmed(*at, r.origin).is_some());
         for (_, record) in certain {
             let holders = self.holders(now, record.call);
             for holder in holders.into_iter().filter(|holder| joined.contains(holder)) {
@@ -101,7 +102,7 @@
         }
     }
 
-    /// Records origins of streams that another gateway began.
+    /// Records origins that another gateway replicates.
     pub fn receive_origins(&mut self, now: Time, records: &[Record]) {
         self.origins.sweep(now - self.stream_lifetime());
         for record in records {
@@ -109,7 +110,7 @@
         }
     }
 
-    /// Answers another gateway's question.
+    /// Answers the query of another gateway.
     pub fn answer_origin(&self, now: Time, question: &Question) -> Answer {
         if let Some((at, origin)) = self.origins.get(question.call) {
             return self.confirmed(at, origin).map_or(Answer::Unknown, Answer::Known);
@@ -120,8 +121,8 @@
         only.map_or(Answer::Unknown, Answer::Only)
     }
 
-    /// Decides where the stream that a call takes up may go on. Returns a question, and the addresses of
-    /// the gateways to ask, if this one doesn't know; [`Gateway::record_answers`] then decides.
+    /// Finds the origin of the stream that a call resumes. Returns a query, and the addresses of the
+    /// gateways to send it to, if this one does not know; [`Gateway::record_answers`] then decides.
     ///
     /// # Errors
     ///
@@ -132,12 +133,12 @@
         submission: &Submission,
         grant: &mut Grant,
     ) -> Result<Option<(Question, Vec<String>)>, Refusal> {
-        let takes_up = grant.route.streams && submission.last_event.is_some();
-        if !takes_up || grant.origin.is_some() || !self.fleet.states_builds(&grant.service) {
+        let resumes = grant.route.streams && submission.last_event.is_some();
+        if !resumes || grant.origin.is_some() || !self.fleet.states_builds(&grant.service) {
             return Ok(None);
         }
         let Some(first) = &submission.resumes else {
-            // Without a name of the stream, only the absence of other builds tells its own.
+            // The stream is not named, so its build is known only if there is one.
             let seen = self.fleet.only_build(&grant.service, Time(0));
             let build = seen.ok_or(Refusal::not_run(Reason::UnknownOrigin, RETRY_STREAM))?;
             grant.origin = origin_of(build);
@@ -151,10 +152,10 @@
             return Ok(None);
         }
         let question = Question { call, service: directory::short_hash(&grant.service) };
-        Ok(Some((question, self.directory.holders(now, call.0, ASKED))))
+        Ok(Some((question, self.directory.holders(now, call.0, QUERIED))))
     }
 
-    /// Decides by the answers of other gateways where the stream that a call takes up may go on.
+    /// Sets the origin of the stream that a call resumes by the answers of other gateways.
     ///
     /// # Errors
     ///
@@ -173,17 +174,17 @@
             grant.origin = known;
             return Ok(());
         }
-        let told = answers.iter().find_map(|answer| match answer {
+        let answered = answers.iter().find_map(|answer| match answer {
             Answer::Only(build) => Some(*build),
             _ => None,
         });
-        let only = self.only_build(now, &grant.service).or(told);
+        let only = self.only_build(now, &grant.service).or(answered);
         grant.origin =
             origin_of(only.ok_or(Refusal::not_run(Reason::UnknownOrigin, RETRY_STREAM))?);
         Ok(())
     }
 
-    /// Checks, before a stream is resumed within its response, that its origin is still certain.
+    /// Checks that the origin of a stream is still certain, before it is resumed within its response.
     pub fn confirm_origin(&self, submission: &Submission, grant: &mut Grant) {
         if let Some((at, origin)) = self.origins.get(Call::of(&submission.id))
             && self.confirmed(at, origin).is_none()
@@ -201,8 +202,8 @@
         (!is_doubtful).then_some(origin)
     }
 
-    /// The one build that a service has had for as long as streams last, as far as this gateway can
-    /// tell: its lists were current for all of that time.
+    /// The one build that a service has had for as long as streams last; `None` if it had several, or if
+    /// this gateway's lists were stale in that time.
     fn only_build(&self, now: Time, service: &str) -> Option<Option<Build>> {
         let since = now - self.stream_lifetime();
         let is_informed = self.freshness.unbroken_since(now).is_some_and(|from| from <= since);
--- a/core/src/gateway/state/pick.rs
+++ b/core/src/gateway/state/pick.rs
@@ -91,7 +91,7 @@
         };
         let max_wait = criteria.map(|c| max_wait_ms(&grant.route, c.lowest_rank));
         // A call that may have run is not refused for overload, which would report it as not run.
-        // Nor is a stream that goes on, as its caller has a part of it already and can't go elsewhere.
+        // Nor is a resumed stream, which its caller has a part of and which no other build can continue.
         let first = grant.attempts == 0 && grant.origin.is_none();
         if first && max_wait.is_some_and(|max_wait| claim.expected_ms * dither > max_wait) {
             return Err(Refusal::not_run(Reason::Overloaded, self.random_retry_after()));
--- a/core/tests/gateway/builds.rs
+++ b/core/tests/gateway/builds.rs
@@ -54,8 +54,8 @@
     Submission { id: id.to_owned().into(), ..submission("chat", &[]) }
 }
 
-/// A caller's attempt to take up the stream that `first` began.
-fn taking_up(id: &str, first: &str) -> Submission {
+/// A caller's attempt to resume the stream that `first` began.
+fn resumption(id: &str, first: &str) -> Submission {
     Submission { last_event: Some("3".into()), resumes: Some(first.to_owned().into()), ..call(id) }
 }
 
@@ -86,8 +86,8 @@
     gateway.pick(now, call, &mut grant, &[]).map_err(|refusal| refusal.reason)
 }
 
-/// Admits a call that takes up a stream, which asks no other gateway.
-fn take_up(gateway: &mut Gateway, now: Time, call: &Submission) -> Result<Pick, Reason> {
+/// Admits a call that resumes a stream, which asks no other gateway.
+fn resume_by_caller(gateway: &mut Gateway, now: Time, call: &Submission) -> Result<Pick, Reason> {
     let mut grant = gateway.admit(now, call).unwrap();
     match gateway.resolve_origin(now, call, &mut grant) {
         Ok(None) => {}
@@ -188,10 +188,10 @@
     update(&mut gateway, later, &rest);
 
     let resumed = resume(&mut gateway, later, &call, begun);
-    let taken_up = take_up(&mut gateway, later, &taking_up("again-1", "call-1"));
+    let by_caller = resume_by_caller(&mut gateway, later, &resumption("again-1", "call-1"));
 
     assert_eq!(resumed.unwrap_err(), Reason::BuildGone);
-    assert_eq!(taken_up.unwrap_err(), Reason::BuildGone);
+    assert_eq!(by_caller.unwrap_err(), Reason::BuildGone);
 }
 
 /// Guards against a gateway that moves a silent stream which no replica of its build can take.
@@ -212,9 +212,9 @@
 fn stream_of_unknown_origin_is_refused_after_a_restart() {
     let mut gateway = gateway_before(&[built("engine-0", "v2"), built("engine-1", "v2")]);
 
-    let taken_up = take_up(&mut gateway, START, &taking_up("again-1", "call-1"));
+    let by_caller = resume_by_caller(&mut gateway, START, &resumption("again-1", "call-1"));
 
-    assert_eq!(taken_up.unwrap_err(), Reason::UnknownOrigin);
+    assert_eq!(by_caller.unwrap_err(), Reason::UnknownOrigin);
 }
 
 /// Reads the same list for `span`, often enough to miss nothing.
@@ -240,7 +240,7 @@
     let copies = gateway.record_stream(now, &call, &mut grant, &pick.claim);
 
     assert!(copies.is_empty());
-    assert!(take_up(&mut gateway, now, &taking_up("again-1", "call-of-another")).is_ok());
+    assert!(resume_by_caller(&mut gateway, now, &resumption("again-1", "call-of-another")).is_ok());
 }
 
 /// Guards against a gateway without the store that takes the build it knows for the only one.
@@ -250,9 +250,9 @@
     let mut gateway = gateway_before(&replicas);
     let now = watch(&mut gateway, START, Span::secs(31), &replicas) + Span::secs(4);
 
-    let taken_up = take_up(&mut gateway, now, &taking_up("again-1", "call-of-another"));
+    let by_caller = resume_by_caller(&mut gateway, now, &resumption("again-1", "call-of-another"));
 
-    assert_eq!(taken_up.unwrap_err(), Reason::UnknownOrigin);
+    assert_eq!(by_caller.unwrap_err(), Reason::UnknownOrigin);
 }
 
 /// Guards against entries without a build: each may be of another one.
@@ -265,8 +265,8 @@
         let begun = begin(&mut gateway, START, &call);
         let (id, build) = (begun.1.id.clone(), begun.1.build.clone());
         gateway.record_end(START, begun.1.claim, Outcome::Cancelled);
-        let taken_up = taking_up("again", std::str::from_utf8(&call.id).unwrap());
-        let pick = take_up(&mut gateway, START, &taken_up).unwrap();
+        let by_caller = resumption("again", std::str::from_utf8(&call.id).unwrap());
+        let pick = resume_by_caller(&mut gateway, START, &by_caller).unwrap();
         assert!(build.is_some() || pick.id == id, "{} for {id}", pick.id);
     }
 }
@@ -279,7 +279,7 @@
     let begun = begin(&mut gateway, START, &call);
 
     assert!(resume(&mut gateway, START, &call, begun).is_ok());
-    assert!(take_up(&mut gateway, START, &taking_up("again-1", "unknown")).is_ok());
+    assert!(resume_by_caller(&mut gateway, START, &resumption("again-1", "unknown")).is_ok());
 }
 
 /// Guards against a replica that restarts under its id with another build while its entry still states
@@ -351,9 +351,9 @@
     update(&mut gateway, START + Span::millis(500), &rest);
 
     let now = START + Span::millis(600);
-    let taken_up = take_up(&mut gateway, now, &taking_up("again-1", "call-1")).unwrap();
+    let by_caller = resume_by_caller(&mut gateway, now, &resumption("again-1", "call-1")).unwrap();
 
-    assert_eq!(taken_up.build, pick.build);
+    assert_eq!(by_caller.build, pick.build);
 }
 
 /// Guards against a stream that goes on at an address which a replica of another service has now: the
@@ -376,7 +376,7 @@
 #[test]
 fn stream_of_a_build_that_is_not_listed_here_is_refused_at_once() {
     let mut gateway = gateway_before(&mixed());
-    let call = taking_up("again-1", "call-1");
+    let call = resumption("again-1", "call-1");
     let mut grant = gateway.admit(START, &call).unwrap();
     let origin = Origin { replica: Digest(1), build: Some(Build::of("v9")) };
 
--- a/core/tests/gateway/origins.rs
+++ b/core/tests/gateway/origins.rs
@@ -1,4 +1,4 @@
-//! Fleets of gateways before replicas of two builds: callers take up their streams elsewhere after their
+//! Fleets of gateways before replicas of two builds: callers resume their streams elsewhere after their
 //! gateways were killed, cut off or restarted.
 
 use std::collections::BTreeMap;
@@ -35,10 +35,10 @@
 const STREAMS: usize = 1_000;
 const DOMAINS: usize = 4;
 
-/// What became of streams that callers took up.
+/// What became of streams that callers resumed.
 #[derive(Clone, Copy, Debug, Default)]
 struct Outcome {
-    taken_up: usize,
+    resumed: usize,
     /// Went on at the build that began them.
     continued: usize,
     /// Went on at another build.
@@ -154,9 +154,9 @@
         gateway.record_sent(self.now, &call, &mut grant, &mut pick);
         gateway.record_event(self.now, &mut pick.claim);
         let copies = gateway.record_stream(self.now, &call, &mut grant, &pick.claim);
-        let untold = gateway.take_untold_streams(self.now);
+        let unreplicated = gateway.take_unreplicated_streams(self.now);
         self.deliver(at, copies);
-        self.deliver(at, untold);
+        self.deliver(at, unreplicated);
         pick.build
     }
 
@@ -173,8 +173,8 @@
         Some(kept.map_or(Answer::Unknown, |origin| Answer::Known(*origin)))
     }
 
-    /// Takes up a stream at a gateway; returns the build at which it goes on, if it does.
-    fn take_up(&mut self, at: usize, first: &str) -> Option<Option<String>> {
+    /// Resumes a stream at a gateway; returns the build at which it goes on, if it does.
+    fn resume_by_caller(&mut self, at: usize, first: &str) -> Option<Option<String>> {
         let call = Submission {
             last_event: Some("3".into()),
             resumes: Some(first.to_owned().into()),
@@ -192,7 +192,7 @@
     }
 
     /// Begins streams at all serving gateways, lets `disturb` happen, and lets the callers of the streams
-    /// whose gateways have ended or are cut off take them up at others.
+    /// whose gateways have ended or are cut off resume them at others.
     fn check(&mut self, disturb: impl FnOnce(&mut World)) -> Outcome {
         let begun: Vec<(usize, String, Option<String>)> = (0..STREAMS)
             .map(|n| {
@@ -214,9 +214,9 @@
             if is_left(self, at) {
                 continue;
             }
-            outcome.taken_up += 1;
+            outcome.resumed += 1;
             let to = *left.choose(&mut self.rng).unwrap();
-            match self.take_up(to, &id) {
+            match self.resume_by_caller(to, &id) {
                 Some(other) if other == build => outcome.continued += 1,
                 Some(_) => outcome.joined += 1,
                 None => {}
@@ -253,7 +253,7 @@
         self.now = self.now + Span::millis(250);
         self.refresh();
         for at in 0..self.serving.len() {
-            let copies = self.serving[at].take_untold_streams(self.now);
+            let copies = self.serving[at].take_unreplicated_streams(self.now);
             self.deliver(at, copies);
         }
     }
@@ -278,9 +278,9 @@
 /// No stream may be joined, and the share that goes on must be at least half of the share of new streams
 /// that begin, which is all of them here.
 fn assert_kept(outcome: Outcome) {
-    assert!(outcome.taken_up >= 12, "{outcome:?}");
+    assert!(outcome.resumed >= 12, "{outcome:?}");
     assert_eq!(outcome.joined, 0, "{outcome:?}");
-    assert!(outcome.continued * 2 >= outcome.taken_up, "{outcome:?}");
+    assert!(outcome.continued * 2 >= outcome.resumed, "{outcome:?}");
 }
 
 /// Guards against streams that go on at another build, or not at all, after their gateways were killed.
@@ -369,7 +369,7 @@
                 world.killed.insert(address);
             }
         });
-        assert!(outcome.taken_up > 0);
+        assert!(outcome.resumed > 0);
         assert_eq!(outcome.continued + outcome.joined, 0, "{outcome:?}");
     }
 }
@@ -399,7 +399,7 @@
     }
 }
 
-/// Guards against streams that began before the second build was listed and that nobody was told of.
+/// Guards against streams that began before the second build was listed and whose origins were not replicated then.
 #[test]
 fn streams_from_before_a_release_go_on_after_their_gateways_were_killed() {
     for mut world in worlds() {
@@ -415,8 +415,8 @@
             world.replicas = mixed;
             world.refresh();
             for at in 0..world.serving.len() {
-                let untold = world.serving[at].take_untold_streams(world.now);
-                world.deliver(at, untold);
+                let unreplicated = world.serving[at].take_unreplicated_streams(world.now);
+                world.deliver(at, unreplicated);
             }
             world.kill_share(0.5);
         });
--- a/gateway/src/dialect/own.rs
+++ b/gateway/src/dialect/own.rs
@@ -32,7 +32,7 @@
 pub const RANK: &str = "x-laburnum-rank";
 /// Id of the last event that the caller has.
 pub const LAST_EVENT: &str = "last-event-id";
-/// Id of the caller's attempt that brought the first event of a stream that is taken up.
+/// Id of the caller's attempt that brought the first event of the stream that is resumed.
 pub const RESUMES: &str = "x-laburnum-resumes";
 /// Proves that the response comes from a replica.
 pub const PROOF: &str = "x-laburnum-proof";
--- a/gateway/src/origin.rs
+++ b/gateway/src/origin.rs
@@ -1,4 +1,5 @@
-//! Origins of streams: tells them to other gateways, and asks for those of streams that callers take up.
+//! Origins of streams: replicates them to other gateways, and queries those for the streams that callers
+//! resume.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,24 +23,24 @@
 use crate::peers::Message;
 use crate::shared::Shared;
 
-/// Time for answers to a question: several round trips between failure domains.
+/// Timeout of a query: several round trips between failure domains.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
-/// Times that a question is sent to gateways that do not answer, as datagrams may be lost.
+/// Number of times that a query is sent to gateways that do not answer, as datagrams may be lost.
 const ROUNDS: usize = 2;
 /// Records in one datagram.
 const MAX_RECORDS: usize = 128;
 
-/// Records that a replica has sent the first event of a stream, and tells it to other gateways if they
-/// must know before the caller gets the event.
+/// Records that a replica has sent the first event of a stream, and replicates the origin if that must
+/// precede the event.
 pub async fn record(shared: &Shared, submission: &Submission, grant: &mut Grant, claim: &Claim) {
     let now = clock::now();
     let copies = shared.gateway.borrow_mut().record_stream(now, submission, grant, claim);
     send(shared, copies).await;
 }
 
-/// Tells other gateways of the streams that they must know of from now on.
-pub async fn tell(shared: &Shared) {
-    let copies = shared.gateway.borrow_mut().take_untold_streams(clock::now());
+/// Replicates the origins of streams that began while there was no need to.
+pub async fn replicate(shared: &Shared) {
+    let copies = shared.gateway.borrow_mut().take_unreplicated_streams(clock::now());
     send(shared, copies).await;
 }
 
@@ -57,7 +58,7 @@
     }
 }
 
-/// Decides where the stream that a call takes up may go on; asks other gateways if need be.
+/// Finds the origin of the stream that a call resumes; queries other gateways if need be.
 ///
 /// # Errors
 ///
@@ -84,7 +85,7 @@
     result
 }
 
-/// Asks gateways until one of them knows the origin, all have answered, or the time is over.
+/// Queries gateways until one of them knows the origin, all have answered, or the time is over.
 async fn ask(shared: &Shared, question: Question, mut addresses: Vec<String>) -> Vec<Answer> {
     let mut answers = Vec::new();
     for _ in 0..ROUNDS {
@@ -119,17 +120,17 @@
     (address, answer)
 }
 
-/// Logs where a stream that a caller takes up may go on.
+/// Logs the origin of the stream that a call resumes.
 fn log(shared: &Shared, submission: &Submission, grant: &Grant, answers: usize, resolved: bool) {
     let outcome = match (resolved, grant.origin) {
         (false, _) => "unknown",
         (true, None) => "any",
         (true, Some(_)) => "known",
     };
-    shared.metrics.count("streams_taken_up_total", format!("origin=\"{outcome}\""));
+    shared.metrics.count("resume_requests_total", format!("origin=\"{outcome}\""));
     let build = grant.origin.and_then(|origin| origin.build);
     let first = submission.resumes.as_deref().map(String::from_utf8_lossy);
-    let line = Line::new("stream_taken_up")
+    let line = Line::new("resume_requested")
         .with("request", String::from_utf8_lossy(&submission.id))
         .with("resumes", first.as_deref().unwrap_or("-"))
         .with("origin", outcome)
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -273,7 +273,7 @@
 /// Sends heartbeats, forever.
 pub async fn send_heartbeats(shared: Shared) {
     loop {
-        origins::tell(&shared).await;
+        origins::replicate(&shared).await;
         send_heartbeat(&shared).await;
         let interval = {
             let gateway = shared.gateway.borrow();
--- a/gateway/tests/builds.rs
+++ b/gateway/tests/builds.rs
@@ -1,4 +1,4 @@
-//! Gateways before replicas of two builds, at which callers take up streams that others began.
+//! Gateways before replicas of two builds, at which callers resume streams that others began.
 
 mod support;
 
@@ -36,8 +36,8 @@
     replicas.iter().position(got).map(|n| n % 2)
 }
 
-/// Takes up the stream that `first` began; returns the status.
-async fn take_up(gateway: &Running, id: &str, first: &str) -> u16 {
+/// Resumes the stream that `first` began; returns the status.
+async fn resume_by_caller(gateway: &Running, id: &str, first: &str) -> u16 {
     let mut request = request("/stream/x", id);
     let headers = request.headers_mut();
     headers.insert(own::LAST_EVENT, HeaderValue::from_static("1"));
@@ -46,7 +46,7 @@
     channel.sender.send_request(request).await.unwrap().status().as_u16()
 }
 
-/// Begins streams at one gateway and takes them up at another one; returns how many went on at each pair
+/// Begins streams at one gateway and resumes them at another one; returns how many went on at each pair
 /// of builds, and the statuses.
 async fn check(linked: &Linked, all: &[Replica]) -> (BTreeMap<(usize, usize), usize>, Vec<u16>) {
     let (mut pairs, mut statuses) = (BTreeMap::new(), Vec::new());
@@ -54,7 +54,7 @@
         let (first, again) = (format!("call-{n}"), format!("again-{n}"));
         let (status, _) = call(&linked.gateways[1], "/stream/x", &first).await;
         assert_eq!(status, 200);
-        statuses.push(take_up(&linked.gateways[0], &again, &first).await);
+        statuses.push(resume_by_caller(&linked.gateways[0], &again, &first).await);
         if let Some(after) = build(all, &again) {
             *pairs.entry((build(all, &first).unwrap(), after)).or_default() += 1;
         }
@@ -102,7 +102,7 @@
         let all = replicas().await;
         let linked = Linked::start_mixed(3, &all.iter().collect::<Vec<_>>()).await;
 
-        let status = take_up(&linked.gateways[0], "again", "call-of-nobody").await;
+        let status = resume_by_caller(&linked.gateways[0], "again", "call-of-nobody").await;
 
         assert_eq!((status, build(&all, "again")), (503, None));
     });
