--- a/core/tests/gateway/builds.rs
+++ b/core/tests/gateway/builds.rs
@@ -194,6 +194,28 @@
     assert_eq!(by_caller.unwrap_err(), Reason::BuildGone);
 }
 
+/// Guards against an origin that is lost with the second break of a stream: its caller goes on naming the
+/// attempt that brought the first event.
+#[test]
+fn stream_is_resumed_at_its_build_after_a_second_break() {
+    for first in calls() {
+        let mut gateway = gateway_before(&mixed());
+        let (_, begun) = begin(&mut gateway, START, &first);
+        let id = std::str::from_utf8(&first.id).unwrap();
+        let mut builds = vec![begun.build];
+        for again in ["again-1", "again-2"] {
+            let call = resumption(again, id);
+            let mut grant = gateway.admit(START, &call).unwrap();
+            gateway.resolve_origin(START, &call, &mut grant).unwrap();
+            let pick = pick(&mut gateway, START, &call, &mut grant).unwrap();
+            gateway.record_stream(START, &call, &mut grant, &pick.claim);
+            gateway.record_crash(START, &grant, &pick.claim);
+            builds.push(pick.build);
+        }
+        assert!(builds.iter().all(|build| *build == builds[0]), "{builds:?}");
+    }
+}
+
 /// Guards against a gateway that moves a silent stream which no replica of its build can take.
 #[test]
 fn silent_stream_stays_if_only_other_builds_are_left() {
