Let the test fleets replicate origins only where the process does

With the replication before the first event taken out, no test of origins in virtual time failed: the fixture also ran the heartbeat's replication after each stream, at a time at which all gateways counted as just started. The draws changed with it, so that one of nine gateways was killed by chance or none; an exact share is killed now. Bounds are as before.

--- a/core/tests/gateway/origins.rs
+++ b/core/tests/gateway/origins.rs
@@ -154,9 +154,7 @@
         gateway.record_sent(self.now, &call, &mut grant, &mut pick);
         gateway.record_event(self.now, &mut pick.claim);
         let copies = gateway.record_stream(self.now, &call, &mut grant, &pick.claim);
-        let unreplicated = gateway.take_unreplicated_streams(self.now);
         self.deliver(at, copies);
-        self.deliver(at, unreplicated);
         pick.build
     }
 
@@ -231,13 +229,12 @@
         self.killed.insert(address);
     }
 
-    /// Kills a share of all gateways, but at least one that serves lives on.
-    fn kill_share(&mut self, share: f64) {
-        for n in 1..self.entries.len() {
-            if self.rng.random_bool(share) {
-                self.kill(n);
-            }
-        }
+    /// Kills a share of the first `count` gateways; the first one, which serves, lives on.
+    fn kill_share(&mut self, count: usize, share: f64) {
+        let others: Vec<usize> = (1..count).collect();
+        let killed = (others.len() as f64 * share).ceil() as usize;
+        let killed: Vec<usize> = others.choose_multiple(&mut self.rng, killed).copied().collect();
+        killed.into_iter().for_each(|n| self.kill(n));
     }
 }
 
@@ -288,7 +285,7 @@
 fn streams_go_on_after_their_gateways_were_killed() {
     for share in [0.3, 0.6, 0.75] {
         for mut world in worlds() {
-            let outcome = world.check(|world| world.kill_share(share));
+            let outcome = world.check(|world| world.kill_share(world.entries.len(), share));
             assert_kept(outcome);
         }
     }
@@ -314,7 +311,7 @@
 fn streams_go_on_although_datagrams_are_lost() {
     for mut world in worlds() {
         world.loss = 0.25;
-        let outcome = world.check(|world| world.kill_share(0.3));
+        let outcome = world.check(|world| world.kill_share(world.entries.len(), 0.3));
         assert_kept(outcome);
     }
 }
@@ -328,11 +325,7 @@
             let joined = (known..known + known.div_ceil(5)).map(|n| entry(&name(n)));
             world.entries.extend(joined);
             world.refresh();
-            for n in 1..known {
-                if world.rng.random_bool(0.3) {
-                    world.kill(n);
-                }
-            }
+            world.kill_share(known, 0.3);
         });
         assert_kept(outcome);
     }
@@ -343,7 +336,7 @@
 fn streams_go_on_at_gateways_that_have_just_restarted() {
     for mut world in worlds() {
         let outcome = world.check(|world| {
-            world.kill_share(0.5);
+            world.kill_share(world.entries.len(), 0.5);
             world.serving[0] = start(0);
             world.refresh();
         });
@@ -418,7 +411,7 @@
                 let unreplicated = world.serving[at].take_unreplicated_streams(world.now);
                 world.deliver(at, unreplicated);
             }
-            world.kill_share(0.5);
+            world.kill_share(world.entries.len(), 0.5);
         });
         assert_kept(outcome);
     }
