--- a/core/tests/gateway/builds.rs
+++ b/core/tests/gateway/builds.rs
@@ -176,6 +176,31 @@
     }
 }
 
+/// Guards against callers that return when replicas of another build take calls again.
+#[test]
+fn refused_stream_returns_when_its_own_build_takes_calls() {
+    let mut gateway = gateway_before(&mixed());
+    let call = call("call-1");
+    let (mut grant, begun) = begin(&mut gateway, START, &call);
+    let own = Span::secs(5);
+    let listed: Vec<_> = gateway
+        .fleet()
+        .open_replicas("engines")
+        .map(|(key, r)| (key, r.listing.incarnation.digest(), r.listing.build == begun.build))
+        .collect();
+    for (replica, incarnation, is_own) in listed {
+        let mut claim: Claim = begun.claim;
+        claim.replica = replica;
+        claim.incarnation = incarnation;
+        gateway.record_cooldown(START, &claim, if is_own { own } else { Span::millis(500) });
+    }
+
+    let refusal = gateway.pick(START, &call, &mut grant, &[]).unwrap_err();
+
+    assert_eq!(refusal.reason, Reason::CoolingDown);
+    assert!(refusal.retry_after >= own, "{refusal:?}");
+}
+
 /// Guards against streams that wait, or go on elsewhere, when no replica has their build any more.
 #[test]
 fn stream_whose_build_is_gone_is_refused_at_once() {
