Name the organisation and the prompt's parts of attempts that failed

The logs of the incident could not tell a part of the prompts from a key or a length as the cause of crashes: a failed attempt named its fingerprint alone, which is another one for each request. At most eight parts are named, on lines of failed attempts only.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -31,6 +31,7 @@
 use laburnumwheel_core::gateway::occupancy::Snapshot;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::gateway::refusal::Refusal;
+use laburnumwheel_core::gateway::submission::Part;
 use laburnumwheel_core::gateway::submission::Submission;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
@@ -57,6 +58,8 @@
 ];
 /// Largest response that is buffered before it is forwarded, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Most parts of a prompt that one log line names.
+const MAX_LOGGED_PARTS: usize = 8;
 /// Most permits that one attempt asks for.
 const MAX_PERMIT_REQUESTS: usize = 4;
 
@@ -135,6 +138,13 @@
     grant.fingerprint.map_or_else(String::new, |fingerprint| fingerprint.to_string())
 }
 
+/// Formats the ids of the first parts of a prompt for logs, in hexadecimal; `-` if there are none.
+pub fn format_parts(parts: &[Part]) -> String {
+    let ids: Vec<String> =
+        parts.iter().take(MAX_LOGGED_PARTS).map(|part| format!("{:x}", part.id)).collect();
+    if ids.is_empty() { "-".to_owned() } else { ids.join(",") }
+}
+
 /// A complete response of a replica.
 #[derive(Clone, Debug)]
 pub struct Collected {
@@ -250,6 +260,8 @@
             .with("request", String::from_utf8_lossy(&self.submission.id))
             .with("route", &self.grant.route.name)
             .with("fingerprint", format_fingerprint(&self.grant))
+            .with("organisation", self.grant.organisation.as_deref().unwrap_or("-"))
+            .with("parts", format_parts(&self.submission.parts))
             .with("replica", replica)
             .with("fault", fault)
             .with("attempt", self.grant.attempts)
