Quarantine parts of prompts that crash replicas

Callers saw requests of one kind crash engine after engine: 35 and 38 requests with one part of their prompts reached replicas after the fifth crash. Cause: a crash was charged to the exact request, and no two requests were alike, so that each had one crash. Now a broken connection is charged to each part of the prompt but the last. Crashes at three moments without a complete answer that began later quarantine the part at all gateways, with no end of its own; a part that only ever occurs together with others is refused only together with them, unless these were answered. Records travel with heartbeats and proofs and stand in the store beside those of requests.

What else had to change with it: an answer counts only if it is a success of known length that a replica gave to this gateway; one that ends with its connection counts once the replica has shown that it lives; a stream that ends so without an event is broken. A sign of life refutes a crash only if it could not come from a replica that started again: gateways gossip such evidence.

--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -133,6 +133,8 @@
     pub(super) recovering: bool,
     /// Time at which the attempt was sent.
     pub sent: Time,
+    /// Time at which the connection that it was sent on was opened, if that is known.
+    pub connected: Option<Time>,
     pub(in crate::gateway) first_event_seen: bool,
     /// Whether the time to first event is a sample of the prefill time: the owner knew of no other
     /// prompt awaiting prefill at the engine.
@@ -144,6 +146,13 @@
     pub sensitive: bool,
 }
 
+impl Claim {
+    /// Whether the first event, or the whole answer, has arrived.
+    pub fn has_event(&self) -> bool {
+        self.first_event_seen
+    }
+}
+
 impl Fleet {
     /// Chooses a replica that is not in `tried`; one in the caller's failure `domain` wins if the
     /// costs are about equal. `None` if the service has no other open replica.
@@ -331,6 +340,7 @@
                 call: 0,
                 recovering: false,
                 sent: now,
+                connected: None,
                 first_event_seen: false,
                 prefill_sample: snapshot.is_some_and(|s| s.pending_prefill_ms <= 0.0),
                 pause: requirements.engine.map_or(Span(0), |criteria| criteria.pause),
--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -45,6 +45,7 @@
 pub mod view;
 pub mod wall;
 
+pub use self::state::Crashes;
 pub use self::state::Gateway;
 pub use self::state::Grant;
 pub use self::state::Pick;
--- a/core/src/gateway/quarantine.rs
+++ b/core/src/gateway/quarantine.rs
@@ -1,4 +1,5 @@
-//! Quarantines requests that repeatedly crash the replica serving them.
+//! Quarantines requests that repeatedly crash the replica serving them. Different requests that
+//! crash replicas because of one part of their prompts are the matter of [`part`].
 //!
 //! When a connection to a replica breaks, the gateway records a crash for the fingerprint of each
 //! request that was running on it, and gossips the records. A fingerprint with [`CRASH_THRESHOLD`]
@@ -8,6 +9,11 @@
 //! added to records, except that an answer clears them, so the order in which a gateway merges
 //! records does not affect the result.
 
+pub mod feature;
+pub mod part;
+pub mod survival;
+pub mod unframed;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -291,6 +297,12 @@
         (now < until).then(|| until.since(now))
     }
 
+    /// Whether a replica is known to have crashed about this time.
+    pub fn has_crash(&self, replica: Digest, at: Time) -> bool {
+        let crashes = self.suspects.values().filter_map(|suspect| suspect.crashes.get(&replica));
+        crashes.into_iter().any(|crash| !crash.is_alive && survival::is_same(crash.at, at))
+    }
+
     /// Number of tracked fingerprints.
     pub fn tracked_count(&self) -> usize {
         self.suspects.len()
@@ -302,16 +314,17 @@
     }
 
     /// Reevaluates all fingerprints and returns the quarantines that started or ended since the
-    /// last call. `is_alive` returns whether a replica gave a sign of life after the given time.
+    /// last call. `is_refuted` returns whether the replica survived its supposed crash at the given
+    /// time, or whether that is explained by a part of prompts.
     pub fn reevaluate(
         &mut self,
         now: Time,
-        is_alive: impl Fn(Digest, Time) -> bool,
+        is_refuted: impl Fn(Digest, Time) -> bool,
     ) -> Vec<Transition> {
         self.decide_interruptions(now);
         for suspect in self.suspects.values_mut() {
             for (replica, crash) in &mut suspect.crashes {
-                crash.is_alive = crash.is_alive || is_alive(*replica, crash.at + LIVENESS_DELAY);
+                crash.is_alive = crash.is_alive || is_refuted(*replica, crash.at);
             }
         }
         self.suspects.retain(|_, suspect| !suspect.is_expired(now));
--- a/core/src/gateway/refusal.rs
+++ b/core/src/gateway/refusal.rs
@@ -34,6 +34,9 @@
     CoolingDown,
     /// The request is quarantined, because several replicas crashed while they ran it.
     Quarantined,
+    /// The prompt has a quarantined part, because several replicas crashed while they ran requests
+    /// with it.
+    PartQuarantined,
     /// The gateway serves as many calls for others as it can.
     Saturated,
     /// The gateway that the call was delegated to refused it.
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod origins;
 mod owner;
+mod parts;
 mod pick;
 mod plans;
 mod poison;
@@ -24,6 +25,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+pub use self::parts::Crashes;
 use self::poison::Crash;
 use self::stop::Stop;
 use super::budget;
@@ -57,6 +59,11 @@
 use super::prefill;
 use super::quarantine;
 use super::quarantine::Quarantine;
+use super::quarantine::feature;
+use super::quarantine::feature::Feature;
+use super::quarantine::part::Parts;
+use super::quarantine::survival::Survivals;
+use super::quarantine::unframed::Unframed;
 use super::reach::Reach;
 use super::refusal::Reason;
 use super::refusal::Refusal;
@@ -100,6 +107,8 @@
     pub service: String,
     /// Fingerprint of the request; `None` until the body was read.
     pub fingerprint: Option<Fingerprint>,
+    /// Parts of the prompt that crashes may be charged to.
+    pub parts: Vec<Feature>,
     /// Time when the call's head was read.
     pub arrived: Time,
     /// Time when the caller's patience or the route's timeout ends.
@@ -164,6 +173,9 @@
     tallies: BTreeMap<u32, Tally>,
     popularity: Popularity,
     quarantine: Quarantine,
+    parts: Parts,
+    survivals: Survivals,
+    unframed: Unframed,
     own_crashes: Vec<Crash>,
     reach: Reach,
     ring_updated: Time,
@@ -197,6 +209,9 @@
             tallies: BTreeMap::new(),
             popularity: Popularity::default(),
             quarantine: Quarantine::default(),
+            parts: Parts::default(),
+            survivals: Survivals::default(),
+            unframed: Unframed::default(),
             own_crashes: Vec::new(),
             reach: Reach::default(),
             ring_updated: now,
@@ -272,7 +287,7 @@
         self.receive_version(now, heartbeat.version);
         self.directory.receive(now, heartbeat);
         self.fleet.receive(now, &heartbeat.loads);
-        self.quarantine.merge(now, &heartbeat.quarantine);
+        self.merge_requests(now, &heartbeat.quarantine);
         self.receive_prefill(&heartbeat.prefill);
         self.receive_plans(now, &heartbeat.plans)
     }
@@ -322,7 +337,7 @@
     }
 
     pub(super) fn merge_quarantine(&mut self, now: Time, records: &[quarantine::Record]) {
-        self.quarantine.merge(now, records);
+        self.merge_requests(now, records);
     }
 
     /// Addresses to send heartbeats to.
@@ -430,6 +445,7 @@
             rank,
             service: choose_service(route, &submission.id),
             fingerprint: None,
+            parts: feature::chargeable(&submission.parts),
             arrived,
             deadline: arrived + patience,
             tried: Vec::new(),
--- a/core/src/gateway/state/attempts.rs
+++ b/core/src/gateway/state/attempts.rs
@@ -37,6 +37,7 @@
     /// Records that a replica sent something, with its load if it reported it.
     pub fn record_activity(&mut self, now: Time, claim: &Claim, load: Option<Load>) {
         self.fleet.record_activity(now, claim.replica, load);
+        self.record_survival(now, claim);
     }
 
     /// Records an event, or the whole answer, of an attempt; returns whether it is the first.
--- a/core/src/gateway/state/poison.rs
+++ b/core/src/gateway/state/poison.rs
@@ -20,6 +20,10 @@
 /// Upper bound on the quarantine records in the store, which gateways load at their start.
 const MAX_STORED: usize = 64;
 
+/// Time after which a caller retries whose prompt has a quarantined part. The quarantine has no end
+/// of its own; an operator may have ended it by then.
+const RETRY_PART: Span = Span::secs(600);
+
 /// Time for which this gateway remembers the crashes that it recorded itself.
 const OWN_CRASH_RETENTION: Span = Span::secs(5);
 
@@ -38,6 +42,7 @@
     /// and nothing about the request.
     pub fn record_crash(&mut self, now: Time, grant: &Grant, claim: &Claim) {
         self.fleet.record_broken(now, claim.replica);
+        self.record_part_crash(now, grant, claim);
         let Some(fingerprint) = grant.fingerprint else {
             return;
         };
@@ -61,11 +66,12 @@
         }
     }
 
-    /// Records that a replica answered a request completely.
-    pub fn record_answer(&mut self, now: Time, grant: &Grant) {
+    /// Records that a replica answered a request completely, from `began` on.
+    pub fn record_answer(&mut self, now: Time, began: Time, grant: &Grant) {
         if let Some(fingerprint) = grant.fingerprint {
             self.quarantine.record_answer(now, fingerprint);
         }
+        self.parts.record_answer(now, began, &grant.parts);
     }
 
     /// Checks that a request is not quarantined.
@@ -76,8 +82,11 @@
     pub(super) fn check_quarantine(&self, now: Time, grant: &Grant) -> Result<(), Refusal> {
         let remaining =
             grant.fingerprint.and_then(|fingerprint| self.quarantine.remaining(now, fingerprint));
-        match remaining {
-            Some(remaining) => Err(Refusal::not_run(Reason::Quarantined, remaining)),
+        if let Some(remaining) = remaining {
+            return Err(Refusal::not_run(Reason::Quarantined, remaining));
+        }
+        match self.quarantined_part(now, grant) {
+            Some(_) => Err(Refusal::not_run(Reason::PartQuarantined, RETRY_PART)),
             None => Ok(()),
         }
     }
@@ -85,8 +94,10 @@
     /// Reevaluates the quarantine; returns the fingerprints that entered or left it since the last
     /// call.
     pub fn reevaluate_quarantine(&mut self, now: Time) -> Vec<Transition> {
-        let fleet = &self.fleet;
-        self.quarantine.reevaluate(now, |replica, at| fleet.active_since(replica, at))
+        let (parts, survivals) = (&self.parts, &self.survivals);
+        self.quarantine.reevaluate(now, |replica, at| {
+            survivals.has_survived(replica, at) || parts.explains(now, replica, at)
+        })
     }
 
     /// Number of quarantined fingerprints.
@@ -96,7 +107,7 @@
 
     /// Merges the quarantine records that were read from the store.
     pub fn restore_quarantine(&mut self, now: Time, records: &[Record]) {
-        self.quarantine.merge(now, records);
+        self.merge_requests(now, records);
     }
 
     /// Records to write to the store, or `None` if the stored ones are up to date.
--- a/core/tests/gateway/quarantine.rs
+++ b/core/tests/gateway/quarantine.rs
@@ -476,7 +476,7 @@
     after.confirm_view(at(20));
     let mut grant = after.admit(at(20), &call).unwrap();
     grant.fingerprint = Some(CRASHING);
-    after.record_answer(at(30), &grant);
+    after.record_answer(at(30), at(30), &grant);
 
     assert!(is_quarantined);
     assert_eq!(again, None);
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -203,6 +203,11 @@
         }
     }
 
+    /// Whether a replica has sent an event.
+    pub fn has_event(&self) -> bool {
+        self.claim.is_some_and(|claim| claim.has_event())
+    }
+
     /// Records that events, or the complete response, have arrived.
     pub fn record_event(&mut self) {
         let Some(claim) = &mut self.claim else {
@@ -235,9 +240,19 @@
     pub channel: Channel,
     /// Identity of the replica.
     pub replica: String,
+    /// Time at which the head arrived.
+    pub began: Time,
 }
 
 impl Exchange {
+    /// Whether the response states where its body ends. Other bodies end with the connection, whether
+    /// they are complete or the replica has crashed.
+    pub fn is_framed(&self) -> bool {
+        let headers = &self.head.headers;
+        headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Ends the attempt and returns the connection to the pool, after the response has been read
     /// completely.
     pub fn finish(self, outcome: Outcome) {
@@ -480,6 +495,7 @@
         self.shared.gateway.borrow_mut().record_sent(now, &self.submission, &mut self.grant, pick);
         self.shared.updates_waiting.notify_one();
         let shared = self.shared.clone();
+        pick.claim.connected = Some(channel.opened);
         let claim = Some(pick.claim);
         let mut in_flight = InFlight { shared, claim, ended: Cell::new(false) };
         let response = channel.sender.send_request(request);
@@ -504,8 +520,9 @@
             self.record_limit(pick, &metadata);
         }
         let (head, body) = response.into_parts();
-        let exchange =
-            Exchange { head, metadata, body, in_flight, channel, replica: pick.id.clone() };
+        let replica = pick.id.clone();
+        let began = clock::now();
+        let exchange = Exchange { head, metadata, body, in_flight, channel, replica, began };
         if exchange.metadata.not_run || exchange.head.status.is_server_error() {
             return Err(self.read_failure(exchange).await);
         }
@@ -571,7 +588,7 @@
             Ok(Ok(body)) => {
                 exchange.in_flight.record_event();
                 if outcome == Outcome::Answered {
-                    self.record_completion();
+                    self.record_completion(&exchange);
                 }
                 let head = exchange.head.clone();
                 exchange.finish(outcome);
@@ -582,9 +599,21 @@
         }
     }
 
-    /// Records that a replica has run the call to completion.
-    pub fn record_completion(&self) {
-        self.shared.gateway.borrow_mut().record_answer(clock::now(), &self.grant);
+    /// Records that a replica has run the call to completion. A response that another gateway passed
+    /// on is recorded there, and one that is no success says nothing about the call.
+    pub fn record_completion(&self, exchange: &Exchange) {
+        let Some(claim) = exchange.in_flight.claim else {
+            return;
+        };
+        if !exchange.head.status.is_success() {
+            return;
+        }
+        let (now, began) = (clock::now(), exchange.began);
+        let mut gateway = self.shared.gateway.borrow_mut();
+        match exchange.is_framed() {
+            true => gateway.record_answer(now, began, &self.grant),
+            false => gateway.record_unframed(now, began, &self.grant, &claim),
+        }
     }
 
     /// Counts the call for its organisation, as one that began to run at `at`; later calls have no
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -28,6 +28,7 @@
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 
+use crate::attempt;
 use crate::attempt::Call;
 use crate::attempt::Failure;
 use crate::attempt::Fault;
@@ -342,11 +343,24 @@
 }
 
 fn refuse_admitted(call: &Call, recorder: &Recorder, refusal: &Refusal) -> Response<Payload> {
+    if refusal.reason == Reason::PartQuarantined {
+        log_quarantined_part(call);
+    }
     let outcome = refusal.reason.to_string();
     recorder.record_end(call, &outcome, status(refusal).as_u16());
     gateway_response(&call.shared, &call.submission.id, status(refusal), Some(refusal))
 }
 
+/// Logs because of which part of its prompt a call is refused.
+fn log_quarantined_part(call: &Call) {
+    let part = call.shared.gateway.borrow().quarantined_part(clock::now(), &call.grant);
+    let line = Line::new("call_has_quarantined_part")
+        .with("request", String::from_utf8_lossy(&call.submission.id))
+        .with("feature", part.map_or_else(|| "-".to_owned(), |part| part.to_string()))
+        .with("parts", attempt::format_parts(&call.submission.parts));
+    call.shared.log(line);
+}
+
 fn refuse(
     shared: &Shared,
     recorder: &Recorder,
--- a/gateway/src/channel.rs
+++ b/gateway/src/channel.rs
@@ -44,6 +44,8 @@
 pub struct Channel {
     /// Sends requests.
     pub sender: SendRequest<Full<Bytes>>,
+    /// Time at which the connection was opened.
+    pub opened: Time,
     task: AbortHandle,
 }
 
@@ -91,7 +93,7 @@
         // An error is returned by `send_request` too.
         let _ = connection.await;
     });
-    Ok(Channel { sender, task: task.abort_handle() })
+    Ok(Channel { sender, opened: clock::now(), task: task.abort_handle() })
 }
 
 /// Returns how long a connection may stay idle if its replica closes it after `keep_alive` seconds.
--- a/gateway/src/delegation.rs
+++ b/gateway/src/delegation.rs
@@ -435,8 +435,9 @@
         // The delegate makes all further attempts that are allowed, also to resume a stream.
         self.grant.attempts = self.grant.attempts.max(self.grant.route.attempts);
         let (head, body) = response.into_parts();
-        let exchange =
-            Exchange { head, metadata, body, in_flight, channel, replica: delegate.name.clone() };
+        let replica = delegate.name.clone();
+        let began = clock::now();
+        let exchange = Exchange { head, metadata, body, in_flight, channel, replica, began };
         if exchange.head.status.is_server_error() {
             return Err(self.read_failure(exchange).await);
         }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use laburnumwheel_core::gateway::Crashes;
 use laburnumwheel_core::gateway::brittle;
 use laburnumwheel_core::gateway::departure;
 use laburnumwheel_core::gateway::directory;
@@ -91,6 +92,8 @@
     OriginRequest(u64, origin::Question),
     /// Response to the origin request with this id.
     Origin(u64, origin::Answer),
+    /// Parts of prompts that crashed replicas, and crashes that replicas survived.
+    Crashes(Crashes),
 }
 
 /// Data after a heartbeat in its datagram, which gateways of earlier releases ignore.
@@ -316,6 +319,7 @@
     limits::send_limits(shared, addresses).await;
     departures::send(shared, addresses).await;
     brittle_services::send(shared, addresses).await;
+    quarantine::send_crashes(shared, addresses).await;
 }
 
 fn encode_heartbeat(shared: &Shared, heartbeat: Heartbeat) -> Option<Vec<u8>> {
@@ -346,6 +350,8 @@
         tokio::time::sleep(clock::duration(period)).await;
         let transitions = shared.gateway.borrow_mut().reevaluate_quarantine(clock::now());
         quarantine::log_transitions(&shared, &transitions);
+        let transitions = shared.gateway.borrow_mut().reevaluate_parts(clock::now());
+        quarantine::log_part_transitions(&shared, &transitions);
         let report = shared.gateway.borrow_mut().next_report(clock::now());
         if let Some((decider, report)) = report
             && let Ok(address) = decider.parse::<SocketAddr>()
@@ -421,6 +427,9 @@
             Message::Limits(records) => limits::receive(&shared, &records),
             Message::Departures(records) => departures::receive(&shared, &records),
             Message::Brittle(records) => brittle_services::receive(&shared, &records),
+            Message::Crashes(crashes) => {
+                shared.gateway.borrow_mut().receive_crashes(clock::now(), &crashes);
+            }
             Message::Origins(records) => {
                 shared.gateway.borrow_mut().receive_origins(clock::now(), &records);
             }
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -3,18 +3,23 @@
 //! Gossiped records are lost when all gateways stop at once, so the records are also stored. Stored
 //! records hold absolute times, as ages would restart with each read.
 
+use std::net::SocketAddr;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use laburnumwheel_core::gateway::fingerprint::Fingerprint;
 use laburnumwheel_core::gateway::quarantine;
 use laburnumwheel_core::gateway::quarantine::Transition;
+use laburnumwheel_core::gateway::quarantine::feature::Feature;
+use laburnumwheel_core::gateway::quarantine::part;
 use laburnumwheel_core::incarnation::Digest;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::clock;
 use crate::log::Line;
+use crate::peers;
+use crate::peers::Message;
 use crate::shared::Shared;
 use crate::store;
 use crate::store::Reply;
@@ -28,15 +33,22 @@
     pub at: u64,
 }
 
-/// A quarantined fingerprint.
+/// A quarantined fingerprint or part of prompts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
-    /// The fingerprint.
+    /// The fingerprint, or the feature of the part.
     #[serde(rename = "content")]
     pub fingerprint: Fingerprint,
-    /// Replicas that crashed while running a request with this fingerprint.
+    /// Replicas that crashed while running a request with this fingerprint or part.
     #[serde(rename = "ends")]
     pub crashes: Vec<Crash>,
+    /// Other features that all requests with these crashes had in common; `None` for a fingerprint.
+    /// Earlier releases take a part for a fingerprint that no request has.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub common: Option<Vec<Feature>>,
+    /// Time at which an operator ended the quarantine of a part, in Unix milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub released: Option<u64>,
 }
 
 /// The stored records.
@@ -63,7 +75,24 @@
         crashes: record.crashes.iter().map(crash).collect(),
         answered_ms: None,
     };
-    records.iter().map(record).collect()
+    records.iter().filter(|record| record.common.is_none()).map(record).collect()
+}
+
+/// The same for the records of parts.
+fn to_part_ages(records: &[Record], now_ms: u64) -> Vec<part::Record> {
+    let crash = |crash: &Crash| part::Crash {
+        replica: crash.replica,
+        age_ms: now_ms.saturating_sub(crash.at),
+    };
+    let record = |record: &Record| {
+        Some(part::Record {
+            part: Feature(record.fingerprint.0),
+            common: record.common.clone()?,
+            crashes: record.crashes.iter().map(crash).collect(),
+            answered_ms: record.released.map(|at| now_ms.saturating_sub(at)),
+        })
+    };
+    records.iter().filter_map(record).collect()
 }
 
 /// Converts ages to times.
@@ -75,14 +104,33 @@
     let record = |record: &quarantine::Record| Record {
         fingerprint: record.fingerprint,
         crashes: record.crashes.iter().map(crash).collect(),
+        common: None,
+        released: None,
+    };
+    records.iter().map(record).collect()
+}
+
+/// The same for the records of parts.
+fn to_part_times(records: &[part::Record], now_ms: u64) -> Vec<Record> {
+    let crash = |crash: &part::Crash| Crash {
+        replica: crash.replica,
+        at: now_ms.saturating_sub(crash.age_ms),
+    };
+    let record = |record: &part::Record| Record {
+        fingerprint: Fingerprint(record.part.0),
+        crashes: record.crashes.iter().map(crash).collect(),
+        common: Some(record.common.clone()),
+        released: None,
     };
     records.iter().map(record).collect()
 }
 
 /// Merges the stored records into the quarantine.
 pub fn restore(shared: &Shared, stored: &Entry) {
-    let records = to_ages(&stored.records, unix_ms());
-    shared.gateway.borrow_mut().restore_quarantine(clock::now(), &records);
+    let (now, now_ms) = (clock::now(), unix_ms());
+    let mut gateway = shared.gateway.borrow_mut();
+    gateway.restore_quarantine(now, &to_ages(&stored.records, now_ms));
+    gateway.restore_parts(now, &to_part_ages(&stored.records, now_ms));
 }
 
 /// Stores the records if the stored ones are out of date. If the write fails because another
@@ -94,12 +142,23 @@
 ) {
     let now_ms = unix_ms();
     let known = to_ages(&stored.records, now_ms);
-    let Some(records) = shared.gateway.borrow().quarantine_to_store(clock::now(), &known) else {
-        return;
+    let known_parts = to_part_ages(&stored.records, now_ms);
+    let (requests, parts) = {
+        let (gateway, now) = (shared.gateway.borrow(), clock::now());
+        (gateway.quarantine_to_store(now, &known), gateway.parts_to_store(now, &known_parts))
     };
-    let result = store::with_timeout(write(to_times(&records, now_ms), stored.revision)).await;
+    if requests.is_none() && parts.is_none() {
+        return;
+    }
+    let requests = requests.unwrap_or(known);
+    let parts = parts.unwrap_or(known_parts);
+    let mut records = to_times(&requests, now_ms);
+    records.extend(to_part_times(&parts, now_ms));
+    let result = store::with_timeout(write(records, stored.revision)).await;
     shared.metrics.count_store_call("keep", result.is_ok());
-    let line = Line::new("quarantine_stored").with("fingerprints", records.len());
+    let line = Line::new("quarantine_stored")
+        .with("fingerprints", requests.len())
+        .with("parts", parts.len());
     shared.log(match result {
         Ok(()) => line.with("outcome", "written"),
         Err(e) => line.with("outcome", e),
@@ -115,3 +174,30 @@
         shared.log(line.with("crashes", transition.crashes));
     }
 }
+
+/// Logs the start and end of quarantines of parts.
+pub fn log_part_transitions(shared: &Shared, transitions: &[part::Transition]) {
+    let join = |texts: Vec<String>| if texts.is_empty() { "-".to_owned() } else { texts.join(",") };
+    for transition in transitions {
+        let event = if transition.quarantined { "part_quarantined" } else { "part_released" };
+        let line = Line::new(event)
+            .with("feature", transition.part)
+            .with("crashes", transition.replicas.len())
+            .with("replicas", join(transition.replicas.iter().map(ToString::to_string).collect()))
+            .with("common", join(transition.common.iter().map(ToString::to_string).collect()));
+        shared.log(line);
+    }
+}
+
+/// Sends what this gateway knows of crashes, if there is anything new, to the gateways at `addresses`.
+pub async fn send_crashes(shared: &Shared, addresses: &[SocketAddr]) {
+    let crashes = shared.gateway.borrow_mut().gossip_crashes(clock::now());
+    if crashes.is_empty() {
+        return;
+    }
+    let message = Message::Crashes(crashes);
+    for address in addresses {
+        // Crashes that can't be sent are sent again with the next heartbeat.
+        peers::send(&shared.socket, *address, &message).await;
+    }
+}
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -208,13 +208,16 @@
                 }
             }
             Some(Err(_)) => return Err(call.fail(&open.in_flight, &open.replica, Fault::Broken)),
-            // A stream that ends in the middle of an event is broken.
-            None if splitter.pending_len() > 0 => {
+            // A stream that ends in the middle of an event is broken. So is one that has no event and
+            // ends with its connection, as it would if the replica crashed.
+            None if splitter.pending_len() > 0
+                || !(open.is_framed() || open.in_flight.has_event()) =>
+            {
                 return Err(call.fail(&open.in_flight, &open.replica, Fault::Broken));
             }
             None => {
-                call.record_completion();
                 if let Some(open) = exchange.take() {
+                    call.record_completion(&open);
                     open.finish(Outcome::Answered);
                 }
                 return Ok(Step::End);
