--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -256,6 +256,7 @@
             return;
         }
         claim.first_event_seen = true;
+        claim.first_event = now;
         claim.last_event = now;
         if self.is_engine(claim.replica) {
             self.notify_owner(claim, Change::FirstEvent);
--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -136,6 +136,8 @@
     /// Time at which the connection that it was sent on was opened, if that is known.
     pub connected: Option<Time>,
     pub(in crate::gateway) first_event_seen: bool,
+    /// Time of the first event, once it was seen.
+    pub(in crate::gateway) first_event: Time,
     /// Whether the time to first event is a sample of the prefill time: the owner knew of no other
     /// prompt awaiting prefill at the engine.
     pub(in crate::gateway) prefill_sample: bool,
@@ -341,6 +343,7 @@
                 recovering: false,
                 sent: now,
                 connected: None,
+                first_event: now,
                 first_event_seen: false,
                 prefill_sample: snapshot.is_some_and(|s| s.pending_prefill_ms <= 0.0),
                 pause: requirements.engine.map_or(Span(0), |criteria| criteria.pause),
--- a/core/src/gateway/quarantine/part.rs
+++ b/core/src/gateway/quarantine/part.rs
@@ -393,12 +393,14 @@
         self.answered.get(&part).copied().max(gossiped)
     }
 
-    /// Whether other parts with more crashes explain all those of a part. A part that all crashed
-    /// requests had does not: the narrower one of the two is the likelier cause.
+    /// Whether other parts explain all crashes of a part: parts with more crashes, and narrower parts,
+    /// whose crashed requests all had this one too while the reverse does not hold.
     fn is_explained(&self, part: Feature, suspect: &Suspect) -> bool {
         let is_cause = |(other, cause): &(&Feature, &Suspect)| {
+            let is_narrower = cause.common.contains(&part);
+            let has_more = cause.crashes.len() > suspect.crashes.len();
             **other != part
-                && cause.crashes.len() > suspect.crashes.len()
+                && (is_narrower || has_more)
                 && !suspect.common.contains(other)
                 && cause.reached().is_some()
         };
--- a/core/src/gateway/state/parts.rs
+++ b/core/src/gateway/state/parts.rs
@@ -24,6 +24,9 @@
 /// Upper bound on the parts in the store, which gateways load at their start.
 const MAX_STORED: usize = 64;
 
+/// Time from the first event of an answer in which a part of its prompt crashes the replica.
+const MAX_TIME_TO_CRASH: Span = Span::secs(1);
+
 /// What gateways tell each other of parts that crash replicas.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crashes {
@@ -44,9 +47,13 @@
     /// Charges the crash of a replica to the parts of a request that it ran.
     ///
     /// This also holds while the replica's service seems out of reach: most of it may be down because
-    /// of such a part. Links that break at once are a single moment with crashes.
+    /// of such a part. Links that break at once are a single moment with crashes. A request that the
+    /// replica had been answering for some time has not crashed it.
     pub(super) fn record_part_crash(&mut self, now: Time, grant: &Grant, claim: &Claim) {
         self.survivals.watch(claim.incarnation, now);
+        if claim.first_event_seen && now.since(claim.first_event) >= MAX_TIME_TO_CRASH {
+            return;
+        }
         self.parts.record_crash(now, claim.incarnation, &context(grant));
     }
 
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -23,6 +23,7 @@
 mod occupancy;
 mod origins;
 mod outage;
+mod parts;
 mod plan;
 mod pool;
 mod prefill;
