Refute crashes only up to the time at which a replica was seen alive

The answer that shows a replica alive now proves that up to its own time, must come on a connection from before the crash, and crashes are explained by a part only within 200 ms. The test of crashes right after survived ones fails with the code before.

Explain leads from a call that is refused for a part to the failed attempts and quarantines of that part.

--- a/core/src/gateway/quarantine/part.rs
+++ b/core/src/gateway/quarantine/part.rs
@@ -217,10 +217,12 @@
         }
     }
 
-    /// Removes a crash that a replica survived.
-    pub fn remove_crash(&mut self, replica: Digest, at: Time) {
+    /// Removes a crash at `at` that a replica survived until `alive`.
+    pub fn remove_crash(&mut self, replica: Digest, at: Time, alive: Time) {
+        let is_refuted =
+            |(crashed, r): Known| r == replica && is_same(crashed, at) && crashed < alive;
         for suspect in self.suspects.values_mut() {
-            suspect.remove_crashes(|(crashed, r)| r == replica && is_same(crashed, at));
+            suspect.remove_crashes(is_refuted);
         }
     }
 
@@ -302,8 +304,10 @@
     /// other requests that ran there. A quarantine of a single request explains nothing: it is
     /// lifted when another request with the part is answered.
     pub fn explains(&self, now: Time, replica: Digest, at: Time) -> bool {
+        let is_at_once =
+            |(known, r): &Known| *r == replica && known.since(at).max(at.since(*known)) <= MOMENT;
         let is_cause = |part: Feature, suspect: &Suspect| {
-            suspect.has((at, replica))
+            suspect.crashes.iter().any(is_at_once)
                 && !suspect.common.iter().any(|feature| feature.is_request())
                 && self.is_quarantined(now, part)
         };
--- a/core/src/gateway/quarantine/unframed.rs
+++ b/core/src/gateway/quarantine/unframed.rs
@@ -50,7 +50,8 @@
     /// answer to a call that was sent at `sent` on a connection that was opened at `opened`.
     pub fn observe(&mut self, now: Time, replica: Digest, opened: Time, sent: Time) -> Vec<Answer> {
         self.take(|answer| {
-            answer.replica == replica && survival::is_survived(answer.ended, now, opened, sent)
+            let alive = survival::alive_until(now, sent);
+            answer.replica == replica && opened <= answer.ended && answer.ended < alive
         })
     }
 
--- a/core/src/gateway/state/parts.rs
+++ b/core/src/gateway/state/parts.rs
@@ -61,8 +61,8 @@
     pub(super) fn record_survival(&mut self, now: Time, claim: &Claim) {
         let opened = claim.connected.unwrap_or(claim.sent);
         let refuted = self.survivals.observe(now, claim.incarnation, opened, claim.sent);
-        if let Some(at) = refuted {
-            self.parts.remove_crash(claim.incarnation, at);
+        if let Some((at, alive)) = refuted {
+            self.parts.remove_crash(claim.incarnation, at, alive);
         }
         let complete = self.unframed.observe(now, claim.incarnation, opened, claim.sent);
         complete.iter().for_each(|answer| self.record_complete(now, answer));
@@ -118,8 +118,8 @@
     /// Merges what another gateway knows of crashes.
     pub fn receive_crashes(&mut self, now: Time, crashes: &Crashes) {
         for survival in &crashes.survivals {
-            if let Some(at) = self.survivals.merge(now, survival) {
-                self.parts.remove_crash(survival.replica, at);
+            if let Some((at, alive)) = self.survivals.merge(now, survival) {
+                self.parts.remove_crash(survival.replica, at, alive);
             }
         }
         self.restore_parts(now, &crashes.parts);
--- a/core/tests/gateway/parts/calls.rs
+++ b/core/tests/gateway/parts/calls.rs
@@ -6,6 +6,7 @@
 use laburnumwheel_core::gateway::fleet::Claim;
 use laburnumwheel_core::gateway::fleet::Load;
 use laburnumwheel_core::gateway::fleet::Outcome;
+use laburnumwheel_core::gateway::quarantine::feature;
 use laburnumwheel_core::gateway::quarantine::part::Record;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::gateway::submission::Submission;
@@ -166,15 +167,35 @@
     assert!(is_refused(&mut gateway, QUARANTINED, &[FIRST, CRASHING]));
 }
 
-/// Connections break while the engines live: old connections still carry data, and new calls are
-/// answered sooner than an engine can start. Peers hear of it.
+/// One connection to an engine breaks, another one shows that it lives, and then the engine crashes.
+#[test]
+fn crash_right_after_a_survived_one_counts() {
+    let mut gateway = gateway(ENGINES);
+    for n in 0..3 {
+        let (other, broken) = send(&mut gateway, 1_000 * n, &[FIRST, 5]).unwrap();
+        gateway.record_crash(at(1_000 * n + 50), &other, &broken);
+        let mut later = sent_at(&broken, 1_000 * n + 60);
+        later.connected = Some(at(0));
+        gateway.record_activity(at(1_000 * n + 70), &later, None);
+        let mut crashing = other.clone();
+        crashing.parts = feature::chargeable(&call(&[FIRST, CRASHING]).parts);
+        gateway.record_crash(at(1_000 * n + 100), &crashing, &broken);
+        gateway.record_end(at(1_000 * n + 100), broken, Outcome::Failed);
+    }
+
+    assert!(is_refused(&mut gateway, QUARANTINED, &[FIRST, CRASHING]));
+}
+
+/// Connections break while the engines live: old connections still carry data, also of new calls. Peers
+/// hear of it.
 #[test]
 fn engines_that_survived_clear_crashes_at_all_gateways() {
     let (mut gateway, mut peer) = (gateway(ENGINES), gateway(ENGINES));
     let claims = crash_three(&mut gateway);
     peer.receive_crashes(at(2_200), &gateway.gossip_crashes(at(2_200)));
     let old = sent_at(&claims[0], 0);
-    let quick = sent_at(&claims[2], 2_150);
+    let mut quick = sent_at(&claims[2], 2_150);
+    quick.connected = Some(at(0));
 
     gateway.record_activity(at(2_300), &old, None);
     gateway.record_activity(at(2_300), &quick, None);
@@ -258,7 +279,9 @@
         crash_three(&mut gateway);
         gateway.record_unframed(at(2_300), at(2_200), &grant, &claim);
         if is_alive {
-            gateway.record_activity(at(2_400), &sent_at(&claim, 2_350), None);
+            let mut later = sent_at(&claim, 2_350);
+            later.connected = Some(at(0));
+            gateway.record_activity(at(2_400), &later, None);
         } else {
             let others = listings(ENGINES).into_iter();
             let gone = gateway.fleet().get(claim.replica).unwrap().listing.incarnation.clone();
--- a/core/tests/gateway/parts/mod.rs
+++ b/core/tests/gateway/parts/mod.rs
@@ -313,7 +313,7 @@
 fn survived_crash_does_not_count() {
     let mut parts = after_crashes(&[&[CRASHING], &[CRASHING], &[CRASHING]]);
 
-    parts.remove_crash(Digest(1), at(1_000));
+    parts.remove_crash(Digest(1), at(1_000), at(1_500));
 
     assert!(!is_refused(&parts, 9_000, &[CRASHING]));
 }
--- a/ctl/src/cmd/explain.rs
+++ b/ctl/src/cmd/explain.rs
@@ -13,7 +13,8 @@
     laburnumctl explain REQUEST-ID FILE...
 
 Prints the log lines of the request in the order of their times, each with its file and line number,
-and the cause of the outcome. Clocks of hosts differ, so that the order is exact only for lines of
+and the cause of the outcome. If the request was refused for a part of its prompt, the lines of that
+part's crashes and of its quarantine follow. Clocks of hosts differ, so that the order is exact only for lines of
 the same host.
 ";
 
@@ -50,7 +51,13 @@
     for entry in &entries {
         println!("{}: {}", entry.location, entry.text);
     }
-    let last = entries.iter().rev().find(|e| e.fields.get("event") == Some(&"call"));
+    let part = entries.iter().rev().find(|e| is_event(e, "call_has_quarantined_part"));
+    if let Some(part) = part {
+        for (file, text) in &texts {
+            print_crashes(part, file, text);
+        }
+    }
+    let last = entries.iter().rev().find(|e| is_event(e, "call"));
     match (last, entries.is_empty()) {
         (Some(end), _) => println!("cause: {}", cause(end, &entries)),
         (None, false) => println!("cause: no end is logged; its gateway has ended, or left it out"),
@@ -59,6 +66,29 @@
     Ok(())
 }
 
+fn is_event(entry: &Entry<'_>, event: &str) -> bool {
+    entry.fields.get("event") == Some(&event)
+}
+
+/// Prints the lines of a text on a quarantined part: crashes of replicas that ran it, and its
+/// quarantines. `refusal` names the part.
+fn print_crashes(refusal: &Entry<'_>, file: &str, text: &str) {
+    let get = |name: &str| refusal.fields.get(name).copied().unwrap_or_default();
+    let (part, feature) = (get("part"), get("feature"));
+    for (at, line) in text.lines().enumerate() {
+        let fields: BTreeMap<&str, &str> =
+            line.split_whitespace().filter_map(|f| f.split_once('=')).collect();
+        let field = |name: &str| fields.get(name).copied().unwrap_or_default();
+        let is_crash = field("event") == "attempt_failed"
+            && field("fault") == "broken"
+            && field("parts").split(',').any(|id| id == part);
+        let is_quarantine = field("event") == "part_quarantined" && field("feature") == feature;
+        if is_crash || is_quarantine {
+            println!("{file}:{}: {line}", at + 1);
+        }
+    }
+}
+
 /// Returns the lines of a text that belong to a request.
 fn find<'a>(id: &str, file: &str, text: &'a str) -> Result<Vec<Entry<'a>>, Error> {
     let mut found = Vec::new();
@@ -109,6 +139,9 @@
             "refused and not run: every replica states a limit, and none had a permit left"
                 .to_owned()
         }
+        ("part_quarantined", _) => {
+            "refused and not run: replicas crashed under a part of its prompt".to_owned()
+        }
         ("answered", _) => {
             format!("answered by replica {} after {} ms", get("replica"), get("took_ms"))
         }
--- a/ctl/tests/commands.rs
+++ b/ctl/tests/commands.rs
@@ -117,6 +117,30 @@
     assert!(text(&output.stderr).starts_with("missed: none: wasted 0."));
 }
 
+/// A call is refused at one gateway for a part under which replicas crashed at another one.
+#[test]
+fn explain_leads_from_a_refused_request_to_the_crashes_of_its_part() {
+    // Arrange
+    let folder = folder("explain-part");
+    let (one, two) = (folder.join("one.log"), folder.join("two.log"));
+    let first = "time_us=1 event=attempt_failed request=aa parts=f1,bad,1 replica=i-1 fault=broken\n\
+                 time_us=2 event=attempt_failed request=bb parts=f1,good,2 replica=i-2 fault=broken\n\
+                 time_us=3 event=part_quarantined feature=0badf00d crashes=3 common=-\n";
+    let second = "time_us=9 event=call_has_quarantined_part request=cc feature=0badf00d part=bad\n\
+                  time_us=10 event=call request=cc outcome=part_quarantined status=503 attempts=0\n";
+    fs::write(&one, first).expect("the file should be accessible");
+    fs::write(&two, second).expect("the file should be accessible");
+    let files = [&one, &two].map(|file| file.to_str().expect("the path should be UTF-8"));
+
+    // Act
+    let output = text(&run(&["explain", "cc", files[0], files[1]]).stdout);
+
+    // Assert
+    assert!(output.contains("replica=i-1") && !output.contains("replica=i-2"), "{output}");
+    assert!(output.contains("one.log:3: ") && output.contains("event=part_quarantined"));
+    assert!(output.contains("cause: refused and not run: replicas crashed under a part"));
+}
+
 /// The logs of two gateways contain three failed requests. The command must derive the cause of
 /// each from the logs alone, and fail for an id that is in none of them.
 #[test]
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -139,7 +139,7 @@
 }
 
 /// Formats the ids of the first parts of a prompt for logs, in hexadecimal; `-` if there are none.
-pub fn format_parts(parts: &[Part]) -> String {
+fn format_parts(parts: &[Part]) -> String {
     let ids: Vec<String> =
         parts.iter().take(MAX_LOGGED_PARTS).map(|part| format!("{:x}", part.id)).collect();
     if ids.is_empty() { "-".to_owned() } else { ids.join(",") }
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -23,12 +23,12 @@
 use laburnumwheel_core::gateway::fingerprint;
 use laburnumwheel_core::gateway::fingerprint::Fingerprint;
 use laburnumwheel_core::gateway::fleet::Outcome;
+use laburnumwheel_core::gateway::quarantine::feature::Feature;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::gateway::refusal::Refusal;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 
-use crate::attempt;
 use crate::attempt::Call;
 use crate::attempt::Failure;
 use crate::attempt::Fault;
@@ -353,11 +353,15 @@
 
 /// Logs because of which part of its prompt a call is refused.
 fn log_quarantined_part(call: &Call) {
-    let part = call.shared.gateway.borrow().quarantined_part(clock::now(), &call.grant);
+    let found = call.shared.gateway.borrow().quarantined_part(clock::now(), &call.grant);
+    let Some(feature) = found else {
+        return;
+    };
+    let part = call.submission.parts.iter().find(|part| Feature::part(part.id) == feature);
     let line = Line::new("call_has_quarantined_part")
         .with("request", String::from_utf8_lossy(&call.submission.id))
-        .with("feature", part.map_or_else(|| "-".to_owned(), |part| part.to_string()))
-        .with("parts", attempt::format_parts(&call.submission.parts));
+        .with("feature", feature)
+        .with("part", part.map_or_else(|| "-".to_owned(), |part| format!("{:x}", part.id)));
     call.shared.log(line);
 }
 
--- a/gateway/tests/calls.rs
+++ b/gateway/tests/calls.rs
@@ -354,16 +354,21 @@
     });
 }
 
-/// An answer that comes sooner than a replica can start shows that it did not crash.
+/// An answer on a connection from before a crash shows that the replica did not crash; one on a new
+/// connection may come from a replica that has started again.
 #[test]
-fn quick_answer_refutes_a_crash() {
+fn only_answers_on_old_connections_refute_a_crash() {
     run(async {
         let replica = Replica::start(write(response("200 OK", "answer"))).await;
-        let running = gateway_with(&[&replica]).await;
+        let (fresh, used) = (gateway_with(&[&replica]).await, gateway_with(&[&replica]).await);
+        let (first, _) = call(&used, "/safe/x", "call-0").await;
 
-        let (status, survivals) = call_after_a_crash(&running, &replica).await;
+        let on_new = call_after_a_crash(&fresh, &replica).await;
+        let on_old = call_after_a_crash(&used, &replica).await;
 
-        assert_eq!((status, survivals), (200, 1));
+        assert_eq!(first, 200);
+        assert_eq!(on_new, (200, 0));
+        assert_eq!(on_old, (200, 1));
     });
 }
 
@@ -374,12 +379,13 @@
     let record = part::Record {
         part: Feature::part(1),
         common: Vec::new(),
-        crashes: vec![part::Crash { replica: incarnation, age_ms: 1 }],
+        crashes: vec![part::Crash { replica: incarnation, age_ms: 0 }],
         answered_ms: None,
     };
     let crashes = Crashes { parts: vec![record], survivals: Vec::new() };
     running.shared.gateway.borrow_mut().receive_crashes(clock::now(), &crashes);
-    let (status, _) = call(running, "/once/x", "call-1").await;
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    let (status, _) = call(running, "/safe/x", "call-1").await;
     let gossiped = running.shared.gateway.borrow_mut().gossip_crashes(clock::now());
     (status, gossiped.survivals.len())
 }
