--- a/core/src/gateway/quarantine/part.rs
+++ b/core/src/gateway/quarantine/part.rs
@@ -34,7 +34,8 @@
 /// domain or of a gateway's links breaks connections to many replicas at once.
 const MOMENT: Span = Span::millis(200);
 /// Time from the crash that reaches the threshold to the quarantine. Answers by which other
-/// gateways clear the part arrive meanwhile.
+/// gateways clear the part arrive meanwhile; with half of it, gateways that have just started refused
+/// sound calls while many connections to live replicas broke.
 pub const SETTLE_TIME: Span = Span::secs(1);
 /// Crashes that a part must share with another one for these to be explained by it.
 const MIN_SHARED: usize = 2;
--- a/core/tests/gateway/parts/mod.rs
+++ b/core/tests/gateway/parts/mod.rs
@@ -106,12 +106,12 @@
 
 fn small(parts: fn(&mut SmallRng, bool) -> Vec<u64>) -> Load {
     let charge = storm::charged;
-    Load { gateways: 9, engines: 18, sound: 200.0, crashing: 2.0, parts, charge }
+    Load { gateways: 9, engines: 18, sound: 200.0, crashing: 2.0, breaks: 0.0, parts, charge }
 }
 
 fn large(parts: fn(&mut SmallRng, bool) -> Vec<u64>) -> Load {
     let charge = storm::charged;
-    Load { gateways: 985, engines: 400, sound: 1_000.0, crashing: 4.0, parts, charge }
+    Load { gateways: 985, engines: 400, sound: 1_000.0, crashing: 4.0, breaks: 0.0, parts, charge }
 }
 
 /// Runs a storm; checks that requests with the part stop in time, and that at most one in a hundred
@@ -160,6 +160,23 @@
     }
 }
 
+/// Many connections break although their engines live, and gateways restart: sound calls must not be
+/// refused.
+#[test]
+fn broken_connections_and_restarts_refuse_no_sound_call() {
+    for seed in 0..10 {
+        let load = Load { gateways: 5, engines: 4, sound: 100.0, crashing: 0.0, ..small(popular) };
+        let mut storm = Storm::new(Load { breaks: 9.0, ..load }, seed);
+        for second in 0..30 {
+            storm.run(Span::secs(1));
+            storm.restart(second % 5);
+        }
+
+        let (refused, all) = storm.counts.refused_sound(START);
+        assert_eq!(refused, 0, "seed {seed}: {refused} of {all}");
+    }
+}
+
 /// The quarantine has no end: no request is tried again hours later, at any gateway.
 #[test]
 fn quarantine_does_not_end_with_time() {
--- a/core/tests/gateway/parts/storm.rs
+++ b/core/tests/gateway/parts/storm.rs
@@ -66,6 +66,8 @@
     pub sound: f64,
     /// Requests with the crashing part a second.
     pub crashing: f64,
+    /// Connections a second that break although their engines live.
+    pub breaks: f64,
     /// Draws the parts of a sound request besides the first, and of a crashing one.
     pub parts: fn(&mut SmallRng, bool) -> Vec<u64>,
     /// The features that crashes are charged to.
@@ -147,6 +149,7 @@
             self.exchange();
             self.arrive(self.load.sound, false);
             self.arrive(self.load.crashing, true);
+            self.break_connections();
             self.finish_runs();
             if self.now.0.is_multiple_of(Span::secs(1).0) {
                 let now = self.now;
@@ -226,6 +229,23 @@
         self.engines[engine] = (Digest(self.incarnations), self.now + restart);
     }
 
+    /// Breaks connections of random runs, which end; nothing shows that their engines live on.
+    fn break_connections(&mut self) {
+        let expected = self.load.breaks * STEP.as_secs_f64();
+        if self.runs.is_empty() || !self.rng.random_bool(expected.min(1.0)) {
+            return;
+        }
+        let at = self.rng.random_range(0..self.runs.len());
+        let run = self.runs.swap_remove(at);
+        let context = (self.load.charge)(&run.request);
+        self.tables[run.gateway].record_crash(self.now, self.engines[run.engine].0, &context);
+    }
+
+    /// Replaces the table of a gateway by an empty one, as after its restart.
+    pub fn restart(&mut self, gateway: usize) {
+        self.tables[gateway] = Parts::default();
+    }
+
     fn exchange(&mut self) {
         let count = self.tables.len();
         if count < LARGE_FLEET {
