--- a/core/src/gateway/quarantine/part.rs
+++ b/core/src/gateway/quarantine/part.rs
@@ -180,6 +180,18 @@
     }
 }
 
+/// Crashes that quarantined parts explain.
+#[derive(Debug, Default)]
+pub struct Explained(Vec<Known>);
+
+impl Explained {
+    /// Whether a crash of a replica at this time is explained.
+    pub fn contains(&self, replica: Digest, at: Time) -> bool {
+        let is_at_once = |known: Time| known.since(at).max(at.since(known)) <= MOMENT;
+        self.0.iter().any(|(known, r)| *r == replica && is_at_once(*known))
+    }
+}
+
 /// Parts that crashed replicas, as known to this gateway.
 #[derive(Debug, Default)]
 pub struct Parts {
@@ -195,9 +207,14 @@
     /// Records that the connection to `replica` broke while a request with these features was
     /// running on it.
     pub fn record_crash(&mut self, now: Time, replica: Digest, context: &Context) {
+        self.record_past_crash(now, now, replica, context);
+    }
+
+    /// The same for a crash at `at` that is only known now.
+    pub fn record_past_crash(&mut self, now: Time, at: Time, replica: Digest, context: &Context) {
         for part in &context.parts {
             let suspect = self.suspects.entry(*part).or_default();
-            if suspect.add_crash((now, replica), &context.others(*part)) {
+            if suspect.add_crash((at, replica), &context.others(*part)) {
                 suspect.changed = now;
             }
         }
@@ -301,18 +318,16 @@
         record.crashes.iter().all(|crash| answered > Some(now - Span::millis(crash.age_ms)))
     }
 
-    /// Whether a crash of a replica is one of a quarantined part, so that it says nothing about the
-    /// other requests that ran there. A quarantine of a single request explains nothing: it is
-    /// lifted when another request with the part is answered.
-    pub fn explains(&self, now: Time, replica: Digest, at: Time) -> bool {
-        let is_at_once =
-            |(known, r): &Known| *r == replica && known.since(at).max(at.since(*known)) <= MOMENT;
-        let is_cause = |part: Feature, suspect: &Suspect| {
-            suspect.crashes.iter().any(is_at_once)
-                && !suspect.common.iter().any(|feature| feature.is_request())
-                && self.is_quarantined(now, part)
+    /// Crashes of the quarantined parts, which say nothing about the other requests that ran on these
+    /// replicas. A quarantine of a single request explains nothing: it is lifted when another request
+    /// with the part is answered.
+    pub fn explained(&self, now: Time) -> Explained {
+        let is_cause = |(part, suspect): &(&Feature, &Suspect)| {
+            !suspect.common.iter().any(|feature| feature.is_request())
+                && self.is_quarantined(now, **part)
         };
-        self.suspects.iter().any(|(part, suspect)| is_cause(*part, suspect))
+        let causes = self.suspects.iter().filter(is_cause);
+        Explained(causes.flat_map(|(_, suspect)| suspect.crashes.iter().copied()).collect())
     }
 
     /// Whether a replica is known to have crashed about this time.
--- a/core/src/gateway/state/parts.rs
+++ b/core/src/gateway/state/parts.rs
@@ -94,7 +94,7 @@
             let has_crashed =
                 self.parts.has_crash(replica, ended) || self.quarantine.has_crash(replica, ended);
             if has_crashed {
-                self.parts.record_crash(ended, replica, &answer.context);
+                self.parts.record_past_crash(now, ended, replica, &answer.context);
             } else if self.fleet.is_open(replica) {
                 self.record_complete(now, &answer);
             }
--- a/core/src/gateway/state/poison.rs
+++ b/core/src/gateway/state/poison.rs
@@ -94,9 +94,9 @@
     /// Reevaluates the quarantine; returns the fingerprints that entered or left it since the last
     /// call.
     pub fn reevaluate_quarantine(&mut self, now: Time) -> Vec<Transition> {
-        let (parts, survivals) = (&self.parts, &self.survivals);
+        let (explained, survivals) = (self.parts.explained(now), &self.survivals);
         self.quarantine.reevaluate(now, |replica, at| {
-            survivals.has_survived(replica, at) || parts.explains(now, replica, at)
+            survivals.has_survived(replica, at) || explained.contains(replica, at)
         })
     }
 
--- a/core/tests/gateway/parts/mod.rs
+++ b/core/tests/gateway/parts/mod.rs
@@ -321,8 +321,9 @@
 
     assert!(is_refused(&parts, 9_000, &[CRASHING]));
     assert!(!is_refused(&parts, 9_000, &[RARE]));
-    assert!(parts.explains(at(9_000), Digest(1), at(1_000)));
-    assert!(!parts.explains(at(9_000), Digest(1), at(5_000)));
+    let explained = parts.explained(at(9_000));
+    assert!(explained.contains(Digest(1), at(1_000)));
+    assert!(!explained.contains(Digest(1), at(5_000)));
 }
 
 /// A replica survived what looked like one of three crashes.
