--- a/review/rig/src/gateway.rs
+++ b/review/rig/src/gateway.rs
@@ -85,6 +85,14 @@
         self.child = Some(command.spawn().expect("the program"));
     }
 
+    /// Starts the process again, no longer as part of the first start of the whole system.
+    pub fn run_again(&mut self) {
+        let text = std::fs::read_to_string(&self.settings).expect("the settings file");
+        let text = text.replace("bootstrap=true", "bootstrap=false");
+        std::fs::write(&self.settings, text).expect("the settings file");
+        self.run();
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.as_ref().map_or(0, Child::id)
     }
--- a/review/rig/src/store.rs
+++ b/review/rig/src/store.rs
@@ -26,8 +26,13 @@
     lease: u64,
 }
 
-#[derive(Default)]
-struct State {
+/// Contents of the store.
+#[derive(Clone, Default)]
+pub struct State {
+    /// Number of the returns to an older copy.
+    era: u64,
+    /// Whether connections are closed without an answer.
+    is_away: bool,
     revision: u64,
     items: BTreeMap<String, Item>,
     /// Every change: revision, key, and the item as it was written.
@@ -140,6 +145,28 @@
         store
     }
 
+    /// The contents as they are now.
+    pub fn copy(&self) -> State {
+        self.state.0.lock().unwrap().clone()
+    }
+
+    /// Closes connections without an answer from now on.
+    pub fn go_away(&self) {
+        self.state.0.lock().unwrap().is_away = true;
+    }
+
+    /// Comes back from an older copy: what was written since is gone, and its revisions are given out
+    /// again. Leases of the copy begin anew.
+    pub fn come_back(&self, copy: &State) {
+        let mut state = self.state.0.lock().unwrap();
+        let era = state.era + 1;
+        *state = State { era, is_away: false, ..copy.clone() };
+        for (ttl, end) in state.leases.values_mut() {
+            *end = Instant::now() + *ttl;
+        }
+        self.state.1.notify_all();
+    }
+
     /// Writes as the operator or a replica does.
     pub fn put(&self, key: &str, value: &str) {
         let mut state = self.state.0.lock().unwrap();
@@ -159,9 +186,16 @@
         };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(message)) = http::read(&mut reader) {
+            let (is_away, era) = {
+                let state = self.state.0.lock().unwrap();
+                (state.is_away, state.era + 1)
+            };
+            if is_away {
+                return;
+            }
             let (status, body) = self.answer(&message);
-            let headers = "Content-Type: application/json\r\nStore-Era: 1\r\n";
-            if writer.write_all(&http::reply(status, headers, body.as_bytes())).is_err() {
+            let headers = format!("Content-Type: application/json\r\nStore-Era: {era}\r\n");
+            if writer.write_all(&http::reply(status, &headers, body.as_bytes())).is_err() {
                 return;
             }
         }
@@ -227,6 +261,9 @@
         let wait = parameter(path, "waitMs").and_then(|w| w.parse().ok()).unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(wait);
         let mut state = self.state.0.lock().unwrap();
+        if after > state.revision {
+            return (410, "{}".to_owned());
+        }
         loop {
             state.expire();
             let changes =
