--- a/review/rig/src/bin/memory.rs
+++ b/review/rig/src/bin/memory.rs
@@ -34,7 +34,10 @@
 const WAVES: usize = 3;
 const WAVE_INTERVAL: Duration = Duration::from_millis(5_000);
 /// Payments that each gateway has in progress at once.
-const PAYERS: usize = 8;
+const PAYERS: usize = 16;
+/// Work of a request, within the spread of the sheet (15 ms in the mean, 110 at most).
+const WORK: Duration = Duration::from_millis(60);
+const PAY_INTERVAL: Duration = Duration::from_millis(60);
 const CONFIG: &str = r#"{"version":1,
 "routes":[
 {"name":"upload","host":"shop.example","prefix":"/upload/","kind":"unsafe","timeoutMs":6000,
@@ -110,7 +113,7 @@
     let application = move |message: &Message| {
         let id = message.header("x-request-id").unwrap_or("-").to_owned();
         run.lock().unwrap().insert(id);
-        std::thread::sleep(Duration::from_millis(15));
+        std::thread::sleep(WORK);
         (200, b"done".to_vec())
     };
     let zone = ["mixco", "villa", "antigua"][number % 3];
@@ -201,7 +204,7 @@
         };
         let ended = channel.send(&request);
         world.add(gateway, id.clone(), ended);
-        std::thread::sleep(Duration::from_millis(40));
+        std::thread::sleep(PAY_INTERVAL);
     }
 }
 
