--- a/review/rig/src/bin/upgrade.rs
+++ b/review/rig/src/bin/upgrade.rs
@@ -168,6 +168,23 @@
     versions: BTreeMap<String, u32>,
     last: u32,
     tries: u32,
+    /// Runs that the caller has seen: the try, the version and replica, and the first and last event.
+    runs: Vec<(u32, String, u32, u32)>,
+}
+
+impl Stream {
+    /// Records event `number`, which `version` of `replica` wrote.
+    fn add(&mut self, version: &str, replica: &str, number: u32) {
+        *self.versions.entry(version.to_owned()).or_default() += 1;
+        self.last = number;
+        let writer = format!("{version} of {replica}");
+        match self.runs.last_mut() {
+            Some((attempt, known, _, last)) if *attempt == self.tries && *known == writer => {
+                *last = number;
+            }
+            _ => self.runs.push((self.tries, writer, number, number)),
+        }
+    }
 }
 
 fn play(record: &Record, folder: &Path, trouble: bool) -> i32 {
@@ -295,10 +312,9 @@
             continue;
         };
         let mut words = data.split_whitespace();
-        let version = words.next().unwrap_or("-").to_owned();
-        let number = words.nth(1).and_then(|number| number.parse().ok()).unwrap_or(0);
-        *stream.versions.entry(version).or_default() += 1;
-        stream.last = number;
+        let (version, replica) = (words.next().unwrap_or("-"), words.next().unwrap_or("-"));
+        let number = words.next().and_then(|number| number.parse().ok()).unwrap_or(0);
+        stream.add(version, replica, number);
     }
 }
 
@@ -309,6 +325,9 @@
     let mixed: Vec<&Stream> = streams.iter().filter(|stream| stream.versions.len() > 1).collect();
     for stream in &mixed {
         record.line(format!("{} holds events of {:?}", stream.id, stream.versions));
+        for (attempt, writer, first, last) in &stream.runs {
+            record.line(format!("{} try {attempt}: events {first} to {last}, {writer}", stream.id));
+        }
     }
     let first_tries = mixed.iter().filter(|stream| stream.tries == 1).count();
     let ids: BTreeSet<&str> = mixed.iter().map(|stream| stream.id.as_str()).collect();
