State why a quarantine of a request ends

A release named the request and its crashes, so that an answer, a sign of life of a replica, a part of prompts, another request and a withdrawal because of lost links all looked the same in the logs: the hypotheses of the incident could not be told apart. Each refuted crash keeps its reason now, the release states it, and a metric counts releases by it. No decision is changed. The test of transitions compares the reason in place of a flag; a new one brings about four of the reasons.

--- a/core/src/gateway/quarantine.rs
+++ b/core/src/gateway/quarantine.rs
@@ -18,6 +18,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use derive_more::Display;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -70,14 +71,41 @@
     pub answered_ms: Option<u64>,
 }
 
+/// Why a supposed crash of a replica does not count against a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[display(rename_all = "snake_case")]
+pub enum Refutation {
+    /// The replica gave a later sign of life.
+    Survived,
+    /// A quarantined part of prompts caused the crash.
+    PartExplains,
+    /// The links of the gateway that recorded the crash were lost.
+    Withdrawn,
+}
+
+/// Why a quarantine ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[display(rename_all = "snake_case")]
+pub enum Release {
+    /// Its time is over.
+    Expired,
+    /// A replica answered the request completely.
+    Answered,
+    /// Crashes of another quarantined request include all of its crashes.
+    RequestExplains,
+    /// Too many of its crashes were refuted; the last reason that was found.
+    #[display("{_0}")]
+    Refuted(Refutation),
+}
+
 /// Start or end of the quarantine of a fingerprint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Transition {
     /// The fingerprint.
     pub fingerprint: Fingerprint,
-    /// Whether the quarantine starts.
-    pub quarantined: bool,
-    /// Number of crashes without a later sign of life.
+    /// Why the quarantine ends; `None` if it starts.
+    pub release: Option<Release>,
+    /// Number of crashes that are not refuted.
     pub crashes: usize,
 }
 
@@ -85,9 +113,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Observation {
     at: Time,
-    /// Whether the replica gave a later sign of life. The observation is kept, so that the same
-    /// crash is not counted when a peer gossips it again.
-    is_alive: bool,
+    /// Why it was no crash under the request. The observation is kept, so that the same crash is not
+    /// counted when a peer gossips it again.
+    refuted: Option<Refutation>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -102,11 +130,11 @@
 }
 
 impl Suspect {
-    /// Crashes without a later sign of life.
+    /// Crashes that are not refuted.
     fn valid_crashes(&self) -> impl Iterator<Item = (Digest, Time)> {
         self.crashes
             .iter()
-            .filter(|(_, crash)| !crash.is_alive)
+            .filter(|(_, crash)| crash.refuted.is_none())
             .map(|(replica, crash)| (*replica, crash.at))
     }
 
@@ -125,7 +153,7 @@
             crash.at = crash.at.min(at);
             return false;
         }
-        self.crashes.insert(replica, Observation { at, is_alive: false });
+        self.crashes.insert(replica, Observation { at, refuted: None });
         if self.crashes.len() > MAX_CRASHES {
             let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at).map(|(r, _)| *r);
             oldest.and_then(|oldest| self.crashes.remove(&oldest));
@@ -202,7 +230,7 @@
         };
         suspect.undecided.remove(&replica);
         if let Some(crash) = suspect.crashes.get_mut(&replica) {
-            crash.is_alive = true;
+            crash.refuted = Some(Refutation::Withdrawn);
             self.recompute();
         }
     }
@@ -309,7 +337,7 @@
     /// Whether a replica is known to have crashed about this time.
     pub fn has_crash(&self, replica: Digest, at: Time) -> bool {
         let crashes = self.suspects.values().filter_map(|suspect| suspect.crashes.get(&replica));
-        crashes.into_iter().any(|crash| !crash.is_alive && survival::is_same(crash.at, at))
+        crashes.into_iter().any(|crash| crash.refuted.is_none() && survival::is_same(crash.at, at))
     }
 
     /// Number of tracked fingerprints.
@@ -323,17 +351,17 @@
     }
 
     /// Reevaluates all fingerprints and returns the quarantines that started or ended since the
-    /// last call. `is_refuted` returns whether the replica survived its supposed crash at the given
-    /// time, or whether that is explained by a part of prompts.
+    /// last call. `refutation` returns why the supposed crash of a replica at the given time does not
+    /// count, if that is known.
     pub fn reevaluate(
         &mut self,
         now: Time,
-        is_refuted: impl Fn(Digest, Time) -> bool,
+        refutation: impl Fn(Digest, Time) -> Option<Refutation>,
     ) -> Vec<Transition> {
         self.decide_interruptions(now);
         for suspect in self.suspects.values_mut() {
             for (replica, crash) in &mut suspect.crashes {
-                crash.is_alive = crash.is_alive || is_refuted(*replica, crash.at);
+                crash.refuted = crash.refuted.or_else(|| refutation(*replica, crash.at));
             }
         }
         self.suspects.retain(|_, suspect| !suspect.is_expired(now));
@@ -398,6 +426,19 @@
         }
     }
 
+    /// Why a fingerprint is no longer quarantined.
+    fn release(&self, fingerprint: &Fingerprint) -> Release {
+        let Some(suspect) = self.suspects.get(fingerprint) else {
+            return Release::Expired;
+        };
+        if suspect.has_enough_crashes() {
+            let is_over = self.quarantined.contains_key(fingerprint);
+            return if is_over { Release::Expired } else { Release::RequestExplains };
+        }
+        let last = suspect.crashes.values().max_by_key(|crash| (crash.refuted.is_some(), crash.at));
+        last.and_then(|crash| crash.refuted).map_or(Release::Answered, Release::Refuted)
+    }
+
     /// Quarantines that started or ended since the last call.
     fn take_transitions(&mut self, now: Time) -> Vec<Transition> {
         let quarantined = self.quarantined.iter().filter(|(_, until)| now < **until);
@@ -406,7 +447,7 @@
         let changed = quarantined.symmetric_difference(&self.last_quarantined);
         let transitions = changed.map(|fingerprint| Transition {
             fingerprint: *fingerprint,
-            quarantined: quarantined.contains(fingerprint),
+            release: (!quarantined.contains(fingerprint)).then(|| self.release(fingerprint)),
             crashes: self.suspects.get(fingerprint).map_or(0, |s| s.valid_crashes().count()),
         });
         let transitions = transitions.collect();
--- a/core/src/gateway/state/poison.rs
+++ b/core/src/gateway/state/poison.rs
@@ -10,6 +10,7 @@
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::fleet::Claim;
 use crate::gateway::quarantine::Record;
+use crate::gateway::quarantine::Refutation;
 use crate::gateway::quarantine::Transition;
 use crate::gateway::refusal::Reason;
 use crate::gateway::refusal::Refusal;
@@ -104,7 +105,9 @@
     pub fn reevaluate_quarantine(&mut self, now: Time) -> Vec<Transition> {
         let (explained, survivals) = (self.parts.explained(now), &self.survivals);
         self.quarantine.reevaluate(now, |replica, at| {
-            survivals.has_survived(replica, at) || explained.contains(replica, at)
+            let survived = survivals.has_survived(replica, at).then_some(Refutation::Survived);
+            let is_explained = || explained.contains(replica, at);
+            survived.or_else(|| is_explained().then_some(Refutation::PartExplains))
         })
     }
 
--- a/core/tests/gateway/quarantine.rs
+++ b/core/tests/gateway/quarantine.rs
@@ -16,6 +16,8 @@
 use laburnumwheel_core::gateway::quarantine::MAX_GOSSIP_RECORDS;
 use laburnumwheel_core::gateway::quarantine::Quarantine;
 use laburnumwheel_core::gateway::quarantine::Record;
+use laburnumwheel_core::gateway::quarantine::Refutation;
+use laburnumwheel_core::gateway::quarantine::Release;
 use laburnumwheel_core::gateway::quarantine::Transition;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::gateway::submission::Submission;
@@ -56,8 +58,8 @@
     quarantine
 }
 
-fn never_alive(_: Digest, _: Time) -> bool {
-    false
+fn never_alive(_: Digest, _: Time) -> Option<Refutation> {
+    None
 }
 
 #[test]
@@ -93,7 +95,8 @@
     let mut quarantine = after_crashes(HARMLESS, &[1, 2, 3]);
     let records = quarantine.gossip(at(3));
 
-    quarantine.reevaluate(at(4), |replica, _| replica == Digest(2));
+    quarantine
+        .reevaluate(at(4), |replica, _| (replica == Digest(2)).then_some(Refutation::Survived));
     quarantine.merge(at(5), &records);
 
     assert_eq!(quarantine.remaining(at(5), HARMLESS), None);
@@ -228,11 +231,50 @@
     let third = quarantine.reevaluate(at(5), never_alive);
 
     let summary = |transitions: &[Transition]| {
-        transitions.iter().map(|v| (v.fingerprint, v.quarantined)).collect::<Vec<_>>()
+        transitions.iter().map(|v| (v.fingerprint, v.release)).collect::<Vec<_>>()
     };
-    assert_eq!(summary(&first), [(CRASHING, true)]);
+    assert_eq!(summary(&first), [(CRASHING, None)]);
     assert_eq!(summary(&second), []);
-    assert_eq!(summary(&third), [(CRASHING, false)]);
+    assert_eq!(summary(&third), [(CRASHING, Some(Release::Answered))]);
+}
+
+/// An operator reads from the reason of a release whether a crashing request got through.
+#[test]
+fn a_release_states_its_reason() {
+    let quarantined = || {
+        let mut quarantine = after_crashes(HARMLESS, &[1, 2, 3]);
+        quarantine.reevaluate(at(3), never_alive);
+        quarantine
+    };
+    let release = |mut quarantine: Quarantine, now: Time, survivor: Option<u32>| {
+        let transitions = quarantine.reevaluate(now, |replica, _| {
+            (Some(replica.0) == survivor).then_some(Refutation::Survived)
+        });
+        transitions.iter().find(|v| v.fingerprint == HARMLESS).and_then(|v| v.release)
+    };
+    let mut withdrawn = quarantined();
+    withdrawn.withdraw_crash(HARMLESS, Digest(2));
+    let mut explained = quarantined();
+    for replica in [1, 2, 3, 4] {
+        explained.record_crash(at(3), CRASHING, Digest(replica));
+    }
+
+    let reasons = [
+        release(quarantined(), at(4), Some(1)),
+        release(quarantined(), at(602), None),
+        release(withdrawn, at(4), None),
+        release(explained, at(4), None),
+    ];
+
+    assert_eq!(
+        reasons,
+        [
+            Some(Release::Refuted(Refutation::Survived)),
+            Some(Release::Expired),
+            Some(Release::Refuted(Refutation::Withdrawn)),
+            Some(Release::RequestExplains),
+        ]
+    );
 }
 
 /// The loss of a rack records crashes for thousands of fingerprints. Memory and heartbeats must
@@ -458,7 +500,7 @@
     let transitions = gateway.reevaluate_quarantine(later);
 
     let quarantined: Vec<Fingerprint> =
-        transitions.iter().filter(|t| t.quarantined).map(|t| t.fingerprint).collect();
+        transitions.iter().filter(|t| t.release.is_none()).map(|t| t.fingerprint).collect();
     assert_eq!(quarantined, [CRASHING]);
     assert_eq!(gateway.fingerprints_quarantined(later), 1);
 }
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -168,9 +168,15 @@
 /// Logs the start and end of quarantines.
 pub fn log_transitions(shared: &Shared, transitions: &[Transition]) {
     for transition in transitions {
-        let event =
-            if transition.quarantined { "fingerprint_quarantined" } else { "fingerprint_released" };
-        let line = Line::new(event).with("fingerprint", transition.fingerprint);
+        let line = match transition.release {
+            None => Line::new("fingerprint_quarantined"),
+            Some(release) => {
+                let label = format!("reason=\"{release}\"");
+                shared.metrics.count("quarantine_releases_total", label);
+                Line::new("fingerprint_released").with("reason", release)
+            }
+        };
+        let line = line.with("fingerprint", transition.fingerprint);
         shared.log(line.with("crashes", transition.crashes));
     }
 }
