Count crashes of a service that nobody reaches

Callers saw 502 for a request that all gateways had to refuse: it had crashed all three replicas of its service, and went on to crash them whenever they were back.

Cause: a gateway that fails to connect to the replicas of a service for a second took its links for lost, and withdrew the crashes that it had recorded since two seconds before, of all services. A request that crashes all replicas brings about the same failures. While the service was out of reach crashes were not recorded at all.

The one fact that tells the two apart is that others still hear the replicas. The links are taken for lost only if a replica was heard within one second around a failed connection to it, and only crashes of that service are withdrawn. A replica that started again takes longer.

Two tests of withdrawn crashes held nothing that tells lost links from crashed replicas; they state now that another gateway hears the replicas, with the same bounds.

--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -94,6 +94,11 @@
         self.replicas.get(key)
     }
 
+    /// The listed replica of an incarnation.
+    pub fn find(&self, incarnation: Digest) -> Option<&Replica> {
+        self.by_digest.get(&incarnation).and_then(|key| self.replicas.get(*key))
+    }
+
     /// Whether a replica with this incarnation is known.
     pub fn contains(&self, incarnation: Digest) -> bool {
         self.by_digest.contains_key(&incarnation)
--- a/core/src/gateway/fleet/replica.rs
+++ b/core/src/gateway/fleet/replica.rs
@@ -241,6 +241,11 @@
         Digest(self.hash as u32)
     }
 
+    /// Time of the newest load that the replica has reported to a gateway.
+    pub(in crate::gateway) fn reported_at(&self) -> Option<Time> {
+        self.report.map(|report| report.at)
+    }
+
     /// Records the load of the replica at time `at`.
     pub(super) fn record_load(
         &mut self,
--- a/core/src/gateway/reach.rs
+++ b/core/src/gateway/reach.rs
@@ -4,6 +4,10 @@
 //! replica without a connection may be down. Several in a row, with no connection opened in
 //! between, mean that the service is out of reach, and other gateways serve its calls. Open
 //! connections say nothing about that: they may live on while new ones are refused.
+//!
+//! A service is also out of reach if all of its replicas are down, as after a request that crashes
+//! them. The links of this gateway are at fault only if replicas to which it failed to connect were
+//! heard, mostly by other gateways, right before and right after.
 
 use std::collections::BTreeMap;
 
@@ -25,6 +29,9 @@
 const LOST_REPLICAS: usize = 4;
 /// Time after which a loss is certain: the probes in it would have found a live replica.
 const CONFIRMATION_TIME: Span = Span::secs(1);
+/// Longest time between two signs of life of a replica, with a failed connection in between, that
+/// show the links of this gateway at fault. In a longer one the replica may have started again.
+const MAX_SIGHTING_GAP: Span = Span::secs(1);
 
 /// Longest time in which no call of a service is delegated that no gateway reaches: it is down then.
 const MAX_DELEGATION_PAUSE: Span = Span::secs(1);
@@ -39,12 +46,32 @@
     Restored,
 }
 
+/// A connection that could not be opened.
+#[derive(Clone, Copy, Debug)]
+struct Failure {
+    at: Time,
+    /// Time of the last sign of life of the replica before the failure.
+    seen: Option<Time>,
+}
+
+impl Failure {
+    /// Whether a sign of life at `seen` shows that the replica was alive when the connection failed.
+    fn is_contradicted(&self, seen: Option<Time>) -> bool {
+        let alive = self.seen.zip(seen);
+        alive.is_some_and(|(before, after)| {
+            after > self.at && after.since(before) <= MAX_SIGHTING_GAP
+        })
+    }
+}
+
 #[derive(Debug, Default)]
 struct Service {
-    /// Replicas to which a connection failed since the last one was opened, and when.
-    failed: BTreeMap<Digest, Time>,
+    /// Replicas to which a connection failed since the last one was opened, and how it last did.
+    failed: BTreeMap<Digest, Failure>,
     /// Time since which the service is out of reach.
     lost_since: Option<Time>,
+    /// Whether a replica was alive while no connection to it could be opened.
+    is_contradicted: bool,
     /// Whether [`Reach::confirm_losses`] has returned this loss.
     is_confirmed: bool,
     /// Pause of delegation, as the service may be down.
@@ -72,18 +99,20 @@
         removed.lost_since.map(|_| Change::Restored)
     }
 
-    /// Records that no connection to `replica` could be opened. The service has `open` replicas that
-    /// may get calls.
+    /// Records that no connection to `replica` could be opened, whose last sign of life was at `seen`.
+    /// The service has `open` replicas that may get calls.
     pub fn record_failed(
         &mut self,
         now: Time,
         service: &str,
         replica: Digest,
+        seen: Option<Time>,
         open: usize,
     ) -> Option<Change> {
+        self.record_seen(service, replica, seen);
         let known = self.services.entry(service.to_owned()).or_default();
-        known.failed.retain(|_, at| now.since(*at) < FAILURE_LIFETIME);
-        known.failed.insert(replica, now);
+        known.failed.retain(|_, failure| now.since(failure.at) < FAILURE_LIFETIME);
+        known.failed.insert(replica, Failure { at: now, seen });
         let is_enough = known.failed.len() >= LOST_REPLICAS.min(open.max(1));
         let is_new = is_enough && known.lost_since.is_none();
         if is_new {
@@ -92,6 +121,29 @@
         is_new.then_some(Change::Lost)
     }
 
+    /// Records the time of the last sign of life of a replica to which a connection failed.
+    pub fn record_seen(&mut self, service: &str, replica: Digest, seen: Option<Time>) {
+        if let Some(known) = self.services.get_mut(service) {
+            let failure = known.failed.get(&replica);
+            known.is_contradicted |= failure.is_some_and(|failure| failure.is_contradicted(seen));
+        }
+    }
+
+    /// Replicas to which a connection failed, with their services.
+    pub fn failed_replicas(&self) -> Vec<(String, Digest)> {
+        let services = self.services.iter();
+        let failed = services.flat_map(|(service, known)| {
+            known.failed.keys().map(move |replica| (service.clone(), *replica))
+        });
+        failed.collect()
+    }
+
+    /// Whether no replica of a service can be reached although some are alive.
+    pub fn has_lost_links(&self, service: &str) -> bool {
+        let known = self.services.get(service);
+        known.is_some_and(|known| known.lost_since.is_some() && known.is_contradicted)
+    }
+
     /// Whether no replica of a service can be reached.
     pub fn is_lost(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(|known| known.lost_since.is_some())
@@ -102,17 +154,20 @@
         self.services.values().any(|known| known.lost_since.is_some())
     }
 
-    /// Start of the first loss that has lasted long enough not to be one of several replicas that
-    /// crashed together, and that was not returned before.
-    pub fn confirm_losses(&mut self, now: Time) -> Option<Time> {
-        let mut first = None;
-        for known in self.services.values_mut().filter(|known| !known.is_confirmed) {
-            if let Some(since) = known.lost_since.filter(|at| now.since(*at) >= CONFIRMATION_TIME) {
-                known.is_confirmed = true;
-                first = Some(first.map_or(since, |other: Time| other.min(since)));
+    /// Services whose links are lost for long enough to be sure, and since when; each loss is returned
+    /// once.
+    pub fn confirm_losses(&mut self, now: Time) -> Vec<(String, Time)> {
+        let mut losses = Vec::new();
+        for (service, known) in &mut self.services {
+            let since = known.lost_since.filter(|at| now.since(*at) >= CONFIRMATION_TIME);
+            if let Some(since) = since
+                && known.is_contradicted
+                && !std::mem::replace(&mut known.is_confirmed, true)
+            {
+                losses.push((service.clone(), since));
             }
         }
-        first
+        losses
     }
 
     /// Whether the replicas of a service must be probed: it is out of reach, or may be. The calls of
@@ -126,7 +181,7 @@
 
     /// Whether enough connections to replicas of a service failed to doubt that it is in reach.
     fn has_failures(&self, now: Time, service: &str, open: usize) -> bool {
-        let recent = |at: &&Time| now.since(**at) < FAILURE_LIFETIME;
+        let recent = |failure: &&Failure| now.since(failure.at) < FAILURE_LIFETIME;
         self.services.get(service).is_some_and(|known| {
             let failed = known.failed.values().filter(recent).count();
             known.lost_since.is_some() || failed >= DOUBTED_REPLICAS.min(open.max(1))
--- a/core/src/gateway/state/parts.rs
+++ b/core/src/gateway/state/parts.rs
@@ -81,7 +81,7 @@
     pub(super) fn withdraw_unheard_crashes(&mut self, now: Time) {
         if let Some(since) = self.isolated_since(now) {
             self.parts.withdraw_crashes(since);
-            self.withdraw_crashes(since);
+            self.withdraw_crashes(since, None);
         }
     }
 
--- a/core/src/gateway/state/poison.rs
+++ b/core/src/gateway/state/poison.rs
@@ -29,9 +29,10 @@
 const OWN_CRASH_RETENTION: Span = Span::secs(5);
 
 /// A crash that this gateway recorded.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Crash {
     at: Time,
+    service: String,
     fingerprint: Fingerprint,
     replica: Digest,
 }
@@ -39,9 +40,9 @@
 impl Gateway {
     /// Records that the connection to a replica broke while it ran a request.
     ///
-    /// While the replica's service is out of reach, this says something about this gateway's links
-    /// and nothing about the request. The same holds while this gateway is isolated: replicas that
-    /// have left are still in its list.
+    /// While this gateway has lost its links to the replica's service, this says nothing about the
+    /// request; a service that is only out of reach may have been crashed by it. The same holds while
+    /// this gateway is isolated: replicas that have left are still in its list.
     pub fn record_crash(&mut self, now: Time, grant: &Grant, claim: &Claim) {
         self.fleet.record_broken(now, claim.replica);
         self.withdraw_unheard_crashes(now);
@@ -52,11 +53,12 @@
         let Some(fingerprint) = grant.fingerprint else {
             return;
         };
-        if self.is_out_of_reach(&grant.service) {
+        if self.has_lost_links(&grant.service) {
             return;
         }
         self.own_crashes.retain(|crash| now.since(crash.at) < OWN_CRASH_RETENTION);
-        self.own_crashes.push(Crash { at: now, fingerprint, replica: claim.incarnation });
+        let (service, replica) = (grant.service.clone(), claim.incarnation);
+        self.own_crashes.push(Crash { at: now, service, fingerprint, replica });
         if claim.first_event_seen {
             self.quarantine.record_interruption(now, fingerprint, claim.incarnation);
         } else {
@@ -64,11 +66,15 @@
         }
     }
 
-    /// Withdraws the crashes that this gateway recorded since `since`: its links broke then, and
-    /// requests that were running on them would be quarantined at all gateways.
-    pub(super) fn withdraw_crashes(&mut self, since: Time) {
+    /// Withdraws the crashes that this gateway recorded since `since`, only those of `service` if it
+    /// is given: its links broke then, and requests that were running on them would be quarantined at
+    /// all gateways.
+    pub(super) fn withdraw_crashes(&mut self, since: Time, service: Option<&str>) {
+        let is_withdrawn = |crash: &Crash| {
+            crash.at >= since && service.is_none_or(|service| crash.service == service)
+        };
         let (withdrawn, kept): (Vec<Crash>, Vec<Crash>) =
-            self.own_crashes.drain(..).partition(|crash| crash.at >= since);
+            self.own_crashes.drain(..).partition(is_withdrawn);
         self.own_crashes = kept;
         for crash in withdrawn {
             self.quarantine.withdraw_crash(crash.fingerprint, crash.replica);
--- a/core/src/gateway/state/reach.rs
+++ b/core/src/gateway/state/reach.rs
@@ -36,11 +36,12 @@
         let replica = self.fleet.get(key)?;
         let (service, digest) =
             (replica.listing.service.clone(), replica.listing.incarnation.digest());
+        let seen = replica.reported_at();
         let change = match opened {
             true => self.reach.record_opened(now, &service),
             false => {
                 let open = self.registered(&service);
-                self.reach.record_failed(now, &service, digest, open)
+                self.reach.record_failed(now, &service, digest, seen, open)
             }
         }?;
         Some((service, change))
@@ -51,6 +52,11 @@
         self.reach.is_lost(service)
     }
 
+    /// Whether this gateway can open connections to no replica of a service although some are alive.
+    pub(super) fn has_lost_links(&self, service: &str) -> bool {
+        self.reach.has_lost_links(service)
+    }
+
     /// Whether this gateway can open connections to no replica of some service.
     pub fn is_any_out_of_reach(&self) -> bool {
         self.reach.is_any_lost()
@@ -72,8 +78,12 @@
     /// Replicas to open a connection to, with their addresses, so that this gateway learns which
     /// services it reaches; none while there is no doubt.
     pub fn probes(&mut self, now: Time) -> Vec<(Key<Replica>, String)> {
-        if let Some(since) = self.reach.confirm_losses(now) {
-            self.withdraw_crashes(since - BROKEN_LINK_TIME);
+        for (service, replica) in self.reach.failed_replicas() {
+            let seen = self.fleet.find(replica).and_then(Replica::reported_at);
+            self.reach.record_seen(&service, replica, seen);
+        }
+        for (service, since) in self.reach.confirm_losses(now) {
+            self.withdraw_crashes(since - BROKEN_LINK_TIME, Some(&service));
         }
         let fleet = &self.fleet;
         self.reach.retain(|service| fleet.services().any(|known| known == service));
--- a/core/tests/gateway/reach.rs
+++ b/core/tests/gateway/reach.rs
@@ -168,17 +168,30 @@
     }
 }
 
-/// All links of a gateway break while it runs the same request at several replicas. The request has
-/// crashed nothing, and must not be quarantined.
+/// Another gateway tells that all replicas of a service are alive.
+fn hear(gateway: &mut Gateway, now: Time, service: &str) {
+    let observation = |key: Key<Replica>| {
+        let replica = gateway.fleet().get(key).unwrap().listing.incarnation.digest();
+        Observation { replica, running: 1, waiting: 0, age_ms: 0, pace: 0 }
+    };
+    let loads: Vec<Observation> = replicas(gateway, service).into_iter().map(observation).collect();
+    let peer = Gateway::new(settings("two"), START);
+    gateway.receive(now, &Heartbeat { loads, ..peer.heartbeat(now) });
+}
+
+/// All links of a gateway break while it runs the same request at several replicas, which others go
+/// on hearing. The request has crashed nothing, and must not be quarantined.
 #[test]
 fn connections_that_break_with_the_links_quarantine_no_request() {
     let mut gateway = gateway(8);
     let fingerprint = Fingerprint(7);
+    hear(&mut gateway, START, "engines");
     crash(&mut gateway, fingerprint, CRASH_THRESHOLD);
     let before = gateway.fingerprints_quarantined(at(10));
 
     fail(&mut gateway, at(20), "engines", LOST);
     gateway.probes(at(20));
+    hear(&mut gateway, at(250), "engines");
     let while_it_may_be_a_crash = gateway.fingerprints_quarantined(at(20));
     gateway.probes(at(1_020));
     gateway.reevaluate_quarantine(at(1_100));
@@ -193,9 +206,11 @@
 #[test]
 fn connections_that_break_before_the_last_contact_quarantine_no_request() {
     let mut gateway = gateway(8);
+    hear(&mut gateway, START, "engines");
     crash(&mut gateway, Fingerprint(7), CRASH_THRESHOLD);
     gateway.record_contact(at(15));
     fail(&mut gateway, at(20), "engines", LOST);
+    hear(&mut gateway, at(100), "engines");
 
     // Isolated, and the loss is not certain yet.
     let _ = gateway.admit(at(1_018), &submission("chat", &[]));
@@ -224,6 +239,54 @@
     assert_eq!(gateway.fingerprints_quarantined(at(1_100)), 1);
 }
 
+/// A request crashes all replicas of its service, which nobody hears any more. The loss looks like that
+/// of the links; if it excused the crashes, the request would crash the replicas again once they are
+/// back. Others hear of these before this gateway opens a connection.
+#[test]
+fn crashes_count_while_nobody_reaches_the_service() {
+    let mut gateway = gateway(3);
+    let fingerprint = Fingerprint(7);
+    hear(&mut gateway, START, "engines");
+    crash(&mut gateway, fingerprint, CRASH_THRESHOLD);
+
+    for ms in (20..3_000).step_by(250) {
+        fail(&mut gateway, at(ms), "engines", 3);
+        gateway.probes(at(ms));
+    }
+    hear(&mut gateway, at(3_100), "engines");
+    gateway.probes(at(3_200));
+    gateway.reevaluate_quarantine(at(3_200));
+
+    assert_eq!(gateway.fingerprints_quarantined(at(3_200)), 1);
+}
+
+/// No connection can be opened to replicas that a request crashes on connections of before.
+#[test]
+fn crashes_of_a_service_that_seems_out_of_reach_count() {
+    let mut gateway = gateway(8);
+    fail(&mut gateway, START, "engines", LOST);
+
+    crash(&mut gateway, Fingerprint(7), CRASH_THRESHOLD);
+
+    assert!(gateway.is_out_of_reach("engines"));
+    assert_eq!(gateway.fingerprints_quarantined(at(10)), 1);
+}
+
+/// A gateway loses its links to one service while a request crashes replicas of another one.
+#[test]
+fn lost_links_to_one_service_excuse_no_crashes_of_another() {
+    let mut gateway = gateway_of_two_services();
+    hear(&mut gateway, START, "notices");
+    crash(&mut gateway, Fingerprint(7), CRASH_THRESHOLD);
+
+    fail(&mut gateway, at(20), "notices", 2);
+    hear(&mut gateway, at(250), "notices");
+    gateway.probes(at(1_020));
+    gateway.reevaluate_quarantine(at(1_100));
+
+    assert_eq!(gateway.fingerprints_quarantined(at(1_100)), 1);
+}
+
 /// Counted at both gateways, a delegated call would allow more retries than the rules do; counted at
 /// the delegating one only, it could not be retried.
 #[test]
