Count each crash of a replica, and each cause, by its time

Callers of a small service heard 502 again and again for one request that crashed the same few replicas. Three holes in what one crash is, found by reading.

- A crash was known by the incarnation alone, once.
Replicas that start again under their ids without a stated start, or before their entries are read, were counted once for good.
A crash that was refuted (the links broke and the replica lived) hid every later one of that replica for ten minutes.
Crashes of an incarnation are numbered now: the next one counts if its connection was opened a second after the last crash, which proves a new process, or if the last one was refuted.
A time between reports alone proves nothing: a host that loses power is noticed by each gateway's timeout, and gossip arrives late.
The wire format is unchanged; the order in a record numbers them.
- Another request explained crashes of the same replicas whenever they were, so that two requests that crash the same three replicas in turn excused one of them for good.
Their times must be near.
- A request that crashes replicas right after its first event was excused by any call that waited in them, a new one each time.
Within a second of the first event only a request with two crashes explains it now; a longer answer is excused as before.

--- a/core/src/gateway/quarantine.rs
+++ b/core/src/gateway/quarantine.rs
@@ -8,6 +8,12 @@
 //! replica, or because another quarantined fingerprint explains their crashes. Crashes are only
 //! added to records, except that an answer clears them, so the order in which a gateway merges
 //! records does not affect the result.
+//!
+//! A replica that starts again under its id may look like the incarnation that crashed until its
+//! entry is read, or for good if it states no start. Crashes of one incarnation are therefore
+//! numbered. A further one counts if its connection was opened after the one before, or if the
+//! replica has survived the one before. Connections that break later than others in the same crash
+//! are not counted again.
 
 pub mod feature;
 pub mod part;
@@ -46,6 +52,15 @@
 /// Time after a broken connection from which a sign of life shows that the replica has not crashed.
 /// Messages that it sent before a crash may be read and gossiped until then.
 pub const LIVENESS_DELAY: Span = Span::secs(1);
+/// Longest time between the first and the last gateway that notices a crash: a host that loses power
+/// is noticed by a timeout of each connection. Below it bystanders would not be recognised, and above
+/// it crashes of a replica that has started again would be taken for those of its predecessor.
+const MAX_DETECTION_SPREAD: Span = Span::secs(2);
+/// Time from the first event of an answer within which the request most likely caused a crash.
+const MAX_TIME_TO_CRASH: Span = Span::secs(1);
+/// Crashes of another request before its answer from which on it is the likelier cause of a crash
+/// than one whose answer has just begun. Calls that wait in a crashed replica have one.
+const MIN_REPEATED: usize = 2;
 /// Time for which heartbeats carry a changed record; long enough to reach every gateway.
 const GOSSIP_PERIOD: Span = Span::secs(3);
 /// Upper bound on records in one heartbeat.
@@ -109,21 +124,51 @@
     pub crashes: usize,
 }
 
-/// A broken connection to one replica.
+/// A connection to a replica that broke while a request was running on it.
 #[derive(Clone, Copy, Debug)]
-struct Observation {
+pub struct Connection {
+    /// Incarnation of the replica, as far as it is known.
+    pub replica: Digest,
+    /// Time at which the connection was opened.
+    pub opened: Time,
+}
+
+/// A connection that broke after the first event of an answer.
+#[derive(Clone, Copy, Debug)]
+struct Interruption {
+    connection: Connection,
     at: Time,
+    first_event: Time,
+}
+
+/// A crash of an incarnation, by its number among those that a request met.
+type Key = (Digest, u8);
+
+/// Broken connections that one crash explains.
+#[derive(Clone, Copy, Debug)]
+struct Observation {
+    /// Earliest time at which a connection broke.
+    first: Time,
+    /// Latest such time.
+    last: Time,
     /// Why it was no crash under the request. The observation is kept, so that the same crash is not
     /// counted when a peer gossips it again.
     refuted: Option<Refutation>,
 }
 
+impl Observation {
+    /// Whether a crash from `first` to `last` is this one, if it is of the same replica.
+    fn is_near(&self, first: Time, last: Time) -> bool {
+        first <= self.last + MAX_DETECTION_SPREAD && self.first <= last + MAX_DETECTION_SPREAD
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Suspect {
-    crashes: BTreeMap<Digest, Observation>,
+    crashes: BTreeMap<Key, Observation>,
     /// Crashes of replicas that had already sent part of their answer, until it is known whether
     /// another request explains them.
-    undecided: BTreeMap<Digest, Time>,
+    undecided: BTreeMap<Digest, Interruption>,
     answered: Option<Time>,
     /// Time of the last change.
     changed: Time,
@@ -131,11 +176,11 @@
 
 impl Suspect {
     /// Crashes that are not refuted.
-    fn valid_crashes(&self) -> impl Iterator<Item = (Digest, Time)> {
+    fn valid_crashes(&self) -> impl Iterator<Item = (Digest, Observation)> {
         self.crashes
             .iter()
             .filter(|(_, crash)| crash.refuted.is_none())
-            .map(|(replica, crash)| (*replica, crash.at))
+            .map(|((replica, _), crash)| (*replica, *crash))
     }
 
     /// Whether there are enough crashes for a quarantine.
@@ -143,19 +188,36 @@
         self.valid_crashes().count() >= CRASH_THRESHOLD
     }
 
-    /// Adds a crash; `true` if it is new. If the same crash is reported with several times, the
-    /// earliest one is kept, because gossip arrives late.
-    fn add_crash(&mut self, at: Time, replica: Digest) -> bool {
+    /// The crash under which `connection` broke at `at`: the last known one of its replica, or the next.
+    fn key(&self, at: Time, connection: Connection) -> Key {
+        let replica = connection.replica;
+        let mut known = self.crashes.range((replica, 0)..=(replica, u8::MAX));
+        match known.next_back() {
+            None => (replica, 0),
+            Some(((_, number), crash)) => {
+                let is_next = match crash.refuted {
+                    Some(_) => at > crash.last + survival::SAME_CRASH,
+                    None => connection.opened > crash.first + LIVENESS_DELAY,
+                };
+                (replica, number.saturating_add(u8::from(is_next)))
+            }
+        }
+    }
+
+    /// Adds a report of a crash; `true` if it is new. The earliest and the latest of several reports
+    /// are kept, because gossip arrives late.
+    fn add_crash(&mut self, at: Time, key: Key) -> bool {
         if self.answered.is_some_and(|answered| at <= answered + LIVENESS_DELAY) {
             return false;
         }
-        if let Some(crash) = self.crashes.get_mut(&replica) {
-            crash.at = crash.at.min(at);
+        if let Some(crash) = self.crashes.get_mut(&key) {
+            crash.first = crash.first.min(at);
+            crash.last = crash.last.max(at);
             return false;
         }
-        self.crashes.insert(replica, Observation { at, refuted: None });
+        self.crashes.insert(key, Observation { first: at, last: at, refuted: None });
         if self.crashes.len() > MAX_CRASHES {
-            let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at).map(|(r, _)| *r);
+            let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.first).map(|(k, _)| *k);
             oldest.and_then(|oldest| self.crashes.remove(&oldest));
         }
         true
@@ -167,21 +229,29 @@
             return false;
         }
         self.answered = Some(at);
-        self.undecided.retain(|_, crash| *crash > at + LIVENESS_DELAY);
-        self.crashes.retain(|_, crash| crash.at > at + LIVENESS_DELAY);
+        self.undecided.retain(|_, interruption| interruption.at > at + LIVENESS_DELAY);
+        self.crashes.retain(|_, crash| crash.first > at + LIVENESS_DELAY);
         true
     }
 
     fn is_expired(&self, now: Time) -> bool {
-        let last = self.crashes.values().map(|crash| crash.at).max().max(self.answered);
-        let last = last.max(self.undecided.values().copied().max());
+        let last = self.crashes.values().map(|crash| crash.last).max().max(self.answered);
+        let last = last.max(self.undecided.values().map(|interruption| interruption.at).max());
         let retention = if self.has_enough_crashes() { QUARANTINED_RETENTION } else { RETENTION };
         last.is_none_or(|last| now.since(last) > retention)
     }
 
     fn record(&self, now: Time, fingerprint: Fingerprint) -> Record {
         let age = |at: Time| now.since(at).as_millis();
-        let crashes = self.valid_crashes().map(|(replica, at)| Crash { replica, age_ms: age(at) });
+        // The receiver numbers those of one replica by their order, so that refuted ones are listed if
+        // a later one counts.
+        let has_valid = |(replica, number): Key| {
+            let mut later = self.crashes.range((replica, number)..=(replica, u8::MAX));
+            later.any(|(_, crash)| crash.refuted.is_none())
+        };
+        let listed = self.crashes.iter().filter(|(key, _)| has_valid(**key));
+        let crashes = listed
+            .map(|((replica, _), crash)| Crash { replica: *replica, age_ms: age(crash.first) });
         Record { fingerprint, crashes: crashes.collect(), answered_ms: self.answered.map(age) }
     }
 }
@@ -197,10 +267,10 @@
 }
 
 impl Quarantine {
-    /// Records that the connection to `replica` broke while a request was running on it.
-    pub fn record_crash(&mut self, now: Time, fingerprint: Fingerprint, replica: Digest) {
+    /// Records that a connection broke while a request was running on it.
+    pub fn record_crash(&mut self, now: Time, fingerprint: Fingerprint, connection: Connection) {
         let suspect = self.suspects.entry(fingerprint).or_default();
-        if suspect.add_crash(now, replica) {
+        if suspect.add_crash(now, suspect.key(now, connection)) {
             suspect.changed = now;
             if suspect.has_enough_crashes() {
                 self.recompute();
@@ -208,18 +278,22 @@
         }
     }
 
-    /// Records that the connection to `replica` broke after it had sent part of its answer to a
-    /// request.
+    /// Records that a connection broke on which a replica had sent part of its answer to a request,
+    /// since `first_event`.
     ///
     /// Most such requests are bystanders: long streams meet several crashes while other requests
-    /// cause them. As soon as three were counted against a stream, it seemed to explain the crashes
-    /// of their cause, which was then sent again. So the crash counts only if, once peers have
-    /// gossiped theirs, no request is known that had not begun to be answered there.
-    pub fn record_interruption(&mut self, now: Time, fingerprint: Fingerprint, replica: Digest) {
+    /// cause them. So the crash counts only if, once peers have gossiped theirs, no likelier cause is
+    /// known.
+    pub fn record_interruption(
+        &mut self,
+        now: Time,
+        fingerprint: Fingerprint,
+        connection: Connection,
+        first_event: Time,
+    ) {
         let suspect = self.suspects.entry(fingerprint).or_default();
-        if !suspect.crashes.contains_key(&replica) {
-            suspect.undecided.entry(replica).or_insert(now);
-        }
+        let interruption = Interruption { connection, at: now, first_event };
+        suspect.undecided.entry(connection.replica).or_insert(interruption);
     }
 
     /// Withdraws a crash that was no crash. It is kept as one that the replica survived, since peers
@@ -229,7 +303,8 @@
             return;
         };
         suspect.undecided.remove(&replica);
-        if let Some(crash) = suspect.crashes.get_mut(&replica) {
+        let mut crashes = suspect.crashes.range_mut((replica, 0)..=(replica, u8::MAX));
+        if let Some((_, crash)) = crashes.next_back() {
             crash.refuted = Some(Refutation::Withdrawn);
             self.recompute();
         }
@@ -237,25 +312,43 @@
 
     /// Decides on interruptions for which the crashes that peers recorded have arrived.
     fn decide_interruptions(&mut self, now: Time) {
-        let crashed: BTreeSet<Digest> =
-            self.suspects.values().flat_map(|s| s.crashes.keys().copied()).collect();
-        for suspect in self.suspects.values_mut() {
-            let due = |at: Time| now.since(at) >= LIVENESS_DELAY;
-            let decided: Vec<(Digest, Time)> = suspect
-                .undecided
-                .iter()
-                .map(|(r, at)| (*r, *at))
-                .filter(|(_, at)| due(*at))
-                .collect();
-            for (replica, at) in decided {
-                suspect.undecided.remove(&replica);
-                if !crashed.contains(&replica) && suspect.add_crash(at, replica) {
-                    suspect.changed = now;
-                }
+        let is_due = |interruption: &Interruption| now.since(interruption.at) >= LIVENESS_DELAY;
+        let due = self.suspects.iter().flat_map(|(fingerprint, suspect)| {
+            let due = suspect.undecided.values().filter(|interruption| is_due(interruption));
+            due.map(move |interruption| (*fingerprint, *interruption))
+        });
+        let due: Vec<(Fingerprint, Interruption)> = due.collect();
+        for (fingerprint, interruption) in due {
+            let is_explained = self.is_interruption_explained(fingerprint, &interruption);
+            let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+                continue;
+            };
+            suspect.undecided.remove(&interruption.connection.replica);
+            let key = suspect.key(interruption.at, interruption.connection);
+            if !is_explained && suspect.add_crash(interruption.at, key) {
+                suspect.changed = now;
             }
         }
     }
 
+    /// Whether another request is a likelier cause of an interruption: one that had not begun to be
+    /// answered there. Calls that wait in the replica are such too, so a request that crashes replicas
+    /// right after its first event is excused only by one that has met further crashes.
+    fn is_interruption_explained(
+        &self,
+        fingerprint: Fingerprint,
+        interruption: &Interruption,
+    ) -> bool {
+        let (at, replica) = (interruption.at, interruption.connection.replica);
+        let has_just_begun = at.since(interruption.first_event) < MAX_TIME_TO_CRASH;
+        let required = if has_just_begun { MIN_REPEATED } else { 1 };
+        let mut others = self.suspects.iter().filter(|(other, _)| **other != fingerprint);
+        others.any(|(_, suspect)| {
+            let mut known = suspect.crashes.range((replica, 0)..=(replica, u8::MAX));
+            known.any(|(_, crash)| crash.is_near(at, at)) && suspect.crashes.len() >= required
+        })
+    }
+
     /// Records a complete answer to a request.
     pub fn record_answer(&mut self, now: Time, fingerprint: Fingerprint) {
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
@@ -278,8 +371,11 @@
             let mut suspect = self.suspects.remove(&record.fingerprint).unwrap_or_default();
             let had_enough_crashes = suspect.has_enough_crashes();
             let mut changed = record.answered_ms.is_some_and(|age| suspect.add_answer(at(age)));
+            let mut counts: BTreeMap<Digest, u8> = BTreeMap::new();
             for crash in record.crashes.iter().take(MAX_CRASHES) {
-                changed |= suspect.add_crash(at(crash.age_ms), crash.replica);
+                let number = counts.entry(crash.replica).or_default();
+                changed |= suspect.add_crash(at(crash.age_ms), (crash.replica, *number));
+                *number += 1;
             }
             if changed {
                 suspect.changed = now;
@@ -336,8 +432,11 @@
 
     /// Whether a replica is known to have crashed about this time.
     pub fn has_crash(&self, replica: Digest, at: Time) -> bool {
-        let crashes = self.suspects.values().filter_map(|suspect| suspect.crashes.get(&replica));
-        crashes.into_iter().any(|crash| crash.refuted.is_none() && survival::is_same(crash.at, at))
+        let is_known = |suspect: &Suspect| {
+            let mut crashes = suspect.valid_crashes();
+            crashes.any(|(crashed, crash)| crashed == replica && crash.is_near(at, at))
+        };
+        self.suspects.values().any(is_known)
     }
 
     /// Number of tracked fingerprints.
@@ -360,8 +459,12 @@
     ) -> Vec<Transition> {
         self.decide_interruptions(now);
         for suspect in self.suspects.values_mut() {
-            for (replica, crash) in &mut suspect.crashes {
-                crash.refuted = crash.refuted.or_else(|| refutation(*replica, crash.at));
+            for ((replica, _), crash) in &mut suspect.crashes {
+                if crash.refuted.is_none()
+                    && let Some(reason) = refutation(*replica, crash.first)
+                {
+                    crash.refuted = Some(reason);
+                }
             }
         }
         self.suspects.retain(|_, suspect| !suspect.is_expired(now));
@@ -394,34 +497,33 @@
         self.quarantined.clear();
         let mut candidates = Vec::new();
         for (fingerprint, suspect) in &self.suspects {
-            let mut crashes: Vec<(Time, Digest)> =
-                suspect.valid_crashes().map(|(r, at)| (at, r)).collect();
+            let mut crashes: Vec<(Digest, Observation)> = suspect.valid_crashes().collect();
             if crashes.len() >= CRASH_THRESHOLD {
-                crashes.sort_unstable();
-                candidates.push((
-                    Reverse(crashes.len()),
-                    crashes[CRASH_THRESHOLD - 1].0,
-                    *fingerprint,
-                    crashes,
-                ));
+                crashes.sort_unstable_by_key(|(replica, crash)| (crash.first, *replica));
+                let reached = crashes[CRASH_THRESHOLD - 1].1.first;
+                candidates.push((Reverse(crashes.len()), reached, *fingerprint, crashes));
             }
         }
-        candidates.sort_unstable();
-        let mut causes: Vec<BTreeSet<Digest>> = Vec::new();
+        candidates.sort_unstable_by_key(|(count, reached, fingerprint, _)| {
+            (*count, *reached, *fingerprint)
+        });
+        let mut causes: Vec<Vec<(Digest, Observation)>> = Vec::new();
         for (_, _, fingerprint, crashes) in candidates {
-            let replicas: BTreeSet<Digest> = crashes.iter().map(|(_, replica)| *replica).collect();
-            let shares =
-                |cause: &&BTreeSet<Digest>| cause.intersection(&replicas).count() >= MIN_SHARED;
-            let explained: BTreeSet<Digest> =
-                causes.iter().filter(shares).flatten().copied().collect();
-            let is_explained = crashes.iter().all(|(_, replica)| explained.contains(replica));
-            if let Some((last, _)) = crashes.last()
+            let shared = |cause: &[(Digest, Observation)]| {
+                crashes.iter().filter(|crash| is_in(cause, crash)).count()
+            };
+            let explaining: Vec<&Vec<(Digest, Observation)>> =
+                causes.iter().filter(|cause| shared(cause) >= MIN_SHARED).collect();
+            let is_explained =
+                crashes.iter().all(|crash| explaining.iter().any(|cause| is_in(cause, crash)));
+            if let Some((_, last)) = crashes.last()
                 && !is_explained
             {
                 let doublings =
                     (crashes.len() - CRASH_THRESHOLD).min(MAX_CRASHES - CRASH_THRESHOLD);
-                self.quarantined.insert(fingerprint, *last + Span(MIN_QUARANTINE.0 << doublings));
-                causes.push(replicas);
+                let end = last.first + Span(MIN_QUARANTINE.0 << doublings);
+                self.quarantined.insert(fingerprint, end);
+                causes.push(crashes);
             }
         }
     }
@@ -435,7 +537,8 @@
             let is_over = self.quarantined.contains_key(fingerprint);
             return if is_over { Release::Expired } else { Release::RequestExplains };
         }
-        let last = suspect.crashes.values().max_by_key(|crash| (crash.refuted.is_some(), crash.at));
+        let last =
+            suspect.crashes.values().max_by_key(|crash| (crash.refuted.is_some(), crash.last));
         last.and_then(|crash| crash.refuted).map_or(Release::Answered, Release::Refuted)
     }
 
@@ -455,3 +558,8 @@
         transitions
     }
 }
+
+/// Whether a crash is among those of another request.
+fn is_in(crashes: &[(Digest, Observation)], (replica, crash): &(Digest, Observation)) -> bool {
+    crashes.iter().any(|(other, c)| other == replica && c.is_near(crash.first, crash.last))
+}
--- a/core/src/gateway/state/poison.rs
+++ b/core/src/gateway/state/poison.rs
@@ -9,6 +9,7 @@
 use super::Grant;
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::fleet::Claim;
+use crate::gateway::quarantine::Connection;
 use crate::gateway::quarantine::Record;
 use crate::gateway::quarantine::Refutation;
 use crate::gateway::quarantine::Transition;
@@ -59,10 +60,14 @@
         self.own_crashes.retain(|crash| now.since(crash.at) < OWN_CRASH_RETENTION);
         let (service, replica) = (grant.service.clone(), claim.incarnation);
         self.own_crashes.push(Crash { at: now, service, fingerprint, replica });
-        if claim.first_event_seen {
-            self.quarantine.record_interruption(now, fingerprint, claim.incarnation);
-        } else {
-            self.quarantine.record_crash(now, fingerprint, claim.incarnation);
+        let opened = claim.connected.unwrap_or(claim.sent);
+        let connection = Connection { replica, opened };
+        match claim.first_event_seen {
+            true => {
+                let began = claim.first_event;
+                self.quarantine.record_interruption(now, fingerprint, connection, began);
+            }
+            false => self.quarantine.record_crash(now, fingerprint, connection),
         }
     }
 
--- a/core/tests/gateway/quarantine.rs
+++ b/core/tests/gateway/quarantine.rs
@@ -10,6 +10,7 @@
 use laburnumwheel_core::gateway::fleet::Load;
 use laburnumwheel_core::gateway::fleet::Outcome;
 use laburnumwheel_core::gateway::quarantine::CRASH_THRESHOLD;
+use laburnumwheel_core::gateway::quarantine::Connection;
 use laburnumwheel_core::gateway::quarantine::Crash;
 use laburnumwheel_core::gateway::quarantine::LIVENESS_DELAY;
 use laburnumwheel_core::gateway::quarantine::MAX_FINGERPRINTS;
@@ -53,11 +54,16 @@
 fn after_crashes(fingerprint: Fingerprint, replicas: &[u32]) -> Quarantine {
     let mut quarantine = Quarantine::default();
     for (second, replica) in (0..).zip(replicas) {
-        quarantine.record_crash(at(second), fingerprint, Digest(*replica));
+        quarantine.record_crash(at(second), fingerprint, connection(*replica));
     }
     quarantine
 }
 
+/// A connection to this replica from before all crashes.
+fn connection(replica: u32) -> Connection {
+    Connection { replica: Digest(replica), opened: START }
+}
+
 fn never_alive(_: Digest, _: Time) -> Option<Refutation> {
     None
 }
@@ -109,7 +115,7 @@
 fn crashes_explained_by_another_fingerprint_do_not_count() {
     let mut quarantine = after_crashes(CRASHING, &[1, 2, 3, 4]);
     for (second, replica) in (0..).zip([1, 2, 3]) {
-        quarantine.record_crash(at(second), HARMLESS, Digest(replica));
+        quarantine.record_crash(at(second), HARMLESS, connection(replica));
     }
 
     assert!(quarantine.remaining(at(5), CRASHING).is_some());
@@ -121,7 +127,7 @@
 fn two_crashing_fingerprints_are_both_quarantined() {
     let mut quarantine = after_crashes(CRASHING, &[1, 2, 3]);
     for (second, replica) in (10..).zip([3, 4, 5, 6]) {
-        quarantine.record_crash(at(second), HARMLESS, Digest(replica));
+        quarantine.record_crash(at(second), HARMLESS, connection(replica));
     }
 
     assert!(quarantine.remaining(at(20), CRASHING).is_some());
@@ -134,13 +140,13 @@
 fn a_stream_that_crashes_interrupted_does_not_explain_those_of_their_cause() {
     let mut quarantine = Quarantine::default();
     for (second, replica) in (0..).zip([1, 2, 3, 4]) {
-        quarantine.record_interruption(at(second), HARMLESS, Digest(replica));
+        quarantine.record_interruption(at(second), HARMLESS, connection(replica), START);
         if let 1 | 2 = replica {
-            quarantine.record_crash(at(second), CRASHING, Digest(replica));
+            quarantine.record_crash(at(second), CRASHING, connection(replica));
         }
     }
     quarantine.reevaluate(at(4), never_alive);
-    quarantine.record_crash(at(4), CRASHING, Digest(5));
+    quarantine.record_crash(at(4), CRASHING, connection(5));
 
     assert!(quarantine.remaining(at(4), CRASHING).is_some());
     quarantine.reevaluate(at(6), never_alive);
@@ -152,7 +158,7 @@
 fn interruptions_that_no_other_request_explains_quarantine_a_fingerprint() {
     let mut quarantine = Quarantine::default();
     for (second, replica) in (0..).zip([1, 2, 3]) {
-        quarantine.record_interruption(at(second), CRASHING, Digest(replica));
+        quarantine.record_interruption(at(second), CRASHING, connection(replica), START);
     }
 
     quarantine.reevaluate(at(2), never_alive);
@@ -163,12 +169,87 @@
     assert!(quarantine.remaining(at(3), CRASHING).is_some());
 }
 
+/// A replica without a stated start is back under its id, so that its crashes are of one incarnation
+/// for all that is known. Counted once, a request would crash a few such replicas for good.
+#[test]
+fn crashes_of_a_replica_that_started_again_count() {
+    let mut quarantine = Quarantine::default();
+    for second in [0, 4, 8] {
+        let connection = Connection { replica: Digest(1), opened: at(second) };
+        quarantine.record_crash(at(second), CRASHING, connection);
+        // Connections of the same process, noticed late.
+        quarantine.record_crash(at(second + 2), CRASHING, connection);
+    }
+    let early = after_crashes(CRASHING, &[1, 1, 1]);
+    let mut peer = Quarantine::default();
+    peer.merge(at(9), &quarantine.gossip(at(9)));
+    peer.merge(at(10), &quarantine.gossip(at(10)));
+
+    assert!(quarantine.remaining(at(9), CRASHING).is_some());
+    assert!(peer.remaining(at(10), CRASHING).is_some());
+    assert!(peer.gossip(at(10)).iter().all(|record| record.crashes.len() == CRASH_THRESHOLD));
+    assert_eq!(early.remaining(at(3), CRASHING), None);
+}
+
+/// The links of a gateway break, and later the replicas crash. The first must not hide the second.
+#[test]
+fn crashes_after_survived_ones_count_at_all_gateways() {
+    let mut quarantine = after_crashes(CRASHING, &[1, 2, 3]);
+    let mut peer = Quarantine::default();
+    peer.merge(at(3), &quarantine.gossip(at(3)));
+    let survived = |_: Digest, crashed: Time| (crashed < at(4)).then_some(Refutation::Survived);
+    for known in [&mut quarantine, &mut peer] {
+        known.reevaluate(at(4), survived);
+    }
+    let between = quarantine.remaining(at(4), CRASHING);
+
+    for (second, replica) in (5..).zip([1, 2, 3]) {
+        quarantine.record_crash(at(second), CRASHING, connection(replica));
+    }
+    peer.merge(at(8), &quarantine.gossip(at(8)));
+
+    assert_eq!(between, None);
+    for known in [&mut quarantine, &mut peer] {
+        known.reevaluate(at(8), survived);
+        assert!(known.remaining(at(8), CRASHING).is_some());
+    }
+}
+
+/// Replicas crash right after the first event of an answer, while other calls wait in them. Each of
+/// these is new; if they explained the crashes, the request would go free for good.
+#[test]
+fn calls_that_wait_in_crashed_replicas_do_not_excuse_the_cause() {
+    let mut quarantine = Quarantine::default();
+    for (second, replica) in (0..).zip([1, 2, 3]) {
+        quarantine.record_interruption(at(second), CRASHING, connection(replica), at(second));
+        quarantine.record_crash(at(second), Fingerprint(100 + second), connection(replica));
+    }
+
+    quarantine.reevaluate(at(4), never_alive);
+
+    assert!(quarantine.remaining(at(4), CRASHING).is_some());
+}
+
+/// Two requests crash the same three replicas, which keep their ids, at different times. Neither
+/// explains the crashes of the other.
+#[test]
+fn crashes_of_the_same_replicas_at_other_times_explain_nothing() {
+    let mut quarantine = after_crashes(CRASHING, &[1, 2, 3]);
+    for (second, replica) in (20..).step_by(4).zip([1, 2, 3, 1]) {
+        let connection = Connection { replica: Digest(replica), opened: at(second) };
+        quarantine.record_crash(at(second), HARMLESS, connection);
+    }
+
+    assert!(quarantine.remaining(at(40), CRASHING).is_some());
+    assert!(quarantine.remaining(at(40), HARMLESS).is_some());
+}
+
 /// A complete answer clears interruptions that are not decided yet.
 #[test]
 fn an_answer_clears_interruptions() {
     let mut quarantine = Quarantine::default();
     for replica in [1, 2, 3] {
-        quarantine.record_interruption(at(1), HARMLESS, Digest(replica));
+        quarantine.record_interruption(at(1), HARMLESS, connection(replica), START);
     }
 
     quarantine.record_answer(at(1), HARMLESS);
@@ -184,11 +265,11 @@
     let mut quarantine = after_crashes(CRASHING, &[1, 2, 3]);
     let other = Fingerprint(77);
     for (second, replica) in (0..).zip([1, 2, 4]) {
-        quarantine.record_crash(at(second), other, Digest(replica));
+        quarantine.record_crash(at(second), other, connection(replica));
     }
     let both = [CRASHING, other].map(|fingerprint| quarantine.remaining(at(5), fingerprint));
 
-    quarantine.record_crash(at(5), other, Digest(5));
+    quarantine.record_crash(at(5), other, connection(5));
 
     assert!(both.iter().all(Option::is_some));
     assert!(quarantine.remaining(at(5), CRASHING).is_some());
@@ -203,7 +284,7 @@
 
     let last = quarantine.remaining(third + MIN_QUARANTINE - Span(1), CRASHING);
     let over = quarantine.remaining(third + MIN_QUARANTINE, CRASHING);
-    quarantine.record_crash(third + MIN_QUARANTINE, CRASHING, Digest(4));
+    quarantine.record_crash(third + MIN_QUARANTINE, CRASHING, connection(4));
     let again = quarantine.remaining(third + MIN_QUARANTINE, CRASHING);
 
     assert_eq!(last, Some(Span(1)));
@@ -216,7 +297,7 @@
     let mut quarantine = after_crashes(CRASHING, &[1, 2]);
 
     quarantine.reevaluate(at(700), never_alive);
-    quarantine.record_crash(at(701), CRASHING, Digest(3));
+    quarantine.record_crash(at(701), CRASHING, connection(3));
 
     assert_eq!(quarantine.remaining(at(701), CRASHING), None);
 }
@@ -255,8 +336,8 @@
     let mut withdrawn = quarantined();
     withdrawn.withdraw_crash(HARMLESS, Digest(2));
     let mut explained = quarantined();
-    for replica in [1, 2, 3, 4] {
-        explained.record_crash(at(3), CRASHING, Digest(replica));
+    for (second, replica) in (0..).zip([1, 2, 3, 4]) {
+        explained.record_crash(at(second), CRASHING, connection(replica));
     }
 
     let reasons = [
@@ -283,7 +364,7 @@
 fn memory_and_heartbeats_are_bounded() {
     let mut quarantine = after_crashes(CRASHING, &[1, 2, 3]);
     for fingerprint in 10..20_000 {
-        quarantine.record_crash(at(3), Fingerprint(fingerprint), Digest(7));
+        quarantine.record_crash(at(3), Fingerprint(fingerprint), connection(7));
     }
     quarantine.reevaluate(at(3), never_alive);
 
@@ -331,7 +412,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut gateways = vec![Quarantine::default(); count];
     for (index, replica) in (0..CRASH_THRESHOLD).map(|i| (i * count / CRASH_THRESHOLD, i as u32)) {
-        gateways[index].record_crash(START, CRASHING, Digest(replica));
+        gateways[index].record_crash(START, CRASHING, connection(replica));
     }
     let (mut now, mut largest) = (START, 0);
     while now.since(START) < Span(2 * WINDOW.0) {
