Take no answer for complete whose replica is gone

An answer without a length ends with its connection, as it does in a crash. Five seconds later it counted as complete if its replica was still listed, and cleared all crashes of the request, so that a request which crashes replicas in the middle of such answers went free: the entry may be that of the next incarnation under the same id, which states no start, or from a list that was read before the crash. And a crash that ended such an answer was never counted against the request.

Now a list that was read a lease after the end decides: the same incarnation with a stated start has survived, and one that is gone without leaving has crashed under the request. Without either, or without a read for 20 s, the answer clears nothing and accuses nobody.

--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -46,6 +46,7 @@
 pub use self::copies::has_copyable_prefix;
 pub use self::list::Changes;
 pub(super) use self::memory::is_missing;
+pub use self::reconcile::Presence;
 use self::reconcile::Removed;
 use self::replica::INITIAL_BACKOFF;
 pub use self::replica::Listing;
--- a/core/src/gateway/fleet/list.rs
+++ b/core/src/gateway/fleet/list.rs
@@ -237,7 +237,8 @@
         };
         self.by_digest.remove(&replica.digest());
         self.census.remove(now, &replica.listing.service, replica.build);
-        let removed = Removed { at: now, cooldown: replica.cooldown };
+        let was_leaving = replica.is_leaving();
+        let removed = Removed { at: now, cooldown: replica.cooldown, was_leaving };
         self.removed.insert(replica.digest(), removed);
         if let Some(keys) = self.by_service.get_mut(&replica.listing.service) {
             keys.retain(|k| *k != key);
--- a/core/src/gateway/fleet/reconcile.rs
+++ b/core/src/gateway/fleet/reconcile.rs
@@ -8,6 +8,7 @@
 use super::Fleet;
 use super::Listing;
 use super::cooldown::Cooldown;
+use crate::incarnation::Digest;
 use crate::time::Span;
 use crate::time::Time;
 
@@ -21,6 +22,19 @@
     pub(super) at: Time,
     /// Cooldown of the replica, which holds on if its entry is back.
     pub(super) cooldown: Option<Cooldown>,
+    /// Whether it was known to leave.
+    pub(super) was_leaving: bool,
+}
+
+/// What the list of replicas tells of an incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It is listed.
+    Listed,
+    /// Its entry lapsed or was replaced, and it was not known to leave.
+    Gone,
+    /// It left, or its entry may be that of another incarnation.
+    Unknown,
 }
 
 impl Fleet {
@@ -30,6 +44,24 @@
         self.replaced.retain(|_, at| now.since(*at) < REMOVED_LIFETIME);
     }
 
+    /// What the last list tells of an incarnation. The entry of one without a stated start may be that
+    /// of its successor, and a retained one is not listed.
+    pub fn presence(&self, incarnation: Digest) -> Presence {
+        let Some(replica) = self.find(incarnation) else {
+            let gone = self.removed.get(&incarnation).is_some_and(|removed| !removed.was_leaving);
+            return if gone { Presence::Gone } else { Presence::Unknown };
+        };
+        if replica.retained {
+            return Presence::Unknown;
+        }
+        if replica.listed_in == self.list_number {
+            let states_start = replica.listing.incarnation.start_ms.is_some();
+            return if states_start { Presence::Listed } else { Presence::Unknown };
+        }
+        // Kept for its calls in progress.
+        if replica.is_leaving() { Presence::Unknown } else { Presence::Gone }
+    }
+
     /// Corrects a list by newer knowledge: incarnations that were closed, removed or replaced get
     /// no new calls. With `retain_missing`, replicas in use are added if they are missing.
     pub fn reconcile(&self, listings: Vec<Listing>, retain_missing: bool) -> Vec<Listing> {
--- a/core/src/gateway/fleet/replica.rs
+++ b/core/src/gateway/fleet/replica.rs
@@ -241,6 +241,11 @@
         Digest(self.hash as u32)
     }
 
+    /// Whether its entry or one of its answers said that the replica leaves.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.listing.leaving || self.departed_at.is_some()
+    }
+
     /// Time of the newest load that the replica has reported to a gateway.
     pub(in crate::gateway) fn reported_at(&self) -> Option<Time> {
         self.report.map(|report| report.at)
--- a/core/src/gateway/quarantine/unframed.rs
+++ b/core/src/gateway/quarantine/unframed.rs
@@ -1,7 +1,9 @@
 //! Answers without a length that ended with their connections.
 //!
 //! A crash ends them in the same way. They count as complete answers once the replica has shown that
-//! it survived, or has been listed for some time after without a crash that anyone knows of.
+//! it survived, or a newer list has the entry of the same incarnation and nobody knows of a crash. If
+//! the incarnation is gone instead, they count as interrupted by its crash. The entry of a replica
+//! that states no start says nothing: it may be that of the next incarnation.
 
 use crate::gateway::fingerprint::Fingerprint;
 use crate::incarnation::Digest;
@@ -11,9 +13,12 @@
 use super::feature::Context;
 use super::survival;
 
-/// Time after which an answer is decided without further evidence. By then the entry of a crashed
-/// replica has lapsed.
-const DECISION_TIME: Span = Span::secs(5);
+/// Time from the end of an answer after which a read of the list shows whether the replica crashed. By
+/// then the entry of a crashed replica has lapsed.
+pub const MAX_LEASE: Span = Span::secs(5);
+/// Time after which an answer that could not be decided is dropped. Reads may have failed for some
+/// seconds; an answer that is dropped clears nothing and accuses nobody.
+const MAX_WAIT: Span = Span::secs(20);
 /// Upper bound on answers that wait for evidence; further ones are not counted.
 const MAX_ANSWERS: usize = 256;
 
@@ -22,6 +27,8 @@
 pub struct Answer {
     /// Incarnation of the replica.
     pub replica: Digest,
+    /// Time at which the connection was opened.
+    pub opened: Time,
     /// Time at which the answer began.
     pub began: Time,
     /// Time at which its connection ended.
@@ -32,6 +39,17 @@
     pub context: Context,
 }
 
+/// How an answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The replica ended it.
+    Complete,
+    /// Its replica crashed, as other requests show.
+    Crashed,
+    /// Its replica was gone soon after, without leaving.
+    Gone,
+}
+
 /// Answers that wait for evidence.
 #[derive(Debug, Default)]
 pub struct Unframed {
@@ -55,9 +73,19 @@
         })
     }
 
-    /// Removes and returns the answers that have to be decided without further evidence.
-    pub fn take_due(&mut self, now: Time) -> Vec<Answer> {
-        self.take(|answer| now.since(answer.ended) >= DECISION_TIME)
+    /// Removes and returns the answers with a verdict, and drops those that are too old.
+    pub fn decide(
+        &mut self,
+        now: Time,
+        judge: impl Fn(&Answer) -> Option<Verdict>,
+    ) -> Vec<(Answer, Verdict)> {
+        let mut decided = Vec::new();
+        self.answers.retain(|answer| {
+            let verdict = judge(answer);
+            decided.extend(verdict.map(|verdict| (answer.clone(), verdict)));
+            verdict.is_none() && now.since(answer.ended) < MAX_WAIT
+        });
+        decided
     }
 
     fn take(&mut self, is_taken: impl Fn(&Answer) -> bool) -> Vec<Answer> {
--- a/core/src/gateway/state/parts.rs
+++ b/core/src/gateway/state/parts.rs
@@ -10,13 +10,17 @@
 use super::Gateway;
 use super::Grant;
 use crate::gateway::fleet::Claim;
+use crate::gateway::fleet::Presence;
 use crate::gateway::quarantine;
+use crate::gateway::quarantine::Connection;
 use crate::gateway::quarantine::feature::Context;
 use crate::gateway::quarantine::feature::Feature;
 use crate::gateway::quarantine::part::Record;
 use crate::gateway::quarantine::part::Transition;
 use crate::gateway::quarantine::survival::Survival;
 use crate::gateway::quarantine::unframed::Answer;
+use crate::gateway::quarantine::unframed::MAX_LEASE;
+use crate::gateway::quarantine::unframed::Verdict;
 use crate::incarnation::Digest;
 use crate::time::Span;
 use crate::time::Time;
@@ -100,6 +104,7 @@
     pub fn record_unframed(&mut self, now: Time, began: Time, grant: &Grant, claim: &Claim) {
         self.unframed.add(Answer {
             replica: claim.incarnation,
+            opened: claim.connected.unwrap_or(claim.sent),
             began,
             ended: now,
             fingerprint: grant.fingerprint,
@@ -114,18 +119,45 @@
         self.parts.record_answer(now, answer.began, &answer.context.parts);
     }
 
-    /// Decides on answers that ended with their connections, once the list of replicas shows whether
-    /// these crashed.
+    /// Decides on answers that ended with their connections, once their verdicts are known.
     fn decide_unframed(&mut self, now: Time) {
-        for answer in self.unframed.take_due(now) {
+        if self.isolated_since(now).is_some() {
+            return;
+        }
+        let mut unframed = std::mem::take(&mut self.unframed);
+        let decided = unframed.decide(now, |answer| self.judge_unframed(now, answer));
+        self.unframed = unframed;
+        for (answer, verdict) in decided {
+            if verdict == Verdict::Complete {
+                self.record_complete(now, &answer);
+                continue;
+            }
             let (replica, ended) = (answer.replica, answer.ended);
-            let has_crashed =
-                self.parts.has_crash(replica, ended) || self.quarantine.has_crash(replica, ended);
-            if has_crashed {
+            if verdict == Verdict::Crashed {
                 self.parts.record_past_crash(now, ended, replica, &answer.context);
-            } else if self.fleet.is_open(replica) && self.isolated_since(now).is_none() {
-                self.record_complete(now, &answer);
             }
+            if let Some(fingerprint) = answer.fingerprint {
+                let connection = Connection { replica, opened: answer.opened };
+                self.quarantine.record_interruption(ended, fingerprint, connection, answer.began);
+            }
+        }
+    }
+
+    fn judge_unframed(&self, now: Time, answer: &Answer) -> Option<Verdict> {
+        let (replica, ended) = (answer.replica, answer.ended);
+        if now.since(ended) < MAX_LEASE {
+            return None;
+        }
+        if self.parts.has_crash(replica, ended) || self.quarantine.has_crash(replica, ended) {
+            return Some(Verdict::Crashed);
+        }
+        if self.proved_at().is_none_or(|read| read < ended + MAX_LEASE) {
+            return None;
+        }
+        match self.fleet.presence(replica) {
+            Presence::Listed => Some(Verdict::Complete),
+            Presence::Gone => Some(Verdict::Gone),
+            Presence::Unknown => None,
         }
     }
 
--- a/core/tests/gateway/parts/calls.rs
+++ b/core/tests/gateway/parts/calls.rs
@@ -4,12 +4,15 @@
 use laburnumwheel_core::gateway::Grant;
 use laburnumwheel_core::gateway::fingerprint::Fingerprint;
 use laburnumwheel_core::gateway::fleet::Claim;
+use laburnumwheel_core::gateway::fleet::Listing;
 use laburnumwheel_core::gateway::fleet::Load;
 use laburnumwheel_core::gateway::fleet::Outcome;
+use laburnumwheel_core::gateway::quarantine::CRASH_THRESHOLD;
 use laburnumwheel_core::gateway::quarantine::feature;
 use laburnumwheel_core::gateway::quarantine::part::Record;
 use laburnumwheel_core::gateway::refusal::Reason;
 use laburnumwheel_core::gateway::submission::Submission;
+use laburnumwheel_core::incarnation::Incarnation;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 
@@ -297,6 +300,80 @@
     assert!(end_unframed(false));
 }
 
+/// What the list of replicas says after a replica was lost in the middle of an answer.
+#[derive(Clone, Copy)]
+enum Entry {
+    Renewed,
+    OfNextIncarnation,
+    Lapsed,
+    WithoutStart,
+    NotRead,
+}
+
+/// Ends an answer without a length, with the connection to its replica; returns whether the request is
+/// quarantined then, if it had `crashes` before.
+fn is_quarantined_after_unframed(entry: Entry, crashes: u64) -> bool {
+    let mut gateway = gateway(0);
+    let start_ms = !matches!(entry, Entry::WithoutStart);
+    let incarnation = |i: usize, start: u64| Incarnation {
+        id: format!("engine-{i}"),
+        start_ms: start_ms.then_some(start),
+    };
+    let at_first =
+        |i: usize| Listing { incarnation: incarnation(i, 1), ..listings(ENGINES)[i].clone() };
+    let list = |gateway: &mut Gateway, ms: u64, all: Vec<Listing>| {
+        gateway.record_read(at(ms), None);
+        gateway.update_lists(at(ms), at(ms), all, Vec::new());
+    };
+    list(&mut gateway, 0, (0..ENGINES).map(at_first).collect());
+    let request = Some(Fingerprint(7));
+    for n in 0..crashes {
+        let (mut grant, claim) = send(&mut gateway, 100 * n, &[]).unwrap();
+        grant.fingerprint = request;
+        crash(&mut gateway, 100 * n + 10, &grant, claim);
+    }
+    let (mut grant, claim) = send(&mut gateway, 2_200, &[]).unwrap();
+    grant.fingerprint = request;
+    gateway.record_unframed(at(2_300), at(2_250), &grant, &claim);
+    let own = gateway.fleet().get(claim.replica).unwrap().listing.incarnation.id.clone();
+    let later = (0..ENGINES).filter_map(|i| match entry {
+        Entry::Lapsed if format!("engine-{i}") == own => None,
+        Entry::OfNextIncarnation if format!("engine-{i}") == own => {
+            Some(Listing { incarnation: incarnation(i, 2), ..at_first(i) })
+        }
+        _ => Some(at_first(i)),
+    });
+    let later = later.collect();
+    if !matches!(entry, Entry::NotRead) {
+        list(&mut gateway, 8_000, later);
+    }
+    gateway.record_contact(at(8_400));
+    gateway.reevaluate_parts(at(8_500));
+    gateway.record_contact(at(9_000));
+    gateway.reevaluate_quarantine(at(9_000));
+    gateway.fingerprints_quarantined(at(9_000)) > 0
+}
+
+/// A request crashes replicas in the middle of answers that would end with their connections. Taken
+/// for complete ones while the entry of the crashed replica, or of its successor, is listed, these
+/// would clear all crashes of the request.
+#[test]
+fn answers_that_crashes_end_clear_and_excuse_nothing() {
+    let crashes = CRASH_THRESHOLD as u64;
+    let cases = [
+        ("the same incarnation is listed", Entry::Renewed, crashes, false),
+        ("a later incarnation is listed", Entry::OfNextIncarnation, crashes, true),
+        ("its crash is the last one", Entry::OfNextIncarnation, crashes - 1, true),
+        ("its entry lapsed", Entry::Lapsed, crashes - 1, true),
+        ("its entry states no start", Entry::WithoutStart, crashes, true),
+        ("the list was not read", Entry::NotRead, crashes, true),
+    ];
+
+    for (name, entry, before, expected) in cases {
+        assert_eq!(is_quarantined_after_unframed(entry, before), expected, "{name}");
+    }
+}
+
 /// A harmless request is retried by its caller and meets three engines that a part crashes. Once the
 /// part is known, these crashes do not count against the request.
 #[test]
