Take no data that waited to be read for a sign of life

Data on a connection from before a supposed crash shows that the replica lives, if it was sent after the crash. A gateway took it to be at most a second old. It is older after a freeze of the gateway, or if the caller of a stream did not read: the bytes of a crashed replica waited in buffers, and its crash was struck out at all gateways by gossip.

Such data counts from the time at which its call was sent now. A tick each 100 ms shows whether the process ran; a stream notes pauses of its caller. Gossip of crashes that waited in a frozen process is dropped, as its ages are too low: a crash would seem later than the answer that cleared it.

Found by reading. Neither was shown with processes.

--- a/core/src/gateway/fleet/choice.rs
+++ b/core/src/gateway/fleet/choice.rs
@@ -165,6 +165,8 @@
     pub sent: Time,
     /// Time at which the connection that it was sent on was opened, if that is known.
     pub connected: Option<Time>,
+    /// End of the last time in which the answer was not read, because its caller did not.
+    pub paused: Option<Time>,
     pub(in crate::gateway) first_event_seen: bool,
     /// Time of the first event, once it was seen.
     pub(in crate::gateway) first_event: Time,
@@ -437,6 +439,7 @@
                 sent: now,
                 connected: None,
                 first_event: now,
+                paused: None,
                 first_event_seen: false,
                 prefill_sample: prefix.source.is_none()
                     && snapshot.is_some_and(|s| s.pending_prefill_ms <= 0.0),
--- a/core/src/gateway/mod.rs
+++ b/core/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 pub mod pool;
 pub mod position;
 pub mod prefill;
+pub mod pulse;
 pub mod quarantine;
 pub mod reach;
 pub mod refusal;
--- a/core/src/gateway/quarantine/survival.rs
+++ b/core/src/gateway/quarantine/survival.rs
@@ -81,18 +81,17 @@
         }
     }
 
-    /// Records that `replica` has sent data at `now`, in answer to a call that was sent at `sent` on a
-    /// connection that was opened at `opened`; returns the time of a crash that this refutes, and the
-    /// time up to which the replica was alive.
+    /// Records at `now` that `replica` was alive at `alive`, by data on a connection that was opened at
+    /// `opened`; returns the time of a crash that this refutes, and the time up to which the replica was
+    /// alive.
     pub fn observe(
         &mut self,
         now: Time,
         replica: Digest,
         opened: Time,
-        sent: Time,
+        alive: Time,
     ) -> Option<(Time, Time)> {
         let crashes = self.crashes.get_mut(&replica)?;
-        let alive = alive_until(now, sent);
         let is_refuted = |at: Time| opened <= at && at < alive;
         let crash = crashes.iter_mut().find(|c| c.refuted.is_none() && is_refuted(c.at))?;
         crash.refuted = Some((alive, now));
--- a/core/src/gateway/quarantine/unframed.rs
+++ b/core/src/gateway/quarantine/unframed.rs
@@ -11,7 +11,6 @@
 use crate::time::Time;
 
 use super::feature::Context;
-use super::survival;
 
 /// Time from the end of an answer after which a read of the list shows whether the replica crashed. By
 /// then the entry of a crashed replica has lapsed.
@@ -64,11 +63,10 @@
         }
     }
 
-    /// Removes and returns the answers that are complete, since `replica` has sent data at `now` in
-    /// answer to a call that was sent at `sent` on a connection that was opened at `opened`.
-    pub fn observe(&mut self, now: Time, replica: Digest, opened: Time, sent: Time) -> Vec<Answer> {
+    /// Removes and returns the answers that are complete, since `replica` was alive at `alive`, by data
+    /// on a connection that was opened at `opened`.
+    pub fn observe(&mut self, replica: Digest, opened: Time, alive: Time) -> Vec<Answer> {
         self.take(|answer| {
-            let alive = survival::alive_until(now, sent);
             answer.replica == replica && opened <= answer.ended && answer.ended < alive
         })
     }
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -72,6 +72,7 @@
 use super::plan::Planner;
 use super::plan::Table;
 use super::prefill;
+use super::pulse::Pulse;
 use super::quarantine;
 use super::quarantine::Quarantine;
 use super::quarantine::feature;
@@ -201,6 +202,7 @@
     parts: Parts,
     survivals: Survivals,
     unframed: Unframed,
+    pulse: Pulse,
     own_crashes: Vec<Crash>,
     /// Classes that this gateway published as the owner of their engines, until they are taken.
     published: Vec<Published>,
@@ -248,6 +250,7 @@
             parts: Parts::default(),
             survivals: Survivals::default(),
             unframed: Unframed::default(),
+            pulse: Pulse::default(),
             own_crashes: Vec::new(),
             published: Vec::new(),
             reach: Reach::default(),
@@ -335,7 +338,7 @@
         self.receive_version(now, heartbeat.version);
         self.directory.receive(now, heartbeat);
         self.fleet.receive(now, &heartbeat.loads);
-        self.merge_requests(now, &heartbeat.quarantine);
+        self.merge_quarantine(now, &heartbeat.quarantine);
         self.receive_prefill(&heartbeat.prefill);
         self.receive_plans(now, &heartbeat.plans)
     }
@@ -384,8 +387,18 @@
         self.quarantine.gossip(now)
     }
 
+    /// Merges what another gateway gossips of crashing requests. The ages in a message that waited here
+    /// are too low: a crash would seem later than the answer that cleared it.
     pub(super) fn merge_quarantine(&mut self, now: Time, records: &[quarantine::Record]) {
-        self.merge_requests(now, records);
+        if !self.pulse.is_behind(now) {
+            self.merge_requests(now, records);
+        }
+    }
+
+    /// Records that this process runs; to be called every
+    /// [`TICK_INTERVAL`](super::pulse::TICK_INTERVAL).
+    pub fn record_tick(&mut self, now: Time) {
+        self.pulse.record(now);
     }
 
     /// Addresses to send heartbeats to.
--- a/core/src/gateway/state/parts.rs
+++ b/core/src/gateway/state/parts.rs
@@ -13,10 +13,12 @@
 use crate::gateway::fleet::Presence;
 use crate::gateway::quarantine;
 use crate::gateway::quarantine::Connection;
+use crate::gateway::quarantine::LIVENESS_DELAY;
 use crate::gateway::quarantine::feature::Context;
 use crate::gateway::quarantine::feature::Feature;
 use crate::gateway::quarantine::part::Record;
 use crate::gateway::quarantine::part::Transition;
+use crate::gateway::quarantine::survival;
 use crate::gateway::quarantine::survival::Survival;
 use crate::gateway::quarantine::unframed::Answer;
 use crate::gateway::quarantine::unframed::MAX_LEASE;
@@ -92,11 +94,16 @@
     /// Looks for evidence that a replica survived a supposed crash, when it sent data.
     pub(super) fn record_survival(&mut self, now: Time, claim: &Claim) {
         let opened = claim.connected.unwrap_or(claim.sent);
-        let refuted = self.survivals.observe(now, claim.incarnation, opened, claim.sent);
+        // Data that waited to be read may be that of a replica which has crashed since, unless it
+        // answers a call that was sent later.
+        let has_waited = self.pulse.is_behind(now)
+            || claim.paused.is_some_and(|end| now.since(end) < LIVENESS_DELAY);
+        let alive = if has_waited { claim.sent } else { survival::alive_until(now, claim.sent) };
+        let refuted = self.survivals.observe(now, claim.incarnation, opened, alive);
         if let Some((at, alive)) = refuted {
             self.parts.remove_crash(claim.incarnation, at, alive);
         }
-        let complete = self.unframed.observe(now, claim.incarnation, opened, claim.sent);
+        let complete = self.unframed.observe(claim.incarnation, opened, alive);
         complete.iter().for_each(|answer| self.record_complete(now, answer));
     }
 
@@ -177,6 +184,9 @@
 
     /// Merges what another gateway knows of crashes.
     pub fn receive_crashes(&mut self, now: Time, crashes: &Crashes) {
+        if self.pulse.is_behind(now) {
+            return;
+        }
         for survival in &crashes.survivals {
             if let Some((at, alive)) = self.survivals.merge(now, survival) {
                 self.parts.remove_crash(survival.replica, at, alive);
--- a/core/tests/gateway/parts/calls.rs
+++ b/core/tests/gateway/parts/calls.rs
@@ -208,6 +208,53 @@
     assert!(!is_refused(&mut peer, QUARANTINED, &[FIRST, CRASHING]));
 }
 
+/// Data of a crashed engine waits in the buffers of a gateway that is frozen, or whose caller does not
+/// read. Read seconds after the crash, it is no sign of life, for this gateway or for another one.
+#[test]
+fn data_that_waited_to_be_read_clears_no_crash() {
+    let mut gateway = gateway(ENGINES);
+    let claims = crash_three(&mut gateway);
+    let mut unread = sent_at(&claims[0], 0);
+    unread.paused = Some(at(4_000));
+
+    gateway.record_tick(at(4_000));
+    gateway.record_activity(at(4_010), &unread, None);
+    gateway.record_activity(at(4_900), &unread, None);
+    let paused = gateway.gossip_crashes(at(4_900)).survivals;
+    gateway.record_activity(at(9_000), &sent_at(&claims[0], 0), None);
+    gateway.record_tick(at(9_000));
+    gateway.record_activity(at(9_050), &sent_at(&claims[0], 0), None);
+    let frozen = gateway.gossip_crashes(at(9_050)).survivals;
+    gateway.record_tick(at(9_100));
+    gateway.record_activity(at(9_150), &sent_at(&claims[0], 0), None);
+    let on_time = gateway.gossip_crashes(at(9_150)).survivals;
+
+    assert_eq!((paused.len(), frozen.len(), on_time.len()), (0, 0, 1));
+}
+
+/// Messages that waited while a gateway was frozen state ages that are too low: crashes in them would
+/// seem later than the answer that cleared them.
+#[test]
+fn gossip_that_waited_to_be_read_does_not_count() {
+    let mut other = gateway(ENGINES);
+    crash_three(&mut other);
+    let crashes = other.gossip_crashes(at(QUARANTINED - 1_000));
+    let mut gateway = gateway(ENGINES);
+    gateway.record_tick(at(1_000));
+
+    gateway.receive_crashes(at(9_000), &crashes);
+    gateway.record_tick(at(9_000));
+    gateway.receive_crashes(at(9_050), &crashes);
+    let frozen = gateway.gossip_crashes(at(9_050)).parts.len();
+    gateway.record_tick(at(9_100));
+    gateway.receive_crashes(at(9_150), &crashes);
+    let on_time = gateway.gossip_crashes(at(9_150)).parts.len();
+
+    assert!(!crashes.parts.is_empty());
+    assert_eq!(frozen, 0);
+    assert!(on_time > 0);
+}
+
 /// Most of a service is down because of the part, so that connections to it fail one after another:
 /// that must not make the gateway take itself for cut off and forget the crashes.
 #[test]
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -215,6 +215,13 @@
         }
     }
 
+    /// Records that the answer is read again after a pause.
+    pub fn record_pause(&mut self) {
+        if let Some(claim) = &mut self.claim {
+            claim.paused = Some(clock::now());
+        }
+    }
+
     /// Whether a replica has sent an event.
     pub fn has_event(&self) -> bool {
         self.claim.is_some_and(|claim| claim.has_event())
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use laburnumwheel_core::gateway::Gateway;
 use laburnumwheel_core::gateway::Settings;
+use laburnumwheel_core::gateway::pulse;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::net::UdpSocket;
@@ -195,6 +196,7 @@
         shared.log(Line::new("started").with("callers", local).with("domain", &entry.domain));
         let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
         spawn(Box::pin(write_lines(shared.clone())));
+        spawn(Box::pin(tick(shared.clone())));
         let eras = self.store.eras;
         spawn(Box::pin(era::follow(shared.clone(), eras.clone())));
         let (read, write_quarantine) = (self.store.read, self.store.write_quarantine);
@@ -235,6 +237,14 @@
     }
 }
 
+/// Records that this process runs, forever.
+async fn tick(shared: Shared) {
+    loop {
+        shared.gateway.borrow_mut().record_tick(clock::now());
+        tokio::time::sleep(clock::duration(pulse::TICK_INTERVAL)).await;
+    }
+}
+
 async fn serve_plain(shared: Shared, listener: tokio::net::TcpListener, handler: Handler) {
     let handler = Rc::new(handler);
     loop {
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -18,6 +18,8 @@
 use laburnumwheel_core::gateway::moves::Obstacle;
 use laburnumwheel_core::gateway::moves::Reply;
 use laburnumwheel_core::gateway::moves::Verdict;
+use laburnumwheel_core::time::Span;
+use laburnumwheel_core::time::Time;
 
 use crate::attempt::Call;
 use crate::attempt::Exchange;
@@ -33,6 +35,9 @@
 use crate::moves::Stopped;
 use crate::origin;
 
+/// Time between two reads of a caller from which on events of a stream wait in buffers.
+const MAX_READ_GAP: Span = Span::millis(100);
+
 /// A stream on its way from a replica to a caller.
 pub struct Relay {
     call: Call,
@@ -44,6 +49,8 @@
     mover: Mover,
     /// The first events, read already when the stream is passed to the caller.
     first: Option<Bytes>,
+    /// Time at which events were last passed to the caller's connection.
+    passed: Option<Time>,
     recorder: Recorder,
 }
 
@@ -87,11 +94,19 @@
                 }
                 call.responding = true;
                 let (first, sequence) = (Some(events), None);
-                Ok((head, Relay { call, exchange, splitter, sequence, mover, first, recorder }))
+                let passed = None;
+                Ok((
+                    head,
+                    Relay { call, exchange, splitter, sequence, mover, first, passed, recorder },
+                ))
             }
             Ok(Step::End | Step::Closed) => {
                 let (first, sequence) = (None, None);
-                Ok((head, Relay { call, exchange, splitter, sequence, mover, first, recorder }))
+                let passed = None;
+                Ok((
+                    head,
+                    Relay { call, exchange, splitter, sequence, mover, first, passed, recorder },
+                ))
             }
             Err(fault) => {
                 let failure = fail(&mut call, exchange.as_ref(), fault);
@@ -113,7 +128,18 @@
         })
     }
 
+    /// The next events. Notes it if the caller has not asked for them for some time.
     async fn next(&mut self) -> Result<Option<Bytes>, Aborted> {
+        let has_paused = self.passed.is_some_and(|at| clock::now().since(at) > MAX_READ_GAP);
+        if let Some(open) = self.exchange.as_mut().filter(|_| has_paused) {
+            open.in_flight.record_pause();
+        }
+        let events = self.read_next().await;
+        self.passed = Some(clock::now());
+        events
+    }
+
+    async fn read_next(&mut self) -> Result<Option<Bytes>, Aborted> {
         if let Some(events) = self.first.take() {
             self.recorder.record_first_event(&self.call);
             return Ok(Some(events));
