Count crashes under runs that were given up

A caller that leaves, or a replica that is silent for 300 ms, ends an attempt: the gateway closes the connection, so that nobody sees it break when the replica crashes under the request a moment later. A request whose callers always leave would crash replicas for good, and one that hangs before it crashes was counted once for two replicas.

A list that was read a lease later tells whether the replica is gone without leaving; then the crash counts like one that was seen. Data of the replica after the end of the run drops the run. Cost: 5 to 8 s until the crash counts.

--- a/core/src/gateway/quarantine.rs
+++ b/core/src/gateway/quarantine.rs
@@ -269,8 +269,19 @@
 impl Quarantine {
     /// Records that a connection broke while a request was running on it.
     pub fn record_crash(&mut self, now: Time, fingerprint: Fingerprint, connection: Connection) {
+        self.record_past_crash(now, now, fingerprint, connection);
+    }
+
+    /// The same for a crash at `at` that is only known now.
+    pub fn record_past_crash(
+        &mut self,
+        now: Time,
+        at: Time,
+        fingerprint: Fingerprint,
+        connection: Connection,
+    ) {
         let suspect = self.suspects.entry(fingerprint).or_default();
-        if suspect.add_crash(now, suspect.key(now, connection)) {
+        if suspect.add_crash(at, suspect.key(at, connection)) {
             suspect.changed = now;
             if suspect.has_enough_crashes() {
                 self.recompute();
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -202,6 +202,8 @@
     parts: Parts,
     survivals: Survivals,
     unframed: Unframed,
+    /// Runs of requests that this gateway gave up, with the times of that as their ends.
+    abandoned: Unframed,
     pulse: Pulse,
     own_crashes: Vec<Crash>,
     /// Classes that this gateway published as the owner of their engines, until they are taken.
@@ -250,6 +252,7 @@
             parts: Parts::default(),
             survivals: Survivals::default(),
             unframed: Unframed::default(),
+            abandoned: Unframed::default(),
             pulse: Pulse::default(),
             own_crashes: Vec::new(),
             published: Vec::new(),
--- a/core/src/gateway/state/parts.rs
+++ b/core/src/gateway/state/parts.rs
@@ -9,6 +9,7 @@
 
 use super::Gateway;
 use super::Grant;
+use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::fleet::Claim;
 use crate::gateway::fleet::Presence;
 use crate::gateway::quarantine;
@@ -105,6 +106,8 @@
         }
         let complete = self.unframed.observe(claim.incarnation, opened, alive);
         complete.iter().for_each(|answer| self.record_complete(now, answer));
+        // The replicas of these runs live.
+        self.abandoned.observe(claim.incarnation, opened, alive);
     }
 
     /// Records an answer without a length that ended with its connection, as it would after a crash.
@@ -119,6 +122,21 @@
         });
     }
 
+    /// Records that an attempt was given up while a replica may have been running the request: its
+    /// caller left, or the replica sent nothing for too long. A crash soon after is one of the request.
+    pub fn record_abandoned(&mut self, now: Time, fingerprint: Option<Fingerprint>, claim: &Claim) {
+        if fingerprint.is_some() {
+            self.abandoned.add(Answer {
+                replica: claim.incarnation,
+                opened: claim.connected.unwrap_or(claim.sent),
+                began: now,
+                ended: now,
+                fingerprint,
+                context: Context::default(),
+            });
+        }
+    }
+
     fn record_complete(&mut self, now: Time, answer: &Answer) {
         if let Some(fingerprint) = answer.fingerprint {
             self.quarantine.record_answer(now, fingerprint);
@@ -134,6 +152,15 @@
         let mut unframed = std::mem::take(&mut self.unframed);
         let decided = unframed.decide(now, |answer| self.judge_unframed(now, answer));
         self.unframed = unframed;
+        let mut abandoned = std::mem::take(&mut self.abandoned);
+        let ended = abandoned.decide(now, |run| self.judge_unframed(now, run));
+        self.abandoned = abandoned;
+        for (run, _) in ended.iter().filter(|(_, verdict)| *verdict != Verdict::Complete) {
+            if let Some(fingerprint) = run.fingerprint {
+                let connection = Connection { replica: run.replica, opened: run.opened };
+                self.quarantine.record_past_crash(now, run.ended, fingerprint, connection);
+            }
+        }
         for (answer, verdict) in decided {
             if verdict == Verdict::Complete {
                 self.record_complete(now, &answer);
--- a/core/tests/gateway/parts/calls.rs
+++ b/core/tests/gateway/parts/calls.rs
@@ -421,6 +421,35 @@
     }
 }
 
+/// The callers of a request leave, or its replicas seem silent, before they crash under it. Nobody sees
+/// the connections break, and the request would crash replicas for good.
+#[test]
+fn crashes_under_abandoned_runs_count_once_their_replicas_are_gone() {
+    let is_quarantined = |are_gone: bool| {
+        let mut gateway = gateway(ENGINES);
+        let request = Some(Fingerprint(7));
+        let mut gone = Vec::new();
+        for n in 0..3 {
+            let (mut grant, claim) = send(&mut gateway, 1_000 * n, &[]).unwrap();
+            gone.push(gateway.fleet().get(claim.replica).unwrap().listing.incarnation.clone());
+            gateway.record_abandoned(at(1_000 * n + 50), request, &claim);
+            gateway.record_end(at(1_000 * n + 50), claim, Outcome::Cancelled);
+            let (later, unreachable) = (at(1_000 * n + 60), Outcome::Unreachable);
+            gateway.record_unsent(later, &mut grant, claim.replica, unreachable);
+        }
+        let others = listings(ENGINES).into_iter();
+        let left = others.filter(|l| !are_gone || !gone.contains(&l.incarnation)).collect();
+        gateway.record_read(at(8_000), None);
+        gateway.update_lists(at(8_000), at(8_000), left, Vec::new());
+        gateway.reevaluate_parts(at(8_500));
+        gateway.reevaluate_quarantine(at(8_500));
+        gateway.fingerprints_quarantined(at(8_500)) > 0
+    };
+
+    assert!(is_quarantined(true));
+    assert!(!is_quarantined(false));
+}
+
 /// A harmless request is retried by its caller and meets three engines that a part crashes. Once the
 /// part is known, these crashes do not count against the request.
 #[test]
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -25,6 +25,7 @@
 use hyper::http::response;
 use laburnumwheel_core::gateway::Grant;
 use laburnumwheel_core::gateway::Pick;
+use laburnumwheel_core::gateway::fingerprint::Fingerprint;
 use laburnumwheel_core::gateway::fleet::Claim;
 use laburnumwheel_core::gateway::fleet::Outcome;
 use laburnumwheel_core::gateway::limit::permit::Permit;
@@ -179,13 +180,14 @@
     shared: Shared,
     /// Claim on the replica; `None` if another gateway serves the call.
     claim: Option<Claim>,
+    fingerprint: Option<Fingerprint>,
     ended: Cell<bool>,
 }
 
 impl InFlight {
     /// An attempt that another gateway makes, which records it too.
     pub fn at_peer(shared: &Shared) -> InFlight {
-        InFlight { shared: shared.clone(), claim: None, ended: Cell::new(false) }
+        InFlight { shared: shared.clone(), claim: None, fingerprint: None, ended: Cell::new(false) }
     }
 
     /// Claim on the replica; `None` if another gateway serves the call.
@@ -202,7 +204,12 @@
     pub fn end(&self, outcome: Outcome) {
         let is_first = !self.ended.replace(true);
         if let Some(claim) = self.claim.filter(|_| is_first) {
-            self.shared.gateway.borrow_mut().record_end(clock::now(), claim, outcome);
+            let (now, mut gateway) = (clock::now(), self.shared.gateway.borrow_mut());
+            if outcome == Outcome::Cancelled {
+                gateway.record_abandoned(now, self.fingerprint, &claim);
+            }
+            gateway.record_end(now, claim, outcome);
+            drop(gateway);
             self.shared.updates_waiting.notify_one();
         }
     }
@@ -596,7 +603,8 @@
         let shared = self.shared.clone();
         pick.claim.connected = Some(channel.opened);
         let claim = Some(pick.claim);
-        let mut in_flight = InFlight { shared, claim, ended: Cell::new(false) };
+        let fingerprint = self.grant.fingerprint;
+        let mut in_flight = InFlight { shared, claim, fingerprint, ended: Cell::new(false) };
         let response = channel.sender.send_request(request);
         let response = match self.wait_for(&in_flight, response).await {
             Ok(Ok(response)) => response,
@@ -759,6 +767,10 @@
         if let Some(claim) = in_flight.claim.filter(|_| fault == Fault::Broken) {
             self.shared.gateway.borrow_mut().record_crash(clock::now(), &self.grant, &claim);
         }
+        if let Some(claim) = in_flight.claim.filter(|_| fault == Fault::Silent) {
+            let mut gateway = self.shared.gateway.borrow_mut();
+            gateway.record_abandoned(clock::now(), self.grant.fingerprint, &claim);
+        }
         in_flight.end(fault.outcome());
         self.record_failure(replica, fault);
         Failure::Fault(fault, None)
