Bound the connections of each listener, and end heads that never end

Callers on new connections got no answer while others held all descriptors with half a head, or with connections on which they sent nothing, at whichever listener. No timer ended a head: a graceful shutdown of a connection has no effect on a head that has begun, and the listeners for readiness, directory and metrics had no limit of any kind.

Each listener has a table of its connections now, of a size by the descriptors of the settings (limits.maxFds, else the system's limit) and by memory. A full table closes the connection that serves its client least: one that never brought a complete call, then the longest idle one, then the longest body; calls in progress stay. Connections are accepted also without a place for them, since what their clients send would wait in the kernel otherwise. A head has the configuration's time for it from its first byte, at all listeners; bytes of incomplete heads are bounded together; the kernel's buffers are small if memory is limited. Evictions are counted and logged when they begin and end.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -29,6 +29,9 @@
 use crate::call;
 use crate::channel::Pool;
 use crate::clock;
+use crate::connection;
+use crate::connection::Clients;
+use crate::connection::Table;
 use crate::copy;
 use crate::delegation;
 use crate::dialect::Dialect;
@@ -42,7 +45,6 @@
 use crate::peers;
 use crate::reach;
 use crate::server;
-use crate::server::Clients;
 use crate::shared::Shared;
 use crate::shared::State;
 use crate::store;
@@ -50,8 +52,7 @@
 use crate::topic;
 use crate::topic::Topic;
 
-/// Time between checks whether a stopping gateway has finished, and the pause after a failed
-/// `accept`.
+/// Time between checks whether a stopping gateway has finished.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Part of the grace period that is left unused, so that the process exits before it is killed.
 const EXIT_RESERVE: Duration = Duration::from_millis(600);
@@ -83,6 +84,7 @@
     grace_period: Duration,
     drain_delay: Duration,
     memory_limit: Option<u64>,
+    descriptor_limit: Option<u64>,
 }
 
 impl Builder {
@@ -105,6 +107,7 @@
             grace_period: Duration::from_secs(8),
             drain_delay: Duration::from_secs(3),
             memory_limit: None,
+            descriptor_limit: None,
         }
     }
 
@@ -139,6 +142,24 @@
         self
     }
 
+    /// Sets the number of descriptors that the process may open; the system's limit by default.
+    pub fn descriptor_limit(mut self, descriptors: Option<u64>) -> Builder {
+        self.descriptor_limit = descriptors;
+        self
+    }
+
+    fn open(&self, address: SocketAddr, clients: Clients) -> std::io::Result<server::Listener> {
+        let socket = server::listen(address)
+            .map_err(|e| std::io::Error::new(e.kind(), format!("{address}: {e}")))?;
+        if self.memory_limit.is_some() {
+            server::bound_receive_buffers(&socket);
+        }
+        let limits =
+            connection::Limits { descriptors: self.descriptor_limit, memory: self.memory_limit };
+        let table = Table::new(limits.capacity(clients));
+        Ok(server::Listener { socket, clients, table })
+    }
+
     /// Opens all listeners and spawns the gateway's tasks.
     ///
     /// # Errors
@@ -148,13 +169,12 @@
         let at = |address: SocketAddr| {
             move |e: std::io::Error| std::io::Error::new(e.kind(), format!("{address}: {e}"))
         };
-        let callers = server::listen(self.callers).map_err(at(self.callers))?;
+        let callers = self.open(self.callers, Clients::Callers)?;
         let socket = UdpSocket::bind(self.heartbeats).await.map_err(at(self.heartbeats))?;
-        let peers = server::listen(self.heartbeats).map_err(at(self.heartbeats))?;
+        let peers = self.open(self.heartbeats, Clients::Peers)?;
         let mut others = Vec::new();
-        for listener in self.listeners {
-            let opened = server::listen(listener.address).map_err(at(listener.address))?;
-            others.push((opened, listener.handler));
+        for listener in &self.listeners {
+            others.push((self.open(listener.address, Clients::Others)?, listener.handler));
         }
         let entry = self.settings.entry.clone();
         let duties = self.duties.map(|(options, calls)| {
@@ -192,7 +212,7 @@
             socket,
             gateway: RefCell::new(Gateway::new(self.settings, clock::now())),
         });
-        let local = callers.local_addr()?;
+        let local = callers.socket.local_addr()?;
         shared.log(Line::new("started").with("callers", local).with("domain", &entry.domain));
         let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
         spawn(Box::pin(write_lines(shared.clone())));
@@ -208,7 +228,7 @@
             renew: Rc::clone(&self.store.renew),
         };
         spawn(Box::pin(store::follow(shared.clone(), entry.clone(), follower, seeds)));
-        spawn(Box::pin(server::serve(shared.clone(), peers, Clients::Peers, delegation::serve)));
+        spawn(Box::pin(server::serve(shared.clone(), peers, delegation::serve)));
         spawn(Box::pin(reach::probe(shared.clone())));
         spawn(Box::pin(reach::announce(shared.clone())));
         let (announce, renew) = (self.store.announce, self.store.renew);
@@ -223,7 +243,7 @@
         spawn(Box::pin(admission::decide(shared.clone())));
         spawn(Box::pin(duty::run_election(shared.clone(), eras)));
         spawn(Box::pin(duty::deliver_usage(shared.clone())));
-        spawn(Box::pin(server::serve(shared.clone(), callers, Clients::Callers, call::serve)));
+        spawn(Box::pin(server::serve(shared.clone(), callers, call::serve)));
         for (listener, handler) in others {
             spawn(Box::pin(serve_plain(shared.clone(), listener, handler)));
         }
@@ -245,25 +265,11 @@
     }
 }
 
-async fn serve_plain(shared: Shared, listener: tokio::net::TcpListener, handler: Handler) {
-    let handler = Rc::new(handler);
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(POLL_INTERVAL).await;
-            continue;
-        };
-        let (shared, handler) = (shared.clone(), Rc::clone(&handler));
-        tokio::task::spawn_local(async move {
-            let service = hyper::service::service_fn(|request| {
-                let response = handler(&shared, &request);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let io = hyper_util::rt::TokioIo::new(stream);
-            let mut builder = hyper::server::conn::http1::Builder::new();
-            // A peer whose connection broke repeats its request.
-            let _ = builder.auto_date_header(false).serve_connection(io, service).await;
-        });
-    }
+async fn serve_plain(shared: Shared, listener: server::Listener, handler: Handler) {
+    server::serve(shared, listener, move |shared: Shared, request| async move {
+        Ok::<_, Infallible>(handler(&shared, &request))
+    })
+    .await;
 }
 
 async fn write_lines(shared: Shared) {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod call;
 pub mod channel;
 pub mod clock;
+pub mod connection;
 pub mod copy;
 pub mod delegation;
 pub mod departure;
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -1,7 +1,9 @@
-//! Listens for callers and serves their connections.
+//! Listens for clients and serves their connections.
 //!
-//! A connection is closed when it has been idle for too long, and in a stop after its response in
-//! progress. In a stop a closed connection counts as open until the caller has read its response.
+//! A connection is closed when it has been idle for too long, when its head does not arrive in time,
+//! when its place is needed, and in a stop after its response in progress. In a stop a closed
+//! connection counts as open until the caller has read its response. Connections are accepted also
+//! when there is no place for them: what clients send would wait in the kernel otherwise.
 
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -9,11 +11,16 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -29,6 +36,13 @@
 
 use crate::body::Payload;
 use crate::clock;
+use crate::connection::Clients;
+use crate::connection::Connection;
+use crate::connection::Place;
+use crate::connection::RECEIVE_BUFFER_BYTES;
+use crate::connection::Socket as Link;
+use crate::connection::Table;
+use crate::connection::Tracked;
 use crate::delegation;
 use crate::log::Line;
 use crate::shared::Shared;
@@ -46,6 +60,13 @@
 /// Pause after an error of `accept`, which fails again at once while no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Smallest buffer for the head of a call, in bytes, and what it has beyond the largest head.
+const MIN_HEAD_BUFFER_BYTES: usize = 16 << 10;
+const HEAD_BUFFER_SLACK_BYTES: usize = 8 << 10;
+/// Buffer for the head of a request that is no call, in bytes. The paths and the few headers that
+/// such a request needs take some hundred.
+const PLAIN_BUFFER_BYTES: usize = 16 << 10;
+
 /// Opens a listening socket.
 ///
 /// # Errors
@@ -60,6 +81,12 @@
     TcpListener::from_std(socket.into())
 }
 
+/// Bounds the bytes that wait unread in the kernel for each connection of a listener.
+pub fn bound_receive_buffers(listener: &TcpListener) {
+    // With the system's buffers, only this bound is missing.
+    let _ = SockRef::from(listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+}
+
 /// Calls in progress on a connection, and the time of its last activity.
 #[derive(Debug)]
 struct Activity {
@@ -67,68 +94,108 @@
     calls: Cell<usize>,
 }
 
-/// Who connects to a listener.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Clients {
-    /// Callers, for whose open connections a stop waits.
-    Callers,
-    /// Other gateways, for whose connections a stop waits if they carry a delegated call. Those that
-    /// fetch views come all the time and would delay it.
-    Peers,
+/// A listening socket and the connections that it has accepted.
+#[derive(Debug)]
+pub struct Listener {
+    /// The socket.
+    pub socket: TcpListener,
+    /// Who connects to it.
+    pub clients: Clients,
+    /// Its open connections.
+    pub table: Arc<Table>,
 }
 
-/// Accepts `clients` on `listener` and serves their requests with `respond`, forever.
-pub async fn serve<F, R>(shared: Shared, listener: TcpListener, clients: Clients, respond: F)
+/// Accepts clients and serves their requests with `respond`, forever.
+pub async fn serve<F, R>(shared: Shared, listener: Listener, respond: F)
 where
     F: Fn(Shared, Request<Incoming>) -> R + Copy + 'static,
     R: Future<Output = Result<Response<Payload>, Infallible>> + 'static,
 {
+    let Listener { socket, clients, table } = listener;
+    let mut is_scarce = false;
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(shared.clone(), stream, clients, respond));
-            }
+        let stream = match socket.accept().await {
+            Ok((stream, _)) => stream,
             Err(e) => {
                 shared.log(Line::new("accept_failed").with("error", e));
                 tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
             }
+        };
+        let place = table.make_place().await;
+        if place != Place::Free {
+            let labels = format!("clients=\"{clients}\",phase=\"{place}\"");
+            shared.metrics.count("connections_evicted_total", labels);
+        }
+        if std::mem::replace(&mut is_scarce, place != Place::Free) != is_scarce {
+            let event = if is_scarce { "connections_scarce" } else { "connections_free" };
+            shared.log(Line::new(event).with("clients", clients).with("open", table.len()));
+        }
+        if place != Place::None {
+            let link = table.open(stream);
+            let connection = connection(shared.clone(), Arc::clone(&table), link, clients, respond);
+            tokio::task::spawn_local(connection);
         }
     }
 }
 
-async fn connection<F, R>(shared: Shared, stream: TcpStream, clients: Clients, respond: F)
-where
+async fn connection<F, R>(
+    shared: Shared,
+    table: Arc<Table>,
+    link: Link,
+    clients: Clients,
+    respond: F,
+) where
     F: Fn(Shared, Request<Incoming>) -> R + Copy + 'static,
     R: Future<Output = Result<Response<Payload>, Infallible>> + 'static,
 {
     // Errors are ignored: without these options a connection is slower, or outlives its caller.
-    let _ = stream.set_nodelay(true);
-    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+    let _ = link.stream().set_nodelay(true);
+    let _ = SockRef::from(link.stream()).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
     let counted = Rc::new(Counted { shared: shared.clone(), active: Cell::new(false) });
     if clients == Clients::Callers {
         counted.begin();
     }
+    let state = Arc::clone(link.connection());
     let activity = Rc::new(Activity { last: Cell::new(clock::now()), calls: Cell::new(0) });
-    let (s, a) = (shared.clone(), Rc::clone(&activity));
-    let service = service_fn(move |request| {
+    let (s, a, c) = (shared.clone(), Rc::clone(&activity), Arc::clone(&state));
+    let service = service_fn(move |mut request| {
         if delegation::is_delegated(&request) {
             counted.begin();
         }
-        let (shared, activity) = (s.clone(), Rc::clone(&a));
+        table.end_head(&c);
+        let call = c.begin_call();
+        request.extensions_mut().insert(Arc::clone(&c));
+        let (shared, activity, state) = (s.clone(), Rc::clone(&a), Arc::clone(&c));
         async move {
             let _busy = Busy::new(activity);
-            respond(shared, request).await
+            let mut response = respond(shared, request).await?;
+            if state.is_wide() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response.map(|body| Tracked::new(body, call)))
         }
     });
-    let limits = shared.gateway.borrow().config().map_or_else(Limits::default, |c| c.limits);
     let mut builder = http1::Builder::new();
-    builder.max_buf_size(limits.head.max(16_384) + 8_192).auto_date_header(false);
-    let mut connection = builder.serve_connection(TokioIo::new(stream), service);
+    builder.max_buf_size(buffer_bytes(&shared, clients)).auto_date_header(false);
+    let mut connection = builder.serve_connection(TokioIo::new(link), service);
     let served = loop {
+        let is_head_awaited = state.head_began().is_some();
         tokio::select! {
-            served = &mut connection => break served,
+            biased;
+            served = std::future::poll_fn(|cx| poll(&mut connection, cx, &state, is_head_awaited)) => {
+                if let Some(served) = served {
+                    break served;
+                }
+                continue;
+            }
             () = shared.connections_closing.notified() => {}
             () = tokio::time::sleep(remaining_idle(&shared, &activity)) => {}
+            () = tokio::time::sleep(remaining_head(&shared, &state)), if is_head_awaited => {
+                shared.metrics.count("heads_timed_out_total", format!("clients=\"{clients}\""));
+                return;
+            }
         }
         if remaining_idle(&shared, &activity).is_zero() {
             Pin::new(&mut connection).graceful_shutdown();
@@ -137,8 +204,39 @@
     };
     // A caller that has left causes an error; its calls have been dropped and logged.
     if served.is_ok() && shared.gateway.borrow().is_stopping() {
-        wait_until_read(&connection.into_parts().io.into_inner()).await;
+        wait_until_read(connection.into_parts().io.into_inner().stream()).await;
+    }
+}
+
+/// Size of the buffer for heads, in bytes.
+fn buffer_bytes(shared: &Shared, clients: Clients) -> usize {
+    if clients == Clients::Others {
+        return PLAIN_BUFFER_BYTES;
     }
+    let limits = shared.gateway.borrow().config().map_or_else(Limits::default, |c| c.limits);
+    limits.head.max(MIN_HEAD_BUFFER_BYTES) + HEAD_BUFFER_SLACK_BYTES
+}
+
+/// Polls a connection until it ends, or an incomplete head has begun to arrive that is not awaited
+/// yet, which is `None`.
+fn poll<C: Future + Unpin>(
+    connection: &mut C,
+    cx: &mut Context<'_>,
+    state: &Connection,
+    is_head_awaited: bool,
+) -> Poll<Option<C::Output>> {
+    match Pin::new(connection).poll(cx) {
+        Poll::Ready(served) => Poll::Ready(Some(served)),
+        Poll::Pending if state.head_began().is_some() && !is_head_awaited => Poll::Ready(None),
+        Poll::Pending => Poll::Pending,
+    }
+}
+
+/// Returns the time that is left for an incomplete head.
+fn remaining_head(shared: &Shared, state: &Connection) -> Duration {
+    let began = state.head_began().unwrap_or(clock::now());
+    let limits = shared.gateway.borrow().config().map_or_else(Limits::default, |c| c.limits);
+    clock::until(began + limits.head_time)
 }
 
 /// Counts a connection as open until it is dropped.
