Reserve memory for bodies before they are read

A gateway ended when many callers sent long bodies at once: it counted a body only when it was complete, read those of refused calls in the same way, and asked whether there is memory only when a call's head arrived. Until the last byte, any number of bodies was let in. Chunks were kept as slices of the connection's buffers, and joined into a copy.

Memory is reserved for the whole body by the length in its head, and in doubling steps for a chunked one; the buffer is one piece. A call without memory for its body gets 503 at once: not run, with a time to return. Bodies above 64 KB have at most 0.6 to 0.7 of the share for calls, below the bound from which calls of any rank are refused, so that short calls find room beside any number of them; a single long body is let in however small the process is. What is left of a body that is refused, too long, or without memory is read and dropped, within the configuration's limits on a body, so that the caller gets the answer and no reset. A length over the limit is refused by the head alone. A connection with a long body has a larger window, which its reservation counts, and is closed after its call.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -6,11 +6,9 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::sync::Arc;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
@@ -33,7 +31,10 @@
 use crate::attempt::Fault;
 use crate::body::Payload;
 use crate::clock;
+use crate::connection::Connection;
 use crate::delegation::Delegation;
+use crate::intake;
+use crate::intake::Intake;
 use crate::log::Line;
 use crate::memory;
 use crate::memory::Answer;
@@ -218,17 +219,31 @@
     };
     let admitted = admitted.and_then(|grant| memory::admit(shared, grant));
     let limits = shared.gateway.borrow().config().map_or_else(Limits::default, |c| c.limits);
-    // The body of a refused call is read too, so that the connection stays usable.
-    let body = match read_body(body, &limits).await {
-        Ok(body) => shared.memory.count(body),
-        Err(status) => {
-            recorder.record_refusal("body", status);
-            return gateway_response(shared, &submission.id, status, None);
-        }
-    };
+    let connection = head.extensions.get::<Arc<Connection>>().cloned();
+    let mut intake = Intake::new(body, limits, connection);
     let mut grant = match admitted {
         Ok(grant) => grant,
-        Err(refusal) => return refuse(shared, &recorder, &submission.id, &refusal),
+        Err(refusal) => {
+            // The body of a refused call is read too, so that the connection stays usable.
+            if !intake.discard().await {
+                tokio::task::spawn_local(intake.drain());
+            }
+            return refuse(shared, &recorder, &submission.id, &refusal);
+        }
+    };
+    let body = match intake.receive(&shared.memory, grant.rank.route).await {
+        Ok(body) => body,
+        Err(intake::Fault::NoMemory) => {
+            tokio::task::spawn_local(intake.drain());
+            return refuse(shared, &recorder, &submission.id, &memory::refusal());
+        }
+        Err(fault) => {
+            if fault == intake::Fault::TooLong {
+                tokio::task::spawn_local(intake.drain());
+            }
+            recorder.record_refusal("body", fault.status());
+            return gateway_response(shared, &submission.id, fault.status(), None);
+        }
     };
     let (method, uri) = (head.method, head.uri);
     let uri = uri.path_and_query().map_or(uri.clone(), |p| p.clone().into());
@@ -458,14 +473,3 @@
     *response.headers_mut() = headers;
     response
 }
-
-/// Reads a caller's body within the limits on its size and time.
-async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, StatusCode> {
-    let collected = Limited::new(body, limits.body).collect();
-    match tokio::time::timeout(clock::duration(limits.head_time), collected).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
-    }
-}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod fenced;
 pub mod flaw;
 pub mod gateway;
+pub mod intake;
 pub mod limit;
 pub mod log;
 pub mod memory;
--- a/gateway/src/memory.rs
+++ b/gateway/src/memory.rs
@@ -6,8 +6,8 @@
 //! answer that does not fit is not dropped: from there on it is read from its replica only as fast as
 //! its caller reads it, so that calls of the highest rank are served long after the others are not.
 
-use std::cell::Cell;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -44,6 +44,12 @@
 /// all further ranks. Answers that are passed on take some hundred kilobytes each beyond the share, so
 /// that calls of the highest rank are refused at half of the process's memory.
 const REFUSAL_RATIOS: [f64; 3] = [1.5, 0.9, 0.75];
+/// Longest body that counts as short, in bytes.
+pub const MAX_SHORT_BODY_BYTES: usize = 64 << 10;
+/// Multiples of the share for calls that longer bodies may take together, by the rank of their route;
+/// the last one is for all further ranks. They are below all of [`REFUSAL_RATIOS`], so that short
+/// calls of any rank find room beside any number of long bodies.
+const LONG_BODY_RATIOS: [f64; 3] = [0.7, 0.65, 0.6];
 /// Multiple of that below which memory counts as free again in the log.
 const FREE_RATIO: f64 = 0.5;
 /// Time after which a refused caller retries. Other gateways have memory left.
@@ -59,7 +65,9 @@
 pub struct Memory {
     limit: Option<usize>,
     held: Arc<AtomicUsize>,
-    is_scarce: Cell<bool>,
+    /// Part of it that long bodies of requests take.
+    long: Arc<AtomicUsize>,
+    is_scarce: AtomicBool,
 }
 
 impl Memory {
@@ -84,13 +92,30 @@
         self.is_below(REFUSAL_RATIOS[usize::from(rank).min(REFUSAL_RATIOS.len() - 1)])
     }
 
+    /// Reserves memory for the body of a request of a route with this rank, which grows as the body
+    /// arrives.
+    pub fn reserve(&self, rank: u8) -> Reservation {
+        let ratio = |ratios: [f64; 3]| ratios[usize::from(rank).min(ratios.len() - 1)];
+        let bound = |ratio: f64| match self.limit {
+            Some(limit) => (limit as f64 * ratio) as usize,
+            None => usize::MAX,
+        };
+        Reservation {
+            held: self.hold(),
+            long: Arc::clone(&self.long),
+            long_bytes: 0,
+            max_held: bound(ratio(REFUSAL_RATIOS)),
+            max_long: bound(ratio(LONG_BODY_RATIOS)),
+        }
+    }
+
     fn is_below(&self, ratio: f64) -> bool {
         self.limit.is_none_or(|limit| (self.held() as f64) < limit as f64 * ratio)
     }
 
     /// Notes whether memory is scarce; `true` if that is new.
     fn set_scarce(&self, is_scarce: bool) -> bool {
-        self.is_scarce.replace(is_scarce) != is_scarce
+        self.is_scarce.swap(is_scarce, Ordering::Relaxed) != is_scarce
     }
 
     /// Counts the body of a request until it is dropped.
@@ -137,6 +162,69 @@
     }
 }
 
+/// Memory that is reserved for the body of a request before the body is read.
+#[derive(Debug)]
+pub struct Reservation {
+    held: Held,
+    long: Arc<AtomicUsize>,
+    /// What this body adds to `long`.
+    long_bytes: usize,
+    max_held: usize,
+    max_long: usize,
+}
+
+impl Reservation {
+    /// Bytes that are reserved.
+    pub fn bytes(&self) -> usize {
+        self.held.bytes
+    }
+
+    /// Grows to `bytes` if there is room. The only long body always has room beside short ones, so
+    /// that a single one is served however small the process's memory is.
+    pub fn grow_to(&mut self, bytes: usize) -> bool {
+        let more = bytes.saturating_sub(self.held.bytes);
+        let is_long = bytes > MAX_SHORT_BODY_BYTES;
+        let long_bytes = if is_long { bytes } else { 0 };
+        let others = self.long.load(Ordering::Relaxed) - self.long_bytes;
+        if is_long && others > 0 && others.saturating_add(long_bytes) > self.max_long {
+            return false;
+        }
+        let held = self.held.all.load(Ordering::Relaxed).saturating_add(more);
+        if held > self.max_held && !(is_long && held - long_bytes == 0) {
+            return false;
+        }
+        self.held.add(more);
+        self.long.fetch_add(long_bytes - self.long_bytes.min(long_bytes), Ordering::Relaxed);
+        self.long_bytes = long_bytes.max(self.long_bytes);
+        true
+    }
+
+    /// The body, which is counted until its last copy is dropped.
+    pub fn attach(self, body: Bytes) -> Bytes {
+        match body.is_empty() {
+            true => body,
+            false => Bytes::from_owner(Received { body, _reservation: self }),
+        }
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.long.fetch_sub(self.long_bytes, Ordering::Relaxed);
+    }
+}
+
+struct Received {
+    body: Bytes,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for Received {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
 impl Drop for Held {
     fn drop(&mut self) {
         self.all.fetch_sub(self.bytes, Ordering::Relaxed);
@@ -154,6 +242,11 @@
     }
 }
 
+/// The refusal of a call for whose body there is no memory.
+pub fn refusal() -> Refusal {
+    Refusal::not_run(Reason::MemoryScarce, RETRY_AFTER)
+}
+
 /// Checks that there is memory for a new call, before anything of it is sent.
 ///
 /// # Errors
@@ -162,7 +255,8 @@
 pub fn admit(shared: &Shared, grant: Grant) -> Result<Grant, Refusal> {
     let memory = &shared.memory;
     let admits = memory.admits(grant.rank.route);
-    let is_scarce = !admits || (memory.is_scarce.get() && !memory.is_below(FREE_RATIO));
+    let is_scarce =
+        !admits || (memory.is_scarce.load(Ordering::Relaxed) && !memory.is_below(FREE_RATIO));
     if memory.set_scarce(is_scarce) {
         let line = Line::new(if is_scarce { "memory_scarce" } else { "memory_free" })
             .with("held_bytes", memory.held())
@@ -172,7 +266,7 @@
     if admits {
         return Ok(grant);
     }
-    Err(Refusal::not_run(Reason::MemoryScarce, RETRY_AFTER))
+    Err(refusal())
 }
 
 /// The answer of a plain service.
@@ -242,10 +336,12 @@
     /// that breaks off closes the caller's connection before its end.
     pub fn open(
         self,
-        call: Call,
+        mut call: Call,
         recorder: Recorder,
     ) -> (response::Parts, impl Stream<Item = Result<Bytes, Aborted>>) {
         let exchange = self.exchange;
+        // The call is not sent again.
+        call.body = Bytes::new();
         exchange.in_flight.end(Outcome::Answered);
         call.shared.metrics.count("answers_passed_on_total", String::new());
         let head = exchange.head.clone();
