Bound what waits of answers that callers don't read

Events of streams whose callers do not read gathered between gateway and replica: the kernel's buffers grow to megabytes for each connection (60 callers: 138 MB in a process of 110 MB). Answers were held whole until the share for calls was full, so that calls of lower ranks were refused while sixty callers of the highest rank did not read.

Connections that carry calls have small receive buffers and read buffers if memory is limited. Answers are held whole up to 0.6 of the share, below the bound from which calls of any rank are refused; the rest of an answer is passed on. What a plain call holds of such an answer, 64 KB at most, is counted from its admission on instead of when it has arrived: of a burst of 160 calls all were admitted before, and exceeded the bound afterwards. A call whose answer is passed on drops its body.

Two tests of the gateway waited until answers of forty callers, half a megabyte of each in buffers, had made memory scarce. So much is not buffered any more, and the condition never came true. They have 160 callers and half the memory now, with the same assertions; what may exceed the bound is 64 KB in place of half a megabyte.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -41,6 +41,7 @@
 use crate::admission::Place;
 use crate::cache;
 use crate::channel;
+use crate::channel::Bound;
 use crate::channel::Channel;
 use crate::clock;
 use crate::copy;
@@ -48,6 +49,7 @@
 use crate::dialect;
 use crate::limit;
 use crate::log::Line;
+use crate::memory::Held;
 use crate::peers;
 use crate::reach;
 use crate::shared::Shared;
@@ -100,6 +102,8 @@
     pub copy: Option<Copy>,
     /// Time that the call has waited for places at replicas.
     pub waited: Span,
+    /// Memory that is counted for the answer of a plain call.
+    pub held: Option<Held>,
 }
 
 /// Why an attempt failed.
@@ -490,12 +494,17 @@
         {
             return Ok(channel);
         }
-        let opened = channel::open(&pick.address).await;
+        let opened = channel::open_bounded(&pick.address, self.bound()).await;
         self.count_connection(&opened);
         reach::record(&self.shared, pick.claim.replica, opened.is_ok());
         opened.map_err(|e| self.fail_unsent(pick, Fault::Unreachable, &e.to_string()))
     }
 
+    /// How much of the response may wait on a connection.
+    pub(crate) fn bound(&self) -> Bound {
+        Bound::of_call(self.shared.memory.limit().is_some(), self.grant.route.streams)
+    }
+
     /// Counts a new connection to a replica, or the failure to open one.
     fn count_connection(&self, opened: &std::io::Result<Channel>) {
         let outcome = match opened.as_ref().map_err(std::io::Error::kind) {
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -231,6 +231,7 @@
             return refuse(shared, &recorder, &submission.id, &refusal);
         }
     };
+    let held = (!grant.route.streams).then(|| shared.memory.hold_call());
     let body = match intake.receive(&shared.memory, grant.rank.route).await {
         Ok(body) => body,
         Err(intake::Fault::NoMemory) => {
@@ -274,6 +275,7 @@
         is_budgeted: true,
         copy: None,
         waited: Span(0),
+        held,
     };
     run(call, recorder).await
 }
--- a/gateway/src/channel.rs
+++ b/gateway/src/channel.rs
@@ -21,6 +21,7 @@
 use laburnumwheel_core::time::Time;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -35,10 +36,53 @@
 /// peer counts as gone once probes have not been acknowledged for [`UNACKNOWLEDGED_TIMEOUT`].
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Receive buffers of the kernel for connections that carry calls, in bytes, if the process's memory
+/// is limited. The kernel doubles them. While a caller does not read, so much of its response waits
+/// there; larger ones would let some hundred such callers fill the memory of a small host.
+const CALL_BUFFERS: Buffers = Buffers { plain: 16 << 10, streams: 8 << 10 };
+/// Largest buffer for what has been read of a response and not been passed on, in bytes, under the
+/// same condition.
+const READ_BUFFER_BYTES: usize = 64 << 10;
 /// Longest time that a pooled connection stays idle. Replicas close idle connections themselves
 /// after some seconds.
 const MAX_IDLE: Span = Span::millis(2_500);
 
+/// Sizes of receive buffers, in bytes.
+struct Buffers {
+    plain: usize,
+    streams: usize,
+}
+
+/// How much of a response may wait on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bound {
+    /// As much as the system allows.
+    System,
+    /// Little, for a plain response.
+    Plain,
+    /// Less, for a stream of events.
+    Stream,
+}
+
+impl Bound {
+    /// Bound for a call of a route, in a process whose memory is limited or not.
+    pub fn of_call(is_limited: bool, streams: bool) -> Bound {
+        match (is_limited, streams) {
+            (false, _) => Bound::System,
+            (true, false) => Bound::Plain,
+            (true, true) => Bound::Stream,
+        }
+    }
+
+    fn receive_buffer(self) -> Option<u32> {
+        match self {
+            Bound::System => None,
+            Bound::Plain => Some(CALL_BUFFERS.plain as u32),
+            Bound::Stream => Some(CALL_BUFFERS.streams as u32),
+        }
+    }
+}
+
 /// An open connection. Dropping it closes it at once, which makes the replica stop its work.
 #[derive(Debug)]
 pub struct Channel {
@@ -62,7 +106,16 @@
 /// Returns an error if the address is malformed, the system reports one, or connecting takes longer
 /// than 250 ms.
 pub async fn open(address: &str) -> std::io::Result<Channel> {
-    handshake(connect(address).await?).await
+    open_bounded(address, Bound::System).await
+}
+
+/// Opens a connection on which only so much of a response waits until it is read.
+///
+/// # Errors
+///
+/// The same as for [`open`].
+pub async fn open_bounded(address: &str, bound: Bound) -> std::io::Result<Channel> {
+    handshake(connect(address, bound).await?, bound).await
 }
 
 /// Opens a connection to another gateway. Unlike a replica's, its silence is not noticed by other
@@ -71,23 +124,35 @@
 /// # Errors
 ///
 /// The same as for [`open`].
-pub async fn open_to_peer(address: &str) -> std::io::Result<Channel> {
-    let stream = connect(address).await?;
+pub async fn open_to_peer(address: &str, bound: Bound) -> std::io::Result<Channel> {
+    let stream = connect(address, bound).await?;
     let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_IDLE).with_interval(KEEPALIVE_INTERVAL);
     SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
-    handshake(stream).await
+    handshake(stream, bound).await
 }
 
-async fn connect(address: &str) -> std::io::Result<TcpStream> {
+async fn connect(address: &str, bound: Bound) -> std::io::Result<TcpStream> {
     let address: SocketAddr = address.parse().map_err(std::io::Error::other)?;
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if let Some(bytes) = bound.receive_buffer() {
+        // With the system's buffer, only the bound on unread bytes is missing.
+        let _ = socket.set_recv_buffer_size(bytes);
+    }
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(address)).await??;
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     Ok(stream)
 }
 
-async fn handshake(stream: TcpStream) -> std::io::Result<Channel> {
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+async fn handshake(stream: TcpStream, bound: Bound) -> std::io::Result<Channel> {
+    let mut builder = http1::Builder::new();
+    if bound != Bound::System {
+        builder.max_buf_size(READ_BUFFER_BYTES);
+    }
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(std::io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
         // An error is returned by `send_request` too.
--- a/gateway/src/delegation.rs
+++ b/gateway/src/delegation.rs
@@ -374,7 +374,7 @@
         delegate: &Entry,
         last_event: Option<&Bytes>,
     ) -> Result<Exchange, Rejection> {
-        let Ok(channel) = channel::open_to_peer(&delegate.peer_address).await else {
+        let Ok(channel) = channel::open_to_peer(&delegate.peer_address, self.bound()).await else {
             self.count_delegation(delegate, "unreachable");
             return Err(Rejection::Elsewhere);
         };
--- a/gateway/src/memory.rs
+++ b/gateway/src/memory.rs
@@ -50,6 +50,13 @@
 /// the last one is for all further ranks. They are below all of [`REFUSAL_RATIOS`], so that short
 /// calls of any rank find room beside any number of long bodies.
 const LONG_BODY_RATIOS: [f64; 3] = [0.7, 0.65, 0.6];
+/// Multiple of the share for calls up to which answers are held whole; the rest of an answer beyond
+/// it is passed on. It is below all of [`REFUSAL_RATIOS`] for the same reason.
+const WHOLE_ANSWERS_RATIO: f64 = 0.6;
+/// Most bytes that a call holds of an answer that is passed on, in the buffers of its connections and
+/// of the kernel. They are counted from the call's admission: most of a burst of calls would be
+/// admitted before any of their answers arrives.
+const PASSED_BYTES: usize = 64 << 10;
 /// Multiple of that below which memory counts as free again in the log.
 const FREE_RATIO: f64 = 0.5;
 /// Time after which a refused caller retries. Other gateways have memory left.
@@ -118,24 +125,24 @@
         self.is_scarce.swap(is_scarce, Ordering::Relaxed) != is_scarce
     }
 
-    /// Counts the body of a request until it is dropped.
-    pub fn count(&self, body: Bytes) -> Bytes {
-        if self.limit.is_none() || body.is_empty() {
-            return body;
-        }
+    /// Counts what a plain call holds of its answer at least while the caller does not read.
+    pub fn hold_call(&self) -> Held {
         let mut held = self.hold();
-        held.add(body.len());
-        held.attach(body)
+        if self.limit.is_some() {
+            held.add(PASSED_BYTES);
+        }
+        held
     }
 
     fn hold(&self) -> Held {
-        Held { all: Arc::clone(&self.held), limit: self.limit.unwrap_or(usize::MAX), bytes: 0 }
+        let whole = self.limit.map(|limit| (limit as f64 * WHOLE_ANSWERS_RATIO) as usize);
+        Held { all: Arc::clone(&self.held), limit: whole.unwrap_or(usize::MAX), bytes: 0 }
     }
 }
 
-/// Bytes of one body that are held.
+/// Bytes that are held, until this is dropped.
 #[derive(Debug)]
-struct Held {
+pub struct Held {
     all: Arc<AtomicUsize>,
     limit: usize,
     bytes: usize,
@@ -397,7 +404,7 @@
                     self.recorder.record_end(&self.call, "broken_off", status);
                     return Err(Aborted);
                 }
-                Ok(Some(self.call.shared.memory.count(data)))
+                Ok(Some(data))
             }
             Ok(None) => {
                 let status = exchange.head.status.as_u16();
--- a/gateway/tests/memory.rs
+++ b/gateway/tests/memory.rs
@@ -32,12 +32,16 @@
 /// Memory of the process, and the third of it that calls may take, in bytes.
 const PROCESS_BYTES: u64 = 24 << 20;
 const CALLS_BYTES: usize = 8 << 20;
+/// The same for a process that callers fill although hardly more of an answer than the buffers of
+/// connections hold is kept for one that does not read.
+const SMALL_PROCESS_BYTES: u64 = 12 << 20;
+const SMALL_CALLS_BYTES: usize = 4 << 20;
 /// Length of an answer in bytes: more than the buffers between a gateway and a caller hold.
 const ANSWER_BYTES: usize = 3 << 20;
 /// Largest piece of an answer that is read at once, in bytes.
-const MAX_OVERSHOOT_BYTES: usize = 1 << 19;
+const MAX_OVERSHOOT_BYTES: usize = 64 << 10;
 /// Callers that do not read.
-const SLOW_CALLERS: usize = 40;
+const SLOW_CALLERS: usize = 160;
 
 /// A route of the highest rank with the same replicas as the others, which have lower ones.
 fn urgent() -> Route {
@@ -96,14 +100,14 @@
     response("200 OK", &"x".repeat(ANSWER_BYTES))
 }
 
-/// Forty callers ask for large answers and read nothing. What they hold is bounded, callers of the
+/// Many callers ask for large answers and read nothing. What they hold is bounded, callers of the
 /// highest rank are served, others are refused as not run, and each answer that a replica gave is there
 /// in full when its caller reads it.
 #[test]
 fn callers_that_do_not_read_leave_memory_for_urgent_ones() {
     run(async {
         let replica = Replica::start(vec![Action::Write(answer())]).await;
-        let running = gateway(&replica, Some(PROCESS_BYTES)).await;
+        let running = gateway(&replica, Some(SMALL_PROCESS_BYTES)).await;
 
         let mut unread = Vec::new();
         for i in 0..SLOW_CALLERS {
@@ -123,7 +127,7 @@
 
         assert_eq!((less_urgent, was_sent), (503, false));
         assert_eq!((urgent, body.unwrap().len()), (200, ANSWER_BYTES));
-        assert!(held <= CALLS_BYTES * 3 / 2 + MAX_OVERSHOOT_BYTES, "{held} bytes");
+        assert!(held <= SMALL_CALLS_BYTES * 3 / 2 + MAX_OVERSHOOT_BYTES, "{held} bytes");
         assert!(counter(&running, "refusals_total{reason=\"memory_scarce\"}") > 0);
         for (path, stream) in unread {
             let (length, is_complete) = read(stream).await;
@@ -159,7 +163,7 @@
 fn urgent_callers_that_do_not_read_are_refused_at_half_of_the_memory() {
     run(async {
         let replica = Replica::start(vec![Action::Write(answer())]).await;
-        let running = gateway(&replica, Some(PROCESS_BYTES)).await;
+        let running = gateway(&replica, Some(SMALL_PROCESS_BYTES)).await;
 
         let mut unread = Vec::new();
         for i in 0..SLOW_CALLERS {
@@ -171,7 +175,10 @@
         let held = running.shared.memory.held();
 
         assert_eq!((status, was_sent), (503, false));
-        assert!(held <= CALLS_BYTES * 3 / 2 + SLOW_CALLERS * MAX_OVERSHOOT_BYTES, "{held} bytes");
+        assert!(
+            held <= SMALL_CALLS_BYTES * 3 / 2 + SLOW_CALLERS * MAX_OVERSHOOT_BYTES,
+            "{held} bytes"
+        );
         drop(unread);
         wait_until("memory is free", || running.shared.memory.held() == 0).await;
         assert_eq!(call(&running, "/urgent/x", "later").await.0, 200);
