Bound connections and bodies of the product's own router

The router read bodies of up to 1 MB of any number of callers, before it looked at their key, and let 8,192 connections at each listener wait on each other for descriptors; connections at the listener for routers had no bound, and a message of 4 MB was read before the sender's secret was checked.

A body without memory gets 503 `memory_scarce`, not run, with a time to return. The secret of a router is checked by the head of a message; connections that proved it stay when others need places.

--- a/router/src/api.rs
+++ b/router/src/api.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -15,7 +14,6 @@
 use gotham::state::State;
 use gotham::state::StateData;
 use http_body_util::BodyExt;
-use http_body_util::Limited;
 use http_body_util::StreamBody;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -26,6 +24,11 @@
 use laburnumwheel_core::action::Outcome;
 use laburnumwheel_core::event::Submission;
 use laburnumwheel_core::event::Target;
+use laburnumwheel_core::gateway::config::Limits;
+use laburnumwheel_core::time::Span;
+use laburnumwheel_gateway::intake::Fault;
+use laburnumwheel_gateway::intake::Intake;
+use laburnumwheel_gateway::memory::Memory;
 use serde_json::json;
 
 use crate::body::Head;
@@ -39,7 +42,12 @@
 /// Largest request body, in bytes.
 pub const MAX_BODY_BYTES: usize = 1 << 20;
 /// Timeout for the arrival of a complete request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(15);
+const BODY_TIME: Span = Span::secs(15);
+/// Rank of bodies for memory. The class of a request is known only when its body has been read.
+const RANK: u8 = 0;
+/// Time after which a caller returns for whose body there was no memory, in milliseconds: most bodies
+/// that are being read then have been answered.
+const RETRY_NO_MEMORY_MS: u64 = 500;
 const CLASS_HEADER: &str = "x-class";
 const IDEMPOTENT_HEADER: &str = "x-idempotent";
 const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
@@ -54,6 +62,8 @@
     pub handle: Handle,
     /// Identity of this run of the router, which is part of each completion's id.
     pub identity: Arc<str>,
+    /// Bytes of requests that the process holds.
+    pub memory: Arc<Memory>,
 }
 
 impl StateData for Shared {}
@@ -125,26 +135,29 @@
 }
 
 async fn read_body(state: &mut State) -> Result<Bytes, ErrorResponse> {
-    let body = Limited::new(Body::take_from(state), MAX_BODY_BYTES);
-    let refuse = |status, code, message: &str| {
-        let mut response = reply::error(status, &Error::not_run(code, message));
-        // The rest of the body is not read, so the connection can't be reused.
-        let close = hyper::header::HeaderValue::from_static("close");
-        response.headers_mut().insert(hyper::header::CONNECTION, close);
-        Box::new(response)
+    let limits = Limits { body: MAX_BODY_BYTES, head_time: BODY_TIME, ..Limits::default() };
+    let memory = shared(state).memory;
+    let mut intake = Intake::new(Body::take_from(state), limits, None);
+    let fault = match intake.receive(&memory, RANK).await {
+        Ok(body) => return Ok(body),
+        Err(fault) => fault,
     };
-    match tokio::time::timeout(BODY_TIMEOUT, body.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            let message = format!("the body is over {MAX_BODY_BYTES} bytes");
-            Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", &message))
-        }
-        Ok(Err(_)) => Err(refuse(StatusCode::BAD_REQUEST, "body_broken", "the body broke off")),
-        Err(_) => {
-            let message = "the body did not arrive in time";
-            Err(refuse(StatusCode::REQUEST_TIMEOUT, "body_too_slow", message))
-        }
+    let (code, message) = match fault {
+        Fault::TooLong => ("body_too_large", format!("the body is over {MAX_BODY_BYTES} bytes")),
+        Fault::TooSlow => ("body_too_slow", "the body did not arrive in time".to_owned()),
+        Fault::Broken => ("body_broken", "the body broke off".to_owned()),
+        Fault::NoMemory => ("memory_scarce", "there is no memory for the body now".to_owned()),
+    };
+    let mut error = Error::not_run(code, message);
+    if fault == Fault::NoMemory {
+        error.retry_after_ms = Some(RETRY_NO_MEMORY_MS);
     }
+    let mut response = reply::error(fault.status(), &error);
+    // The connection can't be reused unless the rest of the body arrives.
+    let close = hyper::header::HeaderValue::from_static("close");
+    response.headers_mut().insert(hyper::header::CONNECTION, close);
+    tokio::spawn(intake.drain());
+    Err(Box::new(response))
 }
 
 fn parse_idempotent(headers: &HeaderMap, default: bool) -> Result<bool, ErrorResponse> {
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod driver;
 pub mod error;
 pub mod kv;
+pub mod link;
 pub mod log;
 pub mod metrics;
 pub mod peer;
--- a/router/src/peer.rs
+++ b/router/src/peer.rs
@@ -8,6 +8,7 @@
 use laburnumwheel_core::event::Event;
 use laburnumwheel_core::peer::CODEC_VERSION;
 use laburnumwheel_core::peer::Message;
+use laburnumwheel_gateway::connection;
 use laburnumwheel_proto::peer::Envelope;
 use laburnumwheel_proto::peer::Receipt;
 use laburnumwheel_proto::peer::peer_client::PeerClient;
@@ -20,6 +21,8 @@
 use tonic::Status;
 use tonic::metadata::AsciiMetadataKey;
 use tonic::metadata::MetadataValue;
+use tonic::service::Interceptor;
+use tonic::service::interceptor::InterceptedService;
 use tonic::transport::Channel;
 use tonic::transport::Endpoint;
 
@@ -34,6 +37,8 @@
 const MAX_IN_FLIGHT: usize = 256;
 /// Largest message that is accepted, in bytes.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
+/// Most messages that one connection of a peer carries at a time: all that one peer may have in flight.
+pub const MAX_STREAMS: u32 = MAX_IN_FLIGHT as u32;
 const SECRET_HEADER: &str = "x-peer-secret";
 
 /// Hashes the shared secret, in hexadecimal; peers send the hash in place of the secret.
@@ -110,28 +115,42 @@
     }
 }
 
+/// Checks that a message comes from a peer, before anything but its head is read.
+#[derive(Clone)]
+pub struct Guard {
+    secret_hash: Arc<str>,
+}
+
+impl Interceptor for Guard {
+    fn call(&mut self, request: Request<()>) -> Result<Request<()>, Status> {
+        let given = request.metadata().get(SECRET_HEADER).map(|v| v.as_bytes().to_vec());
+        if !given.is_some_and(|g| bool::from(g.ct_eq(self.secret_hash.as_bytes()))) {
+            return Err(Status::unauthenticated("not a peer"));
+        }
+        if let Some(connection) = request.extensions().get::<Arc<connection::Connection>>() {
+            connection.keep();
+        }
+        Ok(request)
+    }
+}
+
 /// Receives peers' messages.
 pub struct Service {
     handle: Handle,
-    secret_hash: String,
 }
 
 impl Service {
     /// Creates a service that passes messages to `handle`.
-    pub fn server(handle: Handle, secret: &str) -> PeerServer<Service> {
-        let service = Service { handle, secret_hash: hash_secret(secret) };
-        PeerServer::new(service).max_decoding_message_size(MAX_MESSAGE_BYTES)
+    pub fn server(handle: Handle, secret: &str) -> InterceptedService<PeerServer<Service>, Guard> {
+        let server =
+            PeerServer::new(Service { handle }).max_decoding_message_size(MAX_MESSAGE_BYTES);
+        InterceptedService::new(server, Guard { secret_hash: Arc::from(hash_secret(secret)) })
     }
 }
 
 #[tonic::async_trait]
 impl Peer for Service {
     async fn send(&self, request: Request<Envelope>) -> Result<Response<Receipt>, Status> {
-        let given = request.metadata().get(SECRET_HEADER).map(|v| v.as_bytes().to_vec());
-        let valid = given.is_some_and(|g| bool::from(g.ct_eq(self.secret_hash.as_bytes())));
-        if !valid {
-            return Err(Status::unauthenticated("not a peer"));
-        }
         let envelope = request.into_inner();
         if envelope.codec != CODEC_VERSION {
             return Err(Status::invalid_argument("unknown codec version"));
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -14,10 +14,14 @@
 use laburnumwheel_core::member;
 use laburnumwheel_core::node;
 use laburnumwheel_core::node::Node;
+use laburnumwheel_gateway::connection;
+use laburnumwheel_gateway::connection::Clients;
+use laburnumwheel_gateway::connection::Table;
+use laburnumwheel_gateway::memory::Memory;
+use laburnumwheel_gateway::server;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
 
 use crate::admin;
@@ -26,6 +30,7 @@
 use crate::driver::Handle;
 use crate::error::Error;
 use crate::kv;
+use crate::link;
 use crate::metrics;
 use crate::peer;
 use crate::poll;
@@ -87,19 +92,31 @@
         let (driver, handle) =
             Driver::new(settings.name.clone(), build_node, client.clone(), peer_client, kv);
 
+        let limits = connection::Limits { descriptors: None, memory: settings.memory_bytes };
+        let table = |clients| Table::new(limits.capacity(clients));
+        if limits.memory.is_some() {
+            for listener in [&callers, &peers, &operators] {
+                server::bound_receive_buffers(listener);
+            }
+        }
         let (stop, stopped) = watch::channel(false);
         let peer_service = peer::Service::server(handle.clone(), &settings.peer_secret);
         let peer_server = Server::builder()
+            .max_concurrent_streams(peer::MAX_STREAMS)
             .add_service(peer_service)
-            .serve_with_incoming(TcpListenerStream::new(peers));
+            .serve_with_incoming(link::accept(peers, table(Clients::Peers)));
         let peer_task = tokio::spawn(peer_server);
-        let shared = api::Shared { handle: handle.clone(), identity: Arc::from(identity.as_str()) };
-        let api = serve::run(callers, Arc::new(api::routes()), shared, stopped.clone());
-        let api = tokio::spawn(api);
+        let shared = api::Shared {
+            handle: handle.clone(),
+            identity: Arc::from(identity.as_str()),
+            memory: Arc::new(Memory::new(limits.memory)),
+        };
+        let (routes, places) = (Arc::new(api::routes()), table(Clients::Callers));
+        let api = tokio::spawn(serve::run(callers, places, routes, shared, stopped.clone()));
         let token = Arc::from(hash_key(&settings.operator_token).as_str());
         let shared = admin::Shared { handle: handle.clone(), token };
-        let admin = serve::run(operators, Arc::new(admin::routes()), shared, stopped);
-        let admin = tokio::spawn(admin);
+        let (routes, places) = (Arc::new(admin::routes()), table(Clients::Others));
+        let admin = tokio::spawn(serve::run(operators, places, routes, shared, stopped));
         let poll = tokio::spawn(poll::run(client, handle.clone()));
         let metrics = settings
             .metrics
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -5,6 +5,7 @@
 use std::panic::AssertUnwindSafe;
 use std::panic::RefUnwindSafe;
 use std::panic::UnwindSafe;
+use std::sync::Arc;
 use std::time::Duration;
 
 use gotham::handler::NewHandler;
@@ -18,12 +19,12 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
+use laburnumwheel_gateway::connection::Place;
+use laburnumwheel_gateway::connection::Table;
+use laburnumwheel_gateway::connection::Tracked;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
-/// Most connections open at once; further ones wait to be accepted.
-const MAX_CONNECTIONS: usize = 8_192;
 /// Timeout for the arrival of a complete request head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest head of a request, in bytes.
@@ -33,18 +34,20 @@
 
 /// Serves `routes` on `listener` until `stop` turns true, then finishes the responses in progress.
 ///
-/// Each request's state holds a clone of `shared`.
-pub async fn run<N, S>(listener: TcpListener, routes: N, shared: S, mut stop: watch::Receiver<bool>)
-where
+/// Each request's state holds a clone of `shared`. When there are more connections than `table` has
+/// places for, those are closed that serve their clients least.
+pub async fn run<N, S>(
+    listener: TcpListener,
+    table: Arc<Table>,
+    routes: N,
+    shared: S,
+    mut stop: watch::Receiver<bool>,
+) where
     N: NewHandler + Clone + Send + Sync + RefUnwindSafe + UnwindSafe + 'static,
     S: StateData + Clone + Sync,
 {
     let graceful = GracefulShutdown::new();
-    let slots = std::sync::Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
-        let Ok(permit) = slots.clone().acquire_owned().await else {
-            return;
-        };
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|s| *s) => break,
@@ -54,12 +57,20 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
+        if table.make_place().await == Place::None {
+            continue;
+        }
         let _ = stream.set_nodelay(true);
+        let socket = table.open(stream);
+        let (table, connection) = (Arc::clone(&table), Arc::clone(socket.connection()));
         let (routes, shared) = (routes.clone(), shared.clone());
         let service = service_fn(move |request: Request<Incoming>| {
+            table.end_head(&connection);
+            let call = connection.begin_call();
             let mut state = State::from_request(request, from);
             state.put(shared.clone());
-            call_handler(routes.clone(), AssertUnwindSafe(state))
+            let response = call_handler(routes.clone(), AssertUnwindSafe(state));
+            async { response.await.map(|response| response.map(|body| Tracked::new(body, call))) }
         });
         let mut builder = auto::Builder::new(hyper_util::rt::TokioExecutor::new()).http1_only();
         builder
@@ -67,13 +78,12 @@
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIMEOUT)
             .max_buf_size(MAX_HEAD_BYTES);
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        let connection = builder.serve_connection(TokioIo::new(socket), service);
         let connection = graceful.watch(connection.into_owned());
         tokio::spawn(async move {
             // An error means that the connection broke; dropping the request's `Caller` tells the
             // node.
             let _ = connection.await;
-            drop(permit);
         });
     }
     let _ = tokio::time::timeout(DRAIN_TIMEOUT, graceful.shutdown()).await;
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -29,6 +29,8 @@
     --seeds IP:PORT,...      peer addresses to join through [LABURNUMWHEEL_SEEDS]
     --peer-secret TEXT       secret shared by all routers [LABURNUMWHEEL_PEER_SECRET]
     --operator-token TEXT    bearer token of operators [LABURNUMWHEEL_OPERATOR_TOKEN]
+    --memory-mb NUMBER       memory that the process may take, in megabytes; bodies of requests
+                             get a third of it, unlimited if absent [LABURNUMWHEEL_MEMORY_MB]
     --metrics IP:PORT        StatsD address, off if absent [LABURNUMWHEEL_METRICS]
     --log-level LEVEL        error, warn, info or debug [LABURNUMWHEEL_LOG_LEVEL, default info]
     -h, --help               print this text
@@ -37,7 +39,7 @@
 
 /// Prefix of the environment variables that stand for flags.
 const PREFIX: &str = "LABURNUMWHEEL_";
-const FLAGS: [&str; 11] = [
+const FLAGS: [&str; 12] = [
     "name",
     "failure-domain",
     "listen",
@@ -47,6 +49,7 @@
     "seeds",
     "peer-secret",
     "operator-token",
+    "memory-mb",
     "metrics",
     "log-level",
 ];
@@ -98,6 +101,8 @@
     pub peer_secret: String,
     /// Bearer token of operators.
     pub operator_token: String,
+    /// Memory that the process may take, in bytes; `None` if it is not limited.
+    pub memory_bytes: Option<u64>,
     /// StatsD address; no metrics are sent if absent.
     pub metrics: Option<SocketAddr>,
     /// Lowest severity that is logged.
@@ -156,6 +161,7 @@
             seeds: self.addresses("seeds"),
             peer_secret: self.parse_secret("peer-secret"),
             operator_token: self.parse_secret("operator-token"),
+            memory_bytes: self.optional_megabytes("memory-mb"),
             metrics: self.optional_address("metrics"),
             log_level: self.parse_level("log-level"),
         };
@@ -213,6 +219,15 @@
         Some(self.parse_address(flag, &text))
     }
 
+    fn optional_megabytes(&mut self, flag: &str) -> Option<u64> {
+        let text = self.raw.get(flag).cloned()?;
+        let megabytes = text.parse().ok().filter(|megabytes| *megabytes > 0);
+        if megabytes.is_none() {
+            self.report(flag, format!("`{text}` is not a whole number above 0"));
+        }
+        megabytes.map(|megabytes: u64| megabytes.saturating_mul(1_000_000))
+    }
+
     fn addresses(&mut self, flag: &str) -> Vec<SocketAddr> {
         let text = self.raw.get(flag).cloned().unwrap_or_default();
         let parts = text.split(',').map(str::trim).filter(|p| !p.is_empty());
--- a/router/tests/support/mod.rs
+++ b/router/tests/support/mod.rs
@@ -32,6 +32,7 @@
 pub const ORG_KEY: &str = "key-of-museo";
 pub const OPERATOR: &str = "operator-token";
 pub const SECRET: &str = "peer-secret";
+const PROGRAM: &str = env!("CARGO_BIN_EXE_laburnumwheel");
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A router process; killed when dropped.
@@ -52,7 +53,19 @@
 impl Process {
     /// Starts a router and reads its addresses from its log.
     pub fn start(name: &str, domain: &str, key_value: SocketAddr) -> Process {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_laburnumwheel"))
+        Process::start_by(Command::new(PROGRAM), name, domain, key_value)
+    }
+
+    /// Starts a router that may take `memory_mb` megabytes and open `descriptors`.
+    pub fn start_limited(key_value: SocketAddr, memory_mb: usize, descriptors: usize) -> Process {
+        let mut command = Command::new("sh");
+        command.args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\" \"$@\""), PROGRAM]);
+        command.env("LABURNUMWHEEL_MEMORY_MB", memory_mb.to_string());
+        Process::start_by(command, "r0", "a", key_value)
+    }
+
+    fn start_by(mut command: Command, name: &str, domain: &str, key_value: SocketAddr) -> Process {
+        let mut child = command
             .args(["--name", name, "--failure-domain", domain])
             .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
             .args(["--admin-listen", "127.0.0.1:0", "--key-value", &key_value.to_string()])
