Time out only heads that are still incomplete

A call whose head came in two pieces was cut off when the time for heads had passed since the first one, although its head was complete and its replica was at work: the timer was set while the head was incomplete, and not taken back. Found by reading, before any release. The test has a head in two pieces and a replica that takes three times as long as a head may; its connection was closed without an answer before, and is answered now.

--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -193,8 +193,12 @@
             () = shared.connections_closing.notified() => {}
             () = tokio::time::sleep(remaining_idle(&shared, &activity)) => {}
             () = tokio::time::sleep(remaining_head(&shared, &state)), if is_head_awaited => {
-                shared.metrics.count("heads_timed_out_total", format!("clients=\"{clients}\""));
-                return;
+                // Meanwhile the head may be complete, and another one may have begun.
+                if state.head_began().is_some() && remaining_head(&shared, &state).is_zero() {
+                    let labels = format!("clients=\"{clients}\"");
+                    shared.metrics.count("heads_timed_out_total", labels);
+                    return;
+                }
             }
         }
         if remaining_idle(&shared, &activity).is_zero() {
