Keep connections whose bodies have arrived

A call counted as one whose body is arriving until its response began, since what reads the body was dropped only then. With all places taken by such calls, a new connection closed that of the call which had been in progress for longest; it got no answer. Found by reading, before any release. That silent connections come in crowds did not show it, as one of these is always closed first.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -246,6 +246,8 @@
             return gateway_response(shared, &submission.id, fault.status(), None);
         }
     };
+    // From here on the connection is not closed in favour of another.
+    drop(intake);
     let (method, uri) = (head.method, head.uri);
     let uri = uri.path_and_query().map_or(uri.clone(), |p| p.clone().into());
     grant.fingerprint = Some(Fingerprint::of(&fingerprint::Source {
