End the test of reservations also without their bound

With the bound on short bodies taken out the test reserved without end and hung (90 s, on a scratch copy) instead of failing. At most a thousand are made of each kind, far more than there is memory for.

--- a/gateway/tests/memory.rs
+++ b/gateway/tests/memory.rs
@@ -225,13 +225,16 @@
     });
 }
 
+/// Most reservations of one kind: more than there is memory for, so that a test without a bound ends.
+const MAX_RESERVATIONS: usize = 1_000;
+
 /// Reserves memory for bodies of a rank until there is none; the reservations.
 fn reserve_all(memory: &Memory, rank: u8, bytes: usize) -> Vec<Reservation> {
     let reservations = std::iter::from_fn(|| {
         let mut reservation = memory.reserve(rank);
         reservation.grow_to(bytes).then_some(reservation)
     });
-    reservations.collect()
+    reservations.take(MAX_RESERVATIONS).collect()
 }
 
 /// Guards against long bodies that take the room of short ones, and against short ones of a low rank
