Reject responses whose length is uncertain, and state one length

Callers saw: 200 with the bytes on the wire as the body, chunk sizes and all, when a replica sent a transfer coding that is unknown, empty, or followed by another one; and `Content-Length: 2` over a body of four bytes when it sent a coding beside a length, so that the next answer on a kept connection began with two stray bytes. A length stated twice, or as a list of the same values, was passed on as it was.

Cause: the HTTP library takes a body in an unknown coding for one that ends with the connection, and lets a coding override a length. The gateway relied on it for what is valid, and passed the head on with the replica's length while the body was another one.

Change: `response::validate` decides for every response what is valid and how long its body is, and leaves one length in the head or none. `Channel::send` is the only way to send a request on a connection and validates what comes back; an invalid response closes the connection. `fenced::call`, which has a connection of its own, validates too. An invalid response is a failed attempt, whatever it says of itself: "not run" of such a head is not believed. It is logged (`response_broken`, with the reason) and counted (`responses_invalid_total`). What is passed on states the length that the body knows; an answer that does not fit into memory and a delegated one keep their lengths.

Why it works: what is accepted is what the library reads in the same way, a single `chunked` in version 1.1, one length, or neither. All else never becomes a response.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -22,7 +22,7 @@
 use hyper::Uri;
 use hyper::body::Incoming;
 use hyper::header;
-use hyper::http::response;
+use hyper::http::response::Parts;
 use laburnumwheel_core::gateway::Grant;
 use laburnumwheel_core::gateway::Pick;
 use laburnumwheel_core::gateway::fingerprint::Fingerprint;
@@ -52,6 +52,8 @@
 use crate::memory::Held;
 use crate::peers;
 use crate::reach;
+use crate::response;
+use crate::response::Length;
 use crate::shared::Shared;
 
 /// Times that owners are asked for one attempt while the engines that they own have no memory left.
@@ -166,7 +168,7 @@
 #[derive(Clone, Debug)]
 pub struct Collected {
     /// Status and headers.
-    pub head: response::Parts,
+    pub head: Parts,
     /// Body.
     pub body: Bytes,
 }
@@ -268,7 +270,7 @@
 /// An attempt whose response head has arrived.
 pub struct Exchange {
     /// Status and headers.
-    pub head: response::Parts,
+    pub head: Parts,
     /// The parsed head.
     pub metadata: dialect::Metadata,
     /// Body, not yet read.
@@ -284,12 +286,9 @@
 }
 
 impl Exchange {
-    /// Whether the response states where its body ends. Other bodies end with the connection, whether
-    /// they are complete or the replica has crashed.
-    pub fn is_framed(&self) -> bool {
-        let headers = &self.head.headers;
-        headers.contains_key(header::CONTENT_LENGTH)
-            || headers.contains_key(header::TRANSFER_ENCODING)
+    /// Length of the body.
+    pub fn length(&self) -> Length {
+        Length::of(&self.head.extensions)
     }
 
     /// Ends the attempt and returns the connection to the pool, after the response has been read
@@ -323,6 +322,18 @@
         self.shared.log(line);
     }
 
+    /// Logs why a replica or another gateway has sent no valid response.
+    pub(crate) fn log_broken(&self, sender: &str, error: &response::Error) {
+        if let response::Error::Invalid(flaw) = error {
+            self.shared.metrics.count("responses_invalid_total", format!("flaw=\"{flaw}\""));
+        }
+        let line = Line::new("response_broken")
+            .with("request", String::from_utf8_lossy(&self.submission.id))
+            .with("sender", sender)
+            .with("error", error);
+        self.shared.log(line);
+    }
+
     /// Makes one attempt, up to the head of the response. While this gateway can't reach the service
     /// of the call, or has no place for it at brittle replicas, another one makes the attempt.
     ///
@@ -614,10 +625,13 @@
         let claim = Some(pick.claim);
         let fingerprint = self.grant.fingerprint;
         let mut in_flight = InFlight { shared, claim, fingerprint, ended: Cell::new(false) };
-        let response = channel.sender.send_request(request);
+        let response = channel.send(request);
         let response = match self.wait_for(&in_flight, response).await {
             Ok(Ok(response)) => response,
-            Ok(Err(_)) => return Err(self.fail(&in_flight, &pick.id, Fault::Broken)),
+            Ok(Err(e)) => {
+                self.log_broken(&pick.id, &e);
+                return Err(self.fail(&in_flight, &pick.id, Fault::Broken));
+            }
             Err(fault) => return Err(self.fail(&in_flight, &pick.id, fault)),
         };
         let metadata = (self.shared.dialect.parse_response)(response.headers());
@@ -751,7 +765,7 @@
         }
         let (now, began) = (clock::now(), exchange.began);
         let mut gateway = self.shared.gateway.borrow_mut();
-        match exchange.is_framed() {
+        match exchange.length().is_stated() {
             true => gateway.record_answer(now, began, &self.grant),
             false => gateway.record_unframed(now, began, &self.grant, &claim),
         }
--- a/gateway/src/body.rs
+++ b/gateway/src/body.rs
@@ -24,8 +24,8 @@
 pub enum Payload {
     /// Complete from the start.
     Full(Full<Bytes>),
-    /// Events as they arrive.
-    Stream(Parts),
+    /// Parts as they arrive, with their length if it is known.
+    Stream(Parts, Option<u64>),
 }
 
 impl Payload {
@@ -36,17 +36,26 @@
 
     /// Keeps `guard` until the body has been sent or dropped.
     pub fn holding(self, guard: impl Sized + 'static) -> Payload {
+        let length = self.size_hint().exact();
         let parts = stream::unfold((self, guard), |(mut body, guard)| async {
             let frame = body.frame().await?;
             let data = frame.map(|frame| frame.into_data().unwrap_or_default());
             Some((data, (body, guard)))
         });
-        Payload::stream(parts)
+        Payload::Stream(Box::pin(parts), length)
     }
 
     /// Creates a body that reads from `parts` as fast as the caller reads.
     pub fn stream(parts: impl Stream<Item = Result<Bytes, Aborted>> + 'static) -> Payload {
-        Payload::Stream(Box::pin(parts))
+        Payload::Stream(Box::pin(parts), None)
+    }
+
+    /// The same for parts that have this length together if it is known.
+    pub fn sized_stream(
+        parts: impl Stream<Item = Result<Bytes, Aborted>> + 'static,
+        length: Option<u64>,
+    ) -> Payload {
+        Payload::Stream(Box::pin(parts), length)
     }
 }
 
@@ -60,7 +69,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         match &mut *self {
             Payload::Full(full) => Pin::new(full).poll_frame(cx).map_err(|e| match e {}),
-            Payload::Stream(parts) => {
+            Payload::Stream(parts, _) => {
                 parts.as_mut().poll_next(cx).map(|part| part.map(|p| p.map(Frame::data)))
             }
         }
@@ -69,14 +78,16 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Payload::Full(full) => full.is_end_stream(),
-            Payload::Stream(_) => false,
+            Payload::Stream(..) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Payload::Full(full) => full.size_hint(),
-            Payload::Stream(_) => SizeHint::default(),
+            Payload::Stream(_, length) => {
+                length.map_or_else(SizeHint::default, SizeHint::with_exact)
+            }
         }
     }
 }
--- a/gateway/src/cache.rs
+++ b/gateway/src/cache.rs
@@ -165,12 +165,12 @@
     channel: &mut Option<Channel>,
 ) -> Result<Bytes, Fault> {
     let failed = |_| Fault::Failed;
-    let mut open = match channel.take().filter(|open| open.sender.is_ready()) {
+    let mut open = match channel.take().filter(|open| open.is_ready()) {
         Some(open) => open,
         None => channel::open(&target.address).await.map_err(failed)?,
     };
     let request = (shared.dialect.cache.request)(&target.id, &target.address, query, wait_ms);
-    let response = open.sender.send_request(request).await.map_err(|_| Fault::Failed)?;
+    let response = open.send(request).await.map_err(|_| Fault::Failed)?;
     match response.status() {
         StatusCode::OK => {}
         StatusCode::TOO_MANY_REQUESTS => return Err(Fault::Busy),
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -40,6 +40,7 @@
 use crate::memory::Answer;
 use crate::origin;
 use crate::relay::Relay;
+use crate::response::Length;
 use crate::shared::Shared;
 
 /// Most replicas that a call may try to connect to.
@@ -302,8 +303,9 @@
                     Ok(Answer::Part(passage)) => {
                         call.meter(sent);
                         recorder.record_first_event(&call);
+                        let length = passage.length();
                         let (head, parts) = passage.open(call, recorder);
-                        return forward(head, Payload::stream(parts));
+                        return forward(head, Payload::sized_stream(parts, length));
                     }
                     Ok(Answer::Whole(collected)) => {
                         call.meter(sent);
@@ -469,10 +471,11 @@
         headers.remove(name);
     }
     headers.remove("keep-alive");
-    let mut response = Response::new(body);
-    if matches!(response.body(), Payload::Stream(_)) {
+    // Otherwise the length of what is sent is stated, which the body knows.
+    if Length::of(&head.extensions) != Length::None {
         headers.remove(header::CONTENT_LENGTH);
     }
+    let mut response = Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = headers;
     response
--- a/gateway/src/channel.rs
+++ b/gateway/src/channel.rs
@@ -12,6 +12,9 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -26,6 +29,7 @@
 use tokio::task::AbortHandle;
 
 use crate::clock;
+use crate::response;
 
 /// Timeout of connecting: many round trips between failure domains, and well within the shortest
 /// objective.
@@ -86,13 +90,48 @@
 /// An open connection. Dropping it closes it at once, which makes the replica stop its work.
 #[derive(Debug)]
 pub struct Channel {
-    /// Sends requests.
-    pub sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
     /// Time at which the connection was opened.
     pub opened: Time,
     task: AbortHandle,
 }
 
+impl Channel {
+    /// Sends a request, and returns the response once its head has arrived. The connection is closed if
+    /// the response is invalid.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection breaks or the response is invalid.
+    pub fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> impl Future<Output = Result<Response<Incoming>, response::Error>> + use<> {
+        let (method, task) = (request.method().clone(), self.task.clone());
+        let response = self.sender.send_request(request);
+        async move {
+            let mut response = response.await?;
+            match response::validate(&method, &mut response) {
+                Ok(_) => Ok(response),
+                Err(flaw) => {
+                    task.abort();
+                    Err(response::Error::Invalid(flaw))
+                }
+            }
+        }
+    }
+
+    /// Whether the connection is open and takes a request.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Whether the connection is closed.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
 impl Drop for Channel {
     fn drop(&mut self) {
         self.task.abort();
@@ -155,7 +194,7 @@
     let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(std::io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
-        // An error is returned by `send_request` too.
+        // An error is returned by `Channel::send` too.
         let _ = connection.await;
     });
     Ok(Channel { sender, opened: clock::now(), task: task.abort_handle() })
@@ -189,7 +228,7 @@
         let connections = idle.get_mut(&replica)?;
         let now = clock::now();
         while let Some(c) = connections.pop() {
-            if now < c.until && c.channel.sender.is_ready() {
+            if now < c.until && c.channel.is_ready() {
                 return Some(c.channel);
             }
         }
@@ -208,11 +247,11 @@
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|_, connections| {
-            connections.retain(|c| now < c.until && !c.channel.sender.is_closed());
+            connections.retain(|c| now < c.until && !c.channel.is_closed());
             !connections.is_empty()
         });
         let connections = idle.entry(replica).or_default();
-        if connections.len() < max_idle && !channel.sender.is_closed() {
+        if connections.len() < max_idle && !channel.is_closed() {
             connections.push(Idle { channel, until: now + idle_limit(keep_alive) });
         }
     }
--- a/gateway/src/copy.rs
+++ b/gateway/src/copy.rs
@@ -311,7 +311,7 @@
     let dialect = call.shared.dialect.copies;
     let request = (dialect.report_request)(&first.address, &first.id);
     let response = tokio::time::timeout(REPORT_TIMEOUT, async {
-        let response = channel.sender.send_request(request).await.ok()?;
+        let response = channel.send(request).await.ok()?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await.ok()?;
         Some((status, body.to_bytes()))
--- a/gateway/src/delegation.rs
+++ b/gateway/src/delegation.rs
@@ -412,7 +412,7 @@
         let in_flight = InFlight::at_peer(&self.shared);
         let attempts = self.grant.attempts;
         self.grant.attempts += 1;
-        let response = channel.sender.send_request(request);
+        let response = channel.send(request);
         let fault = match self.wait_for(&in_flight, response).await {
             Ok(Ok(response)) => match Outcome::parse(response.headers()) {
                 Some(Outcome::Answered) => {
@@ -445,7 +445,10 @@
                     return Err(Rejection::Elsewhere);
                 }
             },
-            Ok(Err(_)) => Fault::Broken,
+            Ok(Err(e)) => {
+                self.log_broken(&delegate.name, &e);
+                Fault::Broken
+            }
             Err(fault) => fault,
         };
         Err(Rejection::Failed(self.fail(&in_flight, &delegate.name, fault)))
--- a/gateway/src/fenced.rs
+++ b/gateway/src/fenced.rs
@@ -28,6 +28,7 @@
 use tokio::net::TcpStream;
 
 use crate::clock;
+use crate::response;
 
 /// A stream that refuses to write after its deadline.
 #[derive(Debug)]
@@ -113,6 +114,7 @@
         let handshake = http1::Builder::new().handshake(io).await;
         let (mut sender, connection) = handshake.map_err(io::Error::other)?;
         // Only this task polls the connection, so abandoning the call closes it at once.
+        let method = request.method().clone();
         let response = std::pin::pin!(sender.send_request(request));
         let connection = std::pin::pin!(connection);
         let response = match select(response, connection).await {
@@ -120,7 +122,10 @@
             Either::Right((Ok(()), response)) => response.await,
             Either::Right((Err(e), _)) => return Err(io::Error::other(e)),
         };
-        response.map(|response| response.status()).map_err(io::Error::other)
+        let mut response = response.map_err(io::Error::other)?;
+        let validated = response::validate(&method, &mut response);
+        validated.map_err(|flaw| io::Error::other(response::Error::Invalid(flaw)))?;
+        Ok(response.status())
     };
     match tokio::time::timeout(clock::until(deadline), call).await {
         Ok(status) => status,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod quarantine;
 pub mod reach;
 pub mod relay;
+pub mod response;
 pub mod retry_after;
 pub mod server;
 pub mod shared;
--- a/gateway/src/memory.rs
+++ b/gateway/src/memory.rs
@@ -17,7 +17,7 @@
 use futures_util::Stream;
 use futures_util::stream;
 use http_body_util::BodyExt;
-use hyper::header;
+use hyper::body::Body;
 use hyper::http::response;
 use laburnumwheel_core::gateway::Grant;
 use laburnumwheel_core::gateway::fleet::Outcome;
@@ -35,6 +35,7 @@
 use crate::call::Recorder;
 use crate::clock;
 use crate::log::Line;
+use crate::response::Length;
 use crate::shared::Shared;
 
 /// Share of the process's memory that bodies of calls may take. The rest is for the gateway's state
@@ -325,8 +326,10 @@
 
 /// Length of a body as its head states it, in bytes; 0 if it does not.
 fn stated_length(exchange: &Exchange) -> usize {
-    let length = exchange.head.headers.get(header::CONTENT_LENGTH);
-    length.and_then(|length| length.to_str().ok()?.parse().ok()).unwrap_or(0)
+    match exchange.length() {
+        Length::Exact(bytes) => usize::try_from(bytes).unwrap_or(usize::MAX),
+        Length::None | Length::Chunked | Length::UntilClose => 0,
+    }
 }
 
 /// An answer that is read from its replica as fast as its caller reads it.
@@ -336,6 +339,14 @@
 }
 
 impl Passage {
+    /// Length of the body in bytes, if its head states it.
+    pub fn length(&self) -> Option<u64> {
+        match self.exchange.length() {
+            Length::Exact(bytes) => Some(bytes),
+            Length::None | Length::Chunked | Length::UntilClose => None,
+        }
+    }
+
     /// Status and headers of the answer, and its body.
     ///
     /// The attempt ends here: that nothing is read from the replica while the caller reads nothing
@@ -377,6 +388,23 @@
 }
 
 impl Reading {
+    /// Ends the call if nothing more is due. A body of known length is not read beyond its last part.
+    fn finish_if_complete(&mut self) {
+        if self.exchange.as_ref().is_some_and(|exchange| exchange.body.is_end_stream()) {
+            self.finish();
+        }
+    }
+
+    fn finish(&mut self) {
+        let Some(exchange) = self.exchange.take() else {
+            return;
+        };
+        let status = exchange.head.status.as_u16();
+        self.call.record_completion(&exchange);
+        exchange.finish(Outcome::Answered);
+        self.recorder.record_end(&self.call, "answered", status);
+    }
+
     fn new(call: Call, recorder: Recorder, exchange: Exchange, first: Option<Bytes>) -> Reading {
         let (exchange, waited) = (Some(exchange), Duration::ZERO);
         Reading { call, recorder, exchange, first, bytes: 0, waited }
@@ -385,6 +413,7 @@
     async fn next(&mut self) -> Result<Option<Bytes>, Aborted> {
         if let Some(first) = self.first.take() {
             self.bytes += first.len();
+            self.finish_if_complete();
             return Ok(Some(first));
         }
         let Some(exchange) = self.exchange.as_mut() else {
@@ -404,15 +433,11 @@
                     self.recorder.record_end(&self.call, "broken_off", status);
                     return Err(Aborted);
                 }
+                self.finish_if_complete();
                 Ok(Some(data))
             }
             Ok(None) => {
-                let status = exchange.head.status.as_u16();
-                if let Some(exchange) = self.exchange.take() {
-                    self.call.record_completion(&exchange);
-                    exchange.finish(Outcome::Answered);
-                }
-                self.recorder.record_end(&self.call, "answered", status);
+                self.finish();
                 Ok(None)
             }
             Ok(Some(Err(_))) | Err(_) => {
--- a/gateway/src/moves.rs
+++ b/gateway/src/moves.rs
@@ -100,12 +100,12 @@
 
     /// Calls the source; `None` if there is no complete answer.
     async fn call(&mut self, request: Request<Full<Bytes>>) -> Option<(StatusCode, Bytes)> {
-        let kept = self.channel.take().filter(|channel| channel.sender.is_ready());
+        let kept = self.channel.take().filter(|channel| channel.is_ready());
         let mut channel = match kept {
             Some(channel) => channel,
             None => channel::open(&self.plan.source.address).await.ok()?,
         };
-        let response = channel.sender.send_request(request).await.ok()?;
+        let response = channel.send(request).await.ok()?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await.ok()?;
         self.channel = Some(channel);
@@ -138,7 +138,7 @@
             let request = (shared.dialect.moves.free_request)(&source.address, &source.id, &name);
             let answer = tokio::time::timeout(CALL_TIMEOUT, async {
                 let mut channel = channel::open(&source.address).await.ok()?;
-                Some(channel.sender.send_request(request).await.ok()?.status())
+                Some(channel.send(request).await.ok()?.status())
             });
             let freed = answer.await.ok().flatten().is_some_and(|status| status.is_success());
             shared.metrics.count("run_handles_total", format!("freed=\"{freed}\""));
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -439,11 +439,11 @@
             // A stream that ends in the middle of an event is broken. So is one that has no event and
             // ends with its connection, as it would if the replica crashed.
             None if splitter.pending_len() > 0
-                || !(open.is_framed() || open.in_flight.has_event()) =>
+                || !(open.length().is_stated() || open.in_flight.has_event()) =>
             {
                 return Err(Fault::Broken);
             }
-            None if may_stop && !open.is_framed() => return Ok(Step::Closed),
+            None if may_stop && !open.length().is_stated() => return Ok(Step::Closed),
             None => {
                 if let Some(open) = exchange.take() {
                     call.record_completion(&open);
--- /dev/null
+++ b/gateway/src/response.rs
@@ -0,0 +1,137 @@
+//! Decides which responses are valid, and how long their bodies are.
+//!
+//! The HTTP library rejects heads that it can't parse. It still accepts heads that leave the length of
+//! the body uncertain (RFC 9112, section 6.3): a body in an unknown transfer coding would be taken for
+//! the bytes on the wire. Every response that a process reads passes [`validate`], and a connection
+//! with an invalid one is closed.
+
+use derive_more::Display;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::Version;
+use hyper::header;
+use hyper::header::HeaderValue;
+use hyper::http::Extensions;
+
+/// How the end of a valid response's body is known. [`validate`] adds it to the response's extensions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Length {
+    /// There is no body, whatever length the head states.
+    None,
+    /// The body has this many bytes.
+    Exact(u64),
+    /// The body is sent in chunks, of which the last one is marked.
+    Chunked,
+    /// The body ends with the connection, whether it is complete or the sender has crashed.
+    UntilClose,
+}
+
+impl Length {
+    /// Length of the body of a validated response with these extensions.
+    pub fn of(extensions: &Extensions) -> Length {
+        extensions.get().copied().unwrap_or(Length::UntilClose)
+    }
+
+    /// Whether the response states where its body ends.
+    pub fn is_stated(self) -> bool {
+        self != Length::UntilClose
+    }
+}
+
+/// Why a response is invalid.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[display(rename_all = "snake_case")]
+pub enum Flaw {
+    /// The lengths that the head states are malformed, or differ.
+    Length,
+    /// The transfer coding is not `chunked` alone, or the version has none.
+    Coding,
+    /// The head states a length and a transfer coding.
+    LengthAndCoding,
+    /// The head states a body that its status excludes.
+    Body,
+}
+
+/// Why there is no response.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The connection broke, or the head can't be parsed.
+    #[error("{0}")]
+    Broken(#[from] hyper::Error),
+    /// The response is invalid.
+    #[error("invalid response: {0}")]
+    Invalid(Flaw),
+}
+
+/// Checks the head of a response to a request with this method.
+///
+/// Afterwards the head states at most one length, which is that of the body unless there is none, and
+/// no transfer coding.
+///
+/// # Errors
+///
+/// Returns the first flaw. Nothing of such a response may be used, nor its connection.
+pub fn validate<B>(method: &Method, response: &mut Response<B>) -> Result<Length, Flaw> {
+    let (status, version) = (response.status(), response.version());
+    let headers = response.headers_mut();
+    let is_chunked = parse_coding(version, headers)?;
+    let stated = parse_length(headers)?;
+    let length = match (is_chunked, stated) {
+        (true, Some(_)) => return Err(Flaw::LengthAndCoding),
+        (true, None) => Length::Chunked,
+        (false, Some(bytes)) => Length::Exact(bytes),
+        (false, None) => Length::UntilClose,
+    };
+    if status == StatusCode::NO_CONTENT && !matches!(length, Length::Exact(0) | Length::UntilClose)
+    {
+        return Err(Flaw::Body);
+    }
+    let has_body = method != Method::HEAD
+        && status != StatusCode::NO_CONTENT
+        && status != StatusCode::NOT_MODIFIED;
+    headers.remove(header::TRANSFER_ENCODING);
+    headers.remove(header::CONTENT_LENGTH);
+    // The response to HEAD has the length that the response to GET would have.
+    if let Some(bytes) = stated.filter(|_| has_body || method == Method::HEAD) {
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(bytes));
+    }
+    let length = if has_body { length } else { Length::None };
+    response.extensions_mut().insert(length);
+    Ok(length)
+}
+
+/// Whether the body is sent in chunks.
+fn parse_coding(version: Version, headers: &HeaderMap) -> Result<bool, Flaw> {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let Some(coding) = codings.next() else {
+        return Ok(false);
+    };
+    let is_chunked = coding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked");
+    if is_chunked && codings.next().is_none() && version == Version::HTTP_11 {
+        Ok(true)
+    } else {
+        Err(Flaw::Coding)
+    }
+}
+
+/// The length that the head states. It may be stated several times if it is always the same.
+fn parse_length(headers: &HeaderMap) -> Result<Option<u64>, Flaw> {
+    let mut stated = None;
+    for value in headers.get_all(header::CONTENT_LENGTH) {
+        for digits in value.as_bytes().split(|byte| *byte == b',') {
+            let bytes = parse_digits(digits.trim_ascii()).ok_or(Flaw::Length)?;
+            if stated.replace(bytes).is_some_and(|before| before != bytes) {
+                return Err(Flaw::Length);
+            }
+        }
+    }
+    Ok(stated)
+}
+
+fn parse_digits(digits: &[u8]) -> Option<u64> {
+    // `parse` accepts a sign.
+    let is_number = digits.iter().all(u8::is_ascii_digit);
+    is_number.then(|| std::str::from_utf8(digits).ok()?.parse().ok()).flatten()
+}
--- a/gateway/src/view.rs
+++ b/gateway/src/view.rs
@@ -192,7 +192,7 @@
         .header(hyper::header::HOST, address)
         .body(Full::default())
         .map_err(|e| Error::Malformed(e.to_string()))?;
-    let response = channel.sender.send_request(request).await.map_err(|e| unreachable(&e))?;
+    let response = channel.send(request).await.map_err(|e| unreachable(&e))?;
     match response.status() {
         StatusCode::OK => Ok((channel, response)),
         other => Err(Error::Refused(other.as_u16())),
--- a/gateway/tests/admission.rs
+++ b/gateway/tests/admission.rs
@@ -72,7 +72,7 @@
     tokio::task::spawn_local(async move {
         let mut channel =
             laburnumwheel_gateway::channel::open(&connecting.to_string()).await.unwrap();
-        channel.sender.send_request(request).await.unwrap()
+        channel.send(request).await.unwrap()
     })
 }
 
--- a/gateway/tests/builds.rs
+++ b/gateway/tests/builds.rs
@@ -46,7 +46,7 @@
     headers.insert(own::LAST_EVENT, HeaderValue::from_static("1"));
     headers.insert(own::RESUMES, HeaderValue::from_str(first).unwrap());
     let mut channel = connect(gateway).await;
-    channel.sender.send_request(request).await.unwrap().status().as_u16()
+    channel.send(request).await.unwrap().status().as_u16()
 }
 
 /// Begins streams at one gateway and resumes them at another one; returns how many went on at each pair
@@ -115,7 +115,7 @@
             headers.insert("laburnumwheel-delegation", HeaderValue::from_str(&told).unwrap());
             let mut channel = channel::open(&address).await.unwrap();
 
-            let response = channel.sender.send_request(request).await.unwrap();
+            let response = channel.send(request).await.unwrap();
 
             assert_eq!(response.status(), 200);
             builds.push(build(&all, &id));
--- a/gateway/tests/calls.rs
+++ b/gateway/tests/calls.rs
@@ -250,7 +250,7 @@
         let replica = Replica::start(vec![Action::Silent]).await;
         let running = gateway_with(&[&replica]).await;
         let mut channel = connect(&running).await;
-        let response = channel.sender.send_request(request("/safe/x", "call-1"));
+        let response = channel.send(request("/safe/x", "call-1"));
         let waiting = tokio::task::spawn_local(response);
         while replica.received.borrow().is_empty() {
             tokio::time::sleep(Duration::from_millis(5)).await;
@@ -291,7 +291,7 @@
 
         for (status, request) in cases {
             let mut channel = connect(&running).await;
-            let response = channel.sender.send_request(request).await.unwrap();
+            let response = channel.send(request).await.unwrap();
             assert_eq!(response.status().as_u16(), status);
         }
         assert!(replica.received.borrow().is_empty());
@@ -308,7 +308,7 @@
         let mut channel = connect(&running).await;
         shared.gateway.borrow_mut().stop(clock::now(), Span::secs(2), Span::secs(8));
 
-        let response = channel.sender.send_request(request("/once/x", "call-1")).await.unwrap();
+        let response = channel.send(request("/once/x", "call-1")).await.unwrap();
 
         assert_eq!(headers(&response)["connection"], "close");
         assert_eq!(response.status(), 200);
--- a/gateway/tests/copies.rs
+++ b/gateway/tests/copies.rs
@@ -260,7 +260,7 @@
         request.headers_mut().insert(own::PROMPT, "a1:700".parse().unwrap());
         request.headers_mut().insert(own::LENGTH_HINT, "60".parse().unwrap());
 
-        let response = channel.sender.send_request(request).await.unwrap();
+        let response = channel.send(request).await.unwrap();
 
         assert_eq!(response.status(), 503);
         assert!(counter(&running, "run_copies_total{outcome=\"reserved\"}") > 0);
--- a/gateway/tests/copy_headers.rs
+++ b/gateway/tests/copy_headers.rs
@@ -43,7 +43,7 @@
             for name in [own::BACKUP_TO, own::CONTINUE_FROM, own::FETCH_FROM] {
                 request.headers_mut().insert(name, "127.0.1.9:1/run-2".parse().unwrap());
             }
-            let response = channel.sender.send_request(request).await.unwrap();
+            let response = channel.send(request).await.unwrap();
             response.into_body().collect().await.unwrap();
         }
 
@@ -79,7 +79,7 @@
         for name in [own::BACKUP_TO, own::CONTINUE_FROM, own::FETCH_FROM] {
             request.headers_mut().insert(name, "127.0.1.9:1/run-2".parse().unwrap());
         }
-        let response = channel.sender.send_request(request).await.unwrap();
+        let response = channel.send(request).await.unwrap();
         response.into_body().collect().await.unwrap();
 
         assert_eq!(delegated(cut_off), before + 1);
--- a/gateway/tests/cuts.rs
+++ b/gateway/tests/cuts.rs
@@ -217,7 +217,7 @@
         // A delegate may count an earlier call too, if it is slower than its caller's deadline.
         let left_before = count_left();
         let mut channel = crate::support::connect(&linked.gateways[0]).await;
-        let response = channel.sender.send_request(request("/once/x", "call-1"));
+        let response = channel.send(request("/once/x", "call-1"));
         let waiting = tokio::task::spawn_local(response);
         wait_until("the call has arrived", || arrivals(&all, "call-1") == 1).await;
 
@@ -512,7 +512,7 @@
             let headers = forged.headers_mut();
             headers.insert("authorization", format!("Bearer {key}").parse().unwrap());
             headers.insert("laburnumwheel-delegation", delegation.parse().unwrap());
-            statuses.push(channel.sender.send_request(forged).await.unwrap().status().as_u16());
+            statuses.push(channel.send(forged).await.unwrap().status().as_u16());
         }
 
         assert_eq!(statuses, [401, 401, 503, 400]);
@@ -559,3 +559,66 @@
         assert!(counter(&linked.gateways[0], "served=\"true\"") > 0);
     });
 }
+
+/// Answers whose length is uncertain, with this status line and these lines.
+fn uncertain(status: &str, lines: &str) -> Vec<String> {
+    let chunks = "4\r\nbody\r\n0\r\n\r\n";
+    let answer = |coding: &str| {
+        format!("HTTP/1.1 {status}\r\nx-request-id: ID\r\n{lines}{coding}\r\n{chunks}")
+    };
+    vec![
+        answer("transfer-encoding: body\r\n"),
+        answer("transfer-encoding: chunked, gzip\r\n"),
+        answer("content-length: 2\r\ntransfer-encoding: chunked\r\n"),
+        answer("content-length: 4, 2\r\n"),
+    ]
+}
+
+/// Guards against a replica's answer of uncertain length that reaches a caller by way of two gateways.
+#[test]
+fn delegated_call_with_a_broken_answer_fails_once() {
+    run(async {
+        for text in uncertain("200 OK", "x-laburnum-proof: p\r\n") {
+            let (all, linked) = cut_off(vec![Action::WriteAndClose(text.clone())]).await;
+
+            let (status, _) = call(&linked.gateways[0], "/once/x", "call-1").await;
+
+            assert_eq!((status, arrivals(&all, "call-1")), (502, 1), "{text}");
+        }
+    });
+}
+
+/// Guards against a delegate's broken answer that is passed on, or believed when it says that the call
+/// has not run.
+#[test]
+fn broken_answer_of_a_delegate_is_unknown() {
+    run(async {
+        let answered = "x-laburnum-proof: p\r\nlaburnumwheel-outcome: answered\r\n";
+        let refused = "laburnumwheel-outcome: elsewhere\r\n";
+        let answers = uncertain("200 OK", answered).into_iter().chain(uncertain("503 No", refused));
+        for text in answers {
+            let (delegate, linked) =
+                cut_off_with_delegate(Action::WriteAndClose(text.clone())).await;
+
+            let (status, _) = call(&linked.gateways[0], "/once/x", "call-1").await;
+
+            let received = delegate.received.borrow();
+            let count = received.iter().filter(|call| call.id() == "call-1").count();
+            assert_eq!((status, count), (502, 1), "{text}");
+        }
+    });
+}
+
+/// Guards against a delegated answer that loses its length, so that one which breaks off could look
+/// complete to a caller of an earlier version of the protocol.
+#[test]
+fn delegated_answer_keeps_its_length() {
+    run(async {
+        let (_all, linked) = cut_off(vec![Action::Write(response("200 OK", "answer"))]).await;
+
+        let response = send(&linked.gateways[0], "/once/x", "call-1").await;
+
+        assert_eq!(response.headers()["content-length"], "6");
+        assert!(!response.headers().contains_key("transfer-encoding"));
+    });
+}
--- a/gateway/tests/needs.rs
+++ b/gateway/tests/needs.rs
@@ -56,7 +56,7 @@
     let mut request = request("/stream/x", id);
     request.headers_mut().insert(own::PROMPT, prompt.parse().unwrap());
     let mut channel = channel::open(&running.callers.to_string()).await.unwrap();
-    channel.sender.send_request(request).await.unwrap().status().as_u16()
+    channel.send(request).await.unwrap().status().as_u16()
 }
 
 /// Two gateways send to one engine, which has memory for one of their calls. The second call must be
--- a/gateway/tests/support/engine.rs
+++ b/gateway/tests/support/engine.rs
@@ -266,7 +266,7 @@
     let headers = request.headers_mut();
     headers.insert(own::PROMPT, "a1:700".parse().unwrap());
     headers.insert(own::LENGTH_HINT, tokens.into());
-    let response = channel.sender.send_request(request).await.unwrap();
+    let response = channel.send(request).await.unwrap();
     assert_eq!(response.status(), 200);
     (channel, response.into_body())
 }
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -493,7 +493,7 @@
 
 pub async fn send(running: &Running, path: &str, id: &str) -> Response<Incoming> {
     let mut channel = connect(running).await;
-    let response = channel.sender.send_request(request(path, id)).await.unwrap();
+    let response = channel.send(request(path, id)).await.unwrap();
     // The connection stays open until the test ends.
     std::mem::forget(channel);
     response
--- a/gateway/tests/unframed.rs
+++ b/gateway/tests/unframed.rs
@@ -54,7 +54,7 @@
     let mut request = request(path, id);
     let prompt = format!("{PART:x}:500,1:20").parse().unwrap();
     request.headers_mut().insert(own::PROMPT, prompt);
-    let response = channel.sender.send_request(request).await.unwrap();
+    let response = channel.send(request).await.unwrap();
     let status = response.status().as_u16();
     let is_whole = response.into_body().collect().await.is_ok();
     (status, is_whole)
