Reject statuses that end no call

Callers saw: 101 passed on as the answer, with no length, and 600 and 999 with the replica's body.

Cause: the HTTP library takes 101 for the end of a call even if nobody asked for another protocol, and allows all statuses of three digits.

Change: `response::validate` accepts 200 to 599 only, and no success of CONNECT, which would turn the connection into a tunnel.

Evidence: `answer_with_a_status_that_ends_no_call_is_a_failure` failed on the unchanged code (101 first; 600 and 999 were believed when they said "not run"). 000, 099, statuses of two and four digits and of letters, and unknown versions were held before; they stay in the test as guards.

Why it works: an informational status is no final response, and the protocol defines none from 600 on.

--- a/gateway/src/response.rs
+++ b/gateway/src/response.rs
@@ -44,6 +44,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[display(rename_all = "snake_case")]
 pub enum Flaw {
+    /// The status ends no call: it is informational, or out of the range that the protocol defines.
+    Status,
     /// The lengths that the head states are malformed, or differ.
     Length,
     /// The transfer coding is not `chunked` alone, or the version has none.
@@ -75,6 +77,9 @@
 /// Returns the first flaw. Nothing of such a response may be used, nor its connection.
 pub fn validate<B>(method: &Method, response: &mut Response<B>) -> Result<Length, Flaw> {
     let (status, version) = (response.status(), response.version());
+    if !is_final(status) || (method == Method::CONNECT && status.is_success()) {
+        return Err(Flaw::Status);
+    }
     let headers = response.headers_mut();
     let is_chunked = parse_coding(version, headers)?;
     let stated = parse_length(headers)?;
@@ -102,6 +107,11 @@
     Ok(length)
 }
 
+/// Whether the protocol defines the status as that of a final response (RFC 9110, section 15).
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether the body is sent in chunks.
 fn parse_coding(version: Version, headers: &HeaderMap) -> Result<bool, Flaw> {
     let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
--- a/gateway/tests/broken.rs
+++ b/gateway/tests/broken.rs
@@ -1,5 +1,5 @@
-//! Replicas that send broken answers: heads that can't be parsed, and bodies whose length is not
-//! certain.
+//! Replicas that send broken answers: heads that can't be parsed, statuses that end no call, and bodies
+//! whose length is not certain.
 
 mod support;
 
@@ -70,6 +70,27 @@
     ]
 }
 
+/// Answers whose start line is no start line of a final answer.
+fn spoilt_starts() -> Vec<(&'static str, String)> {
+    let start = |start: &str| answer(start, "content-length: 4\r\n", "body");
+    vec![
+        ("status 000", start("HTTP/1.1 000 None")),
+        ("status 099", start("HTTP/1.1 099 None")),
+        ("status of two digits", start("HTTP/1.1 20 OK")),
+        ("status of four digits", start("HTTP/1.1 2000 OK")),
+        ("status of letters", start("HTTP/1.1 abc OK")),
+        ("negative status", start("HTTP/1.1 -20 OK")),
+        ("status 101", start("HTTP/1.1 101 Switching Protocols")),
+        ("status 600", start("HTTP/1.1 600 None")),
+        ("status 999", start("HTTP/1.1 999 None")),
+        ("version 0.9", start("HTTP/0.9 200 OK")),
+        ("version 1.2", start("HTTP/1.2 200 OK")),
+        ("version 2.0", start("HTTP/2.0 200 OK")),
+        ("another protocol", start("FTTP/1.1 200 OK")),
+        ("no version", start("200 OK")),
+    ]
+}
+
 /// Answers whose transfer coding leaves the length of the body uncertain.
 fn spoilt_codings() -> Vec<(&'static str, String)> {
     let chunks = "4\r\nbody\r\n0\r\n\r\n";
@@ -101,7 +122,7 @@
 }
 
 fn spoilt() -> Vec<(&'static str, String)> {
-    [spoilt_heads(), spoilt_codings()].concat()
+    [spoilt_starts(), spoilt_heads(), spoilt_codings()].concat()
 }
 
 /// A caller that keeps its connection and reads what arrives byte by byte.
@@ -247,6 +268,17 @@
     });
 }
 
+/// Guards against statuses that end no call, such as 101 and 600, that reach callers.
+#[test]
+fn answer_with_a_status_that_ends_no_call_is_a_failure() {
+    run(async {
+        let plain = misread("/once/x", spoilt_starts()).await;
+        let streams = misread("/once-stream/x", spoilt_starts()).await;
+
+        assert_eq!([plain, streams].concat(), Vec::<String>::new());
+    });
+}
+
 /// Guards against transfer codings that are not understood: callers would get the bytes on the wire as
 /// the body, or a body of another length than its head states.
 #[test]
