Test answers that are reset during an upload

A replica that answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection: the failure of the upload could hide the reset, so that the part looks complete.

The test only guards; nothing else changes.

--- a/gateway/tests/broken.rs
+++ b/gateway/tests/broken.rs
@@ -3,26 +3,42 @@
 
 mod support;
 
+use std::cell::RefCell;
 use std::future::ready;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream;
+use http_body_util::Full;
 use laburnumwheel_gateway::gateway::Running;
+use laburnumwheel_gateway::store::View;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
 use crate::support::Action;
 use crate::support::KEY;
 use crate::support::Replica;
+use crate::support::config;
+use crate::support::connect;
 use crate::support::counter;
+use crate::support::gateway;
 use crate::support::gateway_with;
+use crate::support::listing;
+use crate::support::request;
 use crate::support::response;
 use crate::support::run;
 
 /// Time within which each call has to end; its deadline is 3 s.
 const MAX_TIME: Duration = Duration::from_secs(8);
+/// Length of a long body, which is written for longer than a replica needs to answer.
+const UPLOAD_BYTES: usize = 3 << 20;
 /// Checks with a gateway each that run at a time. Many more would take all descriptors.
 const CHECKS_AT_A_TIME: usize = 8;
 /// Calls within which each of two replicas gets one.
@@ -396,3 +412,49 @@
         }
     });
 }
+
+/// A replica that answers before it has read the call's body, sends part of its own, and resets the
+/// connection after a delay.
+async fn resetting_replica(delay: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = vec![0; 4096];
+            let count = stream.read(&mut head).await.unwrap_or(0);
+            let head = String::from_utf8_lossy(&head[..count]).into_owned();
+            let id = head.lines().find_map(|line| line.strip_prefix("x-request-id: "));
+            let text = ok("", "a part of the body").replace("ID", id.unwrap_or_default());
+            let _ = stream.write_all(text.as_bytes()).await;
+            tokio::time::sleep(delay).await;
+            // Closing a connection with unread bytes resets it.
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+    });
+    address
+}
+
+/// Guards against the part of an answer that looks complete because the failure of the upload hides the
+/// reset of the connection.
+#[test]
+fn answer_that_is_reset_during_an_upload_is_a_failure() {
+    run(async {
+        for delay in (0..30).step_by(5).map(Duration::from_millis) {
+            let replica = resetting_replica(delay).await;
+            let mut config = config(1);
+            config.limits.body = 2 * UPLOAD_BYTES;
+            let replicas = vec![listing("replica-0", replica)];
+            let view = View { config: Some(Arc::new(config)), replicas, gateways: Vec::new() };
+            let running = gateway(&Rc::new(RefCell::new(Some(view)))).await;
+            for path in ["/once/x", "/safe/x"] {
+                let mut upload = request(path, "call-1");
+                *upload.body_mut() = Full::new(Bytes::from(vec![b'x'; UPLOAD_BYTES]));
+
+                let mut channel = connect(&running).await;
+                let response = channel.send(upload).await.unwrap();
+
+                assert_eq!(response.status(), 502, "{path} {delay:?}");
+            }
+        }
+    });
+}
