Validate the responses that the product's own router reads

Callers of the product's own router saw a 200 with the bytes on the wire of an answer in an unknown transfer coding; its own requests used such answers and waited without end for others. The connection of an answer with a length that its status excludes (204) could go back to the pool.

Cause: the router read responses as the HTTP library returned them; it has a client of its own.

Change: all requests of `upstream::Client` go through one function, which applies `response::validate`. An invalid response is a broken attempt; it is logged with the upstream and the flaw, and its connection is marked so that the pool drops it.

Why it works: it is the same decision as the gateway's, in the one place that sends requests.

--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -76,7 +76,7 @@
         let incarnation = incarnation();
         let identity = member::home(&settings.name, incarnation);
         let kv = settings.key_value.and_then(|a| kv::Client::new(a).ok());
-        let client = upstream::Client::new(identity.clone());
+        let client = upstream::Client::new(&settings.name, identity.clone());
         let node_settings = node::Settings {
             name: settings.name.clone(),
             incarnation,
--- a/router/src/upstream.rs
+++ b/router/src/upstream.rs
@@ -16,9 +16,11 @@
 use hyper::body::Incoming;
 use hyper::header;
 use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use laburnumwheel_core::action::Dispatch;
+use laburnumwheel_core::action::Line;
 use laburnumwheel_core::action::Order;
 use laburnumwheel_core::event::AttemptId;
 use laburnumwheel_core::event::Event;
@@ -26,11 +28,13 @@
 use laburnumwheel_core::event::OrderResult;
 use laburnumwheel_core::event::Target;
 use laburnumwheel_core::order::MAX_ORDER_DELAY;
+use laburnumwheel_gateway::response;
 use serde::Deserialize;
 use serde_json::json;
 
 use crate::body;
 use crate::driver::Handle;
+use crate::log;
 use crate::reply::Shape;
 use crate::sse::Decoder;
 
@@ -49,6 +53,7 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     http: legacy::Client<HttpConnector, Full<Bytes>>,
+    name: String,
     identity: String,
 }
 
@@ -81,8 +86,9 @@
 }
 
 impl Client {
-    /// Creates a client whose attempts carry `identity`, which is unique to this run of the router.
-    pub fn new(identity: String) -> Client {
+    /// Creates a client of the router with this name whose attempts carry `identity`, which is unique to
+    /// this run of the router.
+    pub fn new(name: &str, identity: String) -> Client {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
@@ -91,7 +97,7 @@
             // If the library resent a call after a stale connection, it could run twice.
             .retry_canceled_requests(false)
             .build(connector);
-        Client { http, identity }
+        Client { http, name: name.to_owned(), identity }
     }
 
     /// Requests `path` from an upstream, as for a load report.
@@ -103,13 +109,33 @@
         let request = Request::get(format!("http://{address}{path}"))
             .body(Full::default())
             .map_err(|_| Failure::Broken)?;
-        let response = self.http.request(request).await.map_err(|_| Failure::Connect)?;
+        let response = self.send(request).await?;
         if response.status() != StatusCode::OK {
             return Err(Failure::Refused);
         }
         collect(response).await
     }
 
+    /// Sends a request. An invalid response is a failure, and its connection is not used again.
+    async fn send(&self, mut request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
+        let connection = connect::capture_connection(&mut request);
+        let method = request.method().clone();
+        let authority = request.uri().authority().map(ToString::to_string);
+        let response = self.http.request(request).await;
+        let mut response = response
+            .map_err(|e| if e.is_connect() { Failure::Connect } else { Failure::Broken })?;
+        if let Err(flaw) = response::validate(&method, &mut response) {
+            if let Some(connected) = connection.connection_metadata().as_ref() {
+                connected.poison();
+            }
+            let authority = authority.as_deref().unwrap_or("-");
+            let line = Line::new("response_invalid").with("upstream", authority);
+            log::write(&self.name, &line.with("flaw", flaw));
+            return Err(Failure::Broken);
+        }
+        Ok(response)
+    }
+
     /// Sends an order and reports its result to the node.
     ///
     /// The whole call has a timeout, for which a new holder of the lease waits before it sends
@@ -129,7 +155,7 @@
         let Ok(request) = request else {
             return OrderResult::Unknown;
         };
-        match self.http.request(request).await.map(|r| r.status()) {
+        match self.send(request).await.map(|r| r.status()) {
             Ok(StatusCode::CONFLICT) => OrderResult::Fenced,
             Ok(status) if status.is_success() => OrderResult::Done,
             _ => OrderResult::Unknown,
@@ -188,9 +214,7 @@
             .header(REQUEST_ID_HEADER, self.format_id(dispatch.attempt))
             .body(Full::new(body))
             .map_err(|_| Failure::Connect)?;
-        let response = self.http.request(request).await;
-        let response = response
-            .map_err(|e| if e.is_connect() { Failure::Connect } else { Failure::Broken })?;
+        let response = self.send(request).await?;
         match response.status() {
             _ if response.headers().contains_key(LEAVING_HEADER) => Err(Failure::Leaving),
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
--- a/router/tests/support/mod.rs
+++ b/router/tests/support/mod.rs
@@ -132,6 +132,16 @@
 
 impl Site {
     pub async fn start(engines: usize, services: usize, work: Duration) -> Site {
+        Site::start_with(engines, services, work, &[]).await
+    }
+
+    /// Starts a site with further upstreams of a group, at these addresses.
+    pub async fn start_with(
+        engines: usize,
+        services: usize,
+        work: Duration,
+        others: &[(&str, SocketAddr)],
+    ) -> Site {
         let key_value = KeyValue::start(0).await.expect("a port");
         let counter = Counter::default();
         let mut site = Site {
@@ -152,6 +162,9 @@
             text += &upstream(&format!("s{i}"), "bids", service.address);
             site.services.push(service);
         }
+        for (i, (group, address)) in others.iter().enumerate() {
+            text += &upstream(&format!("o{i}"), group, *address);
+        }
         let hash = config::hash_key(ORG_KEY);
         text += &format!(
             "[[organisation]]\nname = \"museo\"\nkey_hash = \"{hash}\"\ndefault_class = \"draft\"\n"
