Count the bodies of failures and refusals as held memory

A replica in trouble answers with a 500 whose body has no end. Each call kept up to 16 MB of it: 120 calls at a time took a gateway of 110 MB to 1,424 MB (40 calls: 794 MB). Such a process is killed, and the calls of all its other callers end with it.

Cause: only successes were counted against the share of the memory that calls may take.

Change: the body of a failure is counted in the same way. One for which there is no memory is dropped: the caller gets 502, and the attempt counts as the failure that the head stated. The body of a refusal, which no caller gets, is read up to 64 KiB.

Why it works: failures share the bound that answers have, which depends on the process's memory and not on the number of calls.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -51,6 +51,7 @@
 use crate::peers;
 use crate::reach;
 use crate::response;
+use crate::response::BodyError;
 use crate::response::Length;
 use crate::shared::Shared;
 
@@ -69,6 +70,9 @@
 ];
 /// Largest response that is buffered before it is forwarded, in bytes.
 pub(crate) const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Largest body of a refusal that is read, in bytes. Callers do not get it; with a longer one the
+/// connection is closed.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
 /// Most parts of a prompt that one log line names.
 const MAX_LOGGED_PARTS: usize = 8;
 /// Most permits that one attempt asks for.
@@ -695,14 +699,19 @@
                 self.record_failure(&replica, fault);
                 Failure::Fault(fault, Some(Box::new(collected)))
             }
-            Err(failure) => failure,
+            Err(failure) => {
+                if matches!(failure, Failure::Fault(Fault::Status, _)) {
+                    self.meter(sent);
+                }
+                failure
+            }
         }
     }
 
     /// Reads the body of a response which says that the call has not run. The head carried the call's
     /// id, so that this is true whatever becomes of the body, and no crash is one of this call.
     async fn read_refusal(&mut self, mut exchange: Exchange, fault: Fault) -> Failure {
-        let body = response::collect(&mut exchange.body, MAX_RESPONSE_BYTES);
+        let body = response::collect(&mut exchange.body, MAX_REFUSAL_BYTES);
         let body = self.wait_for(&exchange.in_flight, body).await;
         self.record_failure(&exchange.replica, fault);
         match body {
@@ -721,17 +730,24 @@
     ///
     /// # Errors
     ///
-    /// Returns a fault if the response breaks off or is too large, or if [`Call::wait_for`] gives
-    /// up.
+    /// Returns a fault if the response breaks off or is too large, if there is no memory for it, or if
+    /// [`Call::wait_for`] gives up.
     pub async fn collect(
         &mut self,
         mut exchange: Exchange,
         outcome: Outcome,
     ) -> Result<Collected, Failure> {
-        let body = response::collect(&mut exchange.body, MAX_RESPONSE_BYTES);
+        let mut held = self.shared.memory.hold();
+        let reserve = |bytes| held.grow(bytes);
+        let body = response::collect_reserved(&mut exchange.body, MAX_RESPONSE_BYTES, reserve);
         match self.wait_for(&exchange.in_flight, body).await {
-            Ok(Ok(body)) => Ok(self.complete(exchange, outcome, body)),
-            Ok(Err(_)) => Err(self.fail(&exchange.in_flight, &exchange.replica, Fault::Broken)),
+            Ok(Ok(body)) => Ok(self.complete(exchange, outcome, held.attach(body))),
+            Ok(Err(BodyError::NoMemory)) => {
+                Err(self.fail(&exchange.in_flight, &exchange.replica, Fault::Status))
+            }
+            Ok(Err(BodyError::Broken | BodyError::TooLong)) => {
+                Err(self.fail(&exchange.in_flight, &exchange.replica, Fault::Broken))
+            }
             Err(fault) => Err(self.fail(&exchange.in_flight, &exchange.replica, fault)),
         }
     }
--- a/gateway/src/cache.rs
+++ b/gateway/src/cache.rs
@@ -179,7 +179,7 @@
     let body = response::collect(&mut response.into_body(), MAX_ANSWER_BYTES).await;
     let body = body.map_err(|e| match e {
         BodyError::TooLong => Fault::Flawed(Flaw::Size),
-        BodyError::Broken => Fault::Failed,
+        BodyError::Broken | BodyError::NoMemory => Fault::Failed,
     })?;
     *channel = Some(open);
     Ok(body)
--- a/gateway/src/memory.rs
+++ b/gateway/src/memory.rs
@@ -135,7 +135,8 @@
         held
     }
 
-    fn hold(&self) -> Held {
+    /// Counts the bytes of an answer that is held whole, none at first.
+    pub(crate) fn hold(&self) -> Held {
         let whole = self.limit.map(|limit| (limit as f64 * WHOLE_ANSWERS_RATIO) as usize);
         Held { all: Arc::clone(&self.held), limit: whole.unwrap_or(usize::MAX), bytes: 0 }
     }
@@ -151,7 +152,7 @@
 
 impl Held {
     /// Adds bytes if the bound allows it.
-    fn grow(&mut self, bytes: usize) -> bool {
+    pub(crate) fn grow(&mut self, bytes: usize) -> bool {
         let fits = self.all.load(Ordering::Relaxed) + bytes <= self.limit;
         if fits {
             self.add(bytes);
@@ -165,7 +166,7 @@
     }
 
     /// The same bytes, which are held until the last copy of them is dropped.
-    fn attach(self, bytes: Bytes) -> Bytes {
+    pub(crate) fn attach(self, bytes: Bytes) -> Bytes {
         Bytes::from_owner(Counted { bytes, _held: self })
     }
 }
--- a/gateway/src/response.rs
+++ b/gateway/src/response.rs
@@ -80,6 +80,9 @@
     /// The body is longer than allowed.
     #[error("the body is too long")]
     TooLong,
+    /// There is no memory for the body.
+    #[error("no memory for the body")]
+    NoMemory,
 }
 
 /// Reads a body of at most `max_bytes`.
@@ -91,6 +94,22 @@
 ///
 /// Returns an error as soon as the body is too long, or if it breaks off.
 pub async fn collect<B>(body: &mut B, max_bytes: usize) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    collect_reserved(body, max_bytes, |_| true).await
+}
+
+/// The same for a body for each part of which `reserve` finds memory.
+///
+/// # Errors
+///
+/// The same as for [`collect`]; also returns an error if there is no memory for a part.
+pub async fn collect_reserved<B>(
+    body: &mut B,
+    max_bytes: usize,
+    mut reserve: impl FnMut(usize) -> bool,
+) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
@@ -100,6 +119,9 @@
         if data.len() > max_bytes - collected.len() {
             return Err(BodyError::TooLong);
         }
+        if !reserve(data.len()) {
+            return Err(BodyError::NoMemory);
+        }
         if collected.is_empty() && body.is_end_stream() {
             return Ok(data);
         }
