Count long incomplete events as held memory

A replica in trouble sends one event without end on many streams. Each stream kept up to 1 MB of it: 120 streams took the test's process to 199,400 KiB (200 streams: 324,448 KiB), where a gateway may take 112,640.

Cause: an incomplete event was bounded by itself, and all of them together were not.

Change: the bytes of an incomplete event beyond 16 KiB are counted as held memory. If there is no room, the attempt fails for that reason, which is neither a crash nor a failure of the replica; the stream is resumed elsewhere as its route allows, or broken off.

Evidence: gateway/tests/floods.rs with events and later events of 120 streams: 199,400 KiB before, 85,232 KiB over all forms now. Tests of streams, moves, copies and delegated calls pass.

Why it works: events share the bound of answers and failures, so that only short ones add up by streams.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -128,6 +128,8 @@
     Broken,
     /// The response belongs to another call.
     Misattributed,
+    /// There is no memory for the response.
+    NoMemory,
     /// The replica has sent nothing for too long; the retry budget has been charged for the next
     /// attempt.
     Silent,
@@ -149,7 +151,9 @@
             Fault::Refused => Outcome::Refused,
             Fault::Replaced => Outcome::Replaced,
             Fault::Status | Fault::Broken | Fault::Misattributed | Fault::Silent => Outcome::Failed,
-            Fault::Withdrawn | Fault::TimedOut | Fault::Stopped => Outcome::Cancelled,
+            Fault::Withdrawn | Fault::TimedOut | Fault::Stopped | Fault::NoMemory => {
+                Outcome::Cancelled
+            }
         }
     }
 }
@@ -819,7 +823,7 @@
     /// open meanwhile, so only a broken connection shows that the call had begun.
     fn has_likely_run(&self, fault: Fault) -> bool {
         match fault {
-            Fault::Broken | Fault::Misattributed => true,
+            Fault::Broken | Fault::Misattributed | Fault::NoMemory => true,
             Fault::TimedOut | Fault::Silent => !self.grant.route.streams,
             _ => false,
         }
--- a/gateway/src/memory.rs
+++ b/gateway/src/memory.rs
@@ -160,6 +160,17 @@
         fits
     }
 
+    /// Counts this many bytes in place of those that were counted, if the bound allows it.
+    pub(crate) fn set(&mut self, bytes: usize) -> bool {
+        let more = bytes.saturating_sub(self.bytes);
+        if more > 0 {
+            return self.grow(more);
+        }
+        self.all.fetch_sub(self.bytes - bytes, Ordering::Relaxed);
+        self.bytes = bytes;
+        true
+    }
+
     fn add(&mut self, bytes: usize) {
         self.bytes += bytes;
         self.all.fetch_add(bytes, Ordering::Relaxed);
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -30,6 +30,7 @@
 use crate::clock;
 use crate::copy;
 use crate::log::Line;
+use crate::memory::Held;
 use crate::moves::Change;
 use crate::moves::Mover;
 use crate::moves::Stopped;
@@ -38,6 +39,10 @@
 /// Time between two reads of a caller from which on events of a stream wait in buffers.
 const MAX_READ_GAP: Span = Span::millis(100);
 
+/// Length of an incomplete event up to which it is not counted as held memory, in bytes. If all were
+/// counted, streams of short events would break off when memory is scarce.
+const MAX_UNCOUNTED_EVENT_BYTES: usize = 16 << 10;
+
 /// A stream on its way from a replica to a caller.
 pub struct Relay {
     call: Call,
@@ -47,6 +52,8 @@
     sequence: Option<Sequence>,
     /// Moves the run to another engine if its engine leaves.
     mover: Mover,
+    /// Memory that is counted for an incomplete event.
+    held: Held,
     /// The first events, read already when the stream is passed to the caller.
     first: Option<Bytes>,
     /// Time at which events were last passed to the caller's connection.
@@ -84,7 +91,8 @@
         let mut splitter = Splitter::default();
         let mut exchange = Some(exchange);
         let mover = Mover::default();
-        match read_events(&mut call, &mut exchange, &mut splitter, false).await {
+        let mut held = call.shared.memory.hold();
+        match read_events(&mut call, &mut exchange, &mut splitter, &mut held, false).await {
             Ok(Step::Events(events)) => {
                 recorder.record_event();
                 let claim = exchange.as_ref().and_then(|open| open.in_flight.claim());
@@ -97,7 +105,17 @@
                 let passed = None;
                 Ok((
                     head,
-                    Relay { call, exchange, splitter, sequence, mover, first, passed, recorder },
+                    Relay {
+                        call,
+                        exchange,
+                        splitter,
+                        sequence,
+                        mover,
+                        held,
+                        first,
+                        passed,
+                        recorder,
+                    },
                 ))
             }
             Ok(Step::End | Step::Closed) => {
@@ -105,7 +123,17 @@
                 let passed = None;
                 Ok((
                     head,
-                    Relay { call, exchange, splitter, sequence, mover, first, passed, recorder },
+                    Relay {
+                        call,
+                        exchange,
+                        splitter,
+                        sequence,
+                        mover,
+                        held,
+                        first,
+                        passed,
+                        recorder,
+                    },
                 ))
             }
             Err(fault) => {
@@ -172,15 +200,15 @@
 
     /// Waits for events, for a change in the move of the run, or until replicas leave.
     async fn wait(&mut self) -> Event {
-        let Relay { call, exchange, splitter, mover, .. } = self;
+        let Relay { call, exchange, splitter, mover, held, .. } = self;
         if !call.shared.gateway.borrow().can_move(&call.grant) && mover.is_idle() {
-            return Event::Read(read_events(call, exchange, splitter, false).await);
+            return Event::Read(read_events(call, exchange, splitter, held, false).await);
         }
         let shared = call.shared.clone();
         let (may_stop, is_idle) = (mover.may_stop(), mover.is_idle());
         tokio::select! {
             biased;
-            read = read_events(call, exchange, splitter, may_stop) => Event::Read(read),
+            read = read_events(call, exchange, splitter, held, may_stop) => Event::Read(read),
             change = mover.change() => Event::Change(change),
             () = shared.replicas_closing.notified(), if is_idle => Event::Leaving,
         }
@@ -261,6 +289,7 @@
             open.in_flight.end(Outcome::Cancelled);
         }
         self.splitter.discard_pending();
+        self.held.set(0);
         // The copy at a standby ends with the run at the source.
         self.call.copy = None;
         let to_source = matches!(stopped.reply, Reply::Refused(_));
@@ -326,6 +355,7 @@
     async fn resume(&mut self, mut failure: Failure) -> Result<(), Aborted> {
         self.exchange = None;
         self.splitter.discard_pending();
+        self.held.set(0);
         if self.continue_from_copy(&failure).await {
             return Ok(());
         }
@@ -411,6 +441,7 @@
     call: &mut Call,
     exchange: &mut Option<Exchange>,
     splitter: &mut Splitter,
+    held: &mut Held,
     may_stop: bool,
 ) -> Result<Step, Fault> {
     loop {
@@ -425,8 +456,14 @@
                 open.in_flight.record_activity(None);
                 let known = splitter.count();
                 match splitter.push(&data) {
-                    Ok(events) if events.is_empty() => {}
+                    Ok(events) if events.is_empty() => {
+                        let pending = splitter.pending_len();
+                        if pending > MAX_UNCOUNTED_EVENT_BYTES && !held.set(pending) {
+                            return Err(Fault::NoMemory);
+                        }
+                    }
                     Ok(events) => {
+                        held.set(0);
                         open.in_flight.record_event();
                         open.in_flight.record_output(splitter.count().saturating_sub(known));
                         call.meter(open.in_flight.sent().map(|_| clock::now()));
--- a/gateway/tests/floods.rs
+++ b/gateway/tests/floods.rs
@@ -14,6 +14,7 @@
 use crate::support::Replica;
 use crate::support::builder;
 use crate::support::connect;
+use crate::support::events;
 use crate::support::request;
 use crate::support::run;
 use crate::support::view;
@@ -69,6 +70,8 @@
         ("small failures", "/once/x", endless(head("500 No", chunked), "1\r\nx\r\n"), &[502, 504]),
         ("failures of streams", "/once-stream/x", endless(sealed("500 Oops"), "x"), &[502, 504]),
         ("refusals", "/once/x", endless(refused, "x"), &[503]),
+        ("events", "/once-stream/x", endless(sealed("200 OK"), "x"), &[502, 504]),
+        ("later events", "/once-stream/x", endless(events(1, 2), "fff\r\n"), &[200]),
         ("heads", "/once/x", endless("HTTP/1.1 200 OK\r\n".to_owned(), "a: b\r\n"), &[502, 504]),
         ("start lines", "/once/x", endless("HTTP/1.1 200 ".to_owned(), "O"), &[502, 504]),
     ]
