--- a/gateway/tests/caches.rs
+++ b/gateway/tests/caches.rs
@@ -38,6 +38,7 @@
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
+use crate::support::Action;
 use crate::support::Contents;
 use crate::support::END;
 use crate::support::Replica;
@@ -296,6 +297,41 @@
     });
 }
 
+/// Guards against cache events with a spoilt head, which would name parts that the engine does not have,
+/// and against events without an end.
+#[test]
+fn broken_cache_events_name_nothing() {
+    run(async {
+        let head = "HTTP/1.1 200 OK\r\n";
+        let cases = [
+            (format!("{head}transfer-encoding: own\r\n\r\n{PAGE}"), ""),
+            (format!("{head}content-length: 2\r\ntransfer-encoding: own\r\n\r\n{PAGE}"), ""),
+            (format!("{head}\r\n{PAGE}"), "x"),
+            (format!("{head}transfer-encoding: chunked\r\n\r\n"), "1\r\nx\r\n"),
+            (head.to_owned(), "a: b\r\n"),
+            (String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
+        ];
+        for (text, repeated) in cases {
+            let script = match repeated {
+                "" => Action::WriteAndClose(text.clone()),
+                _ => Action::Endless(text.clone(), repeated.to_owned()),
+            };
+            let engine = Replica::start(vec![script]).await;
+            let replicas = vec![listing("replica-0", engine.address)];
+            let contents = Rc::new(RefCell::new(Some(View { replicas, ..view(&[], 12) })));
+            let gateway = gateway(&contents).await;
+
+            wait_until("a fault", || counter(&gateway, "cache_faults_total") > 0).await;
+
+            assert_eq!(parts(&gateway), 0, "{text}");
+            wait_until("the connection is closed", || {
+                repeated.is_empty() || !engine.endless.borrow().is_empty()
+            })
+            .await;
+        }
+    });
+}
+
 /// Twelve other calls wait at the engine, which refuses further ones. The gateway retries less and
 /// less often, and follows the engine once there is room.
 #[test]
--- a/gateway/tests/copies.rs
+++ b/gateway/tests/copies.rs
@@ -228,6 +228,43 @@
     });
 }
 
+/// Guards against reports with a spoilt head, or without an end, that are taken for the end of a run: it
+/// would go on twice.
+#[test]
+fn run_whose_engine_sends_a_broken_report_does_not_continue() {
+    run(async {
+        let head = "HTTP/1.1 200 OK\r\n";
+        let cases = [
+            (format!("{head}transfer-encoding: own\r\n\r\n0\n"), ""),
+            (format!("{head}content-length: 3\r\ntransfer-encoding: own\r\n\r\n0\n"), ""),
+            ("HTTP/1.1 600 Own\r\ncontent-length: 2\r\n\r\n0\n".to_owned(), ""),
+            (format!("{head}\r\n0\n"), "x"),
+            (format!("{head}transfer-encoding: chunked\r\n\r\n"), "1\r\n0\r\n"),
+            (head.to_owned(), "a: b\r\n"),
+            (String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
+        ];
+        for (text, repeated) in cases {
+            let (a, b) = two(vec![Step::Close]).await;
+            for engine in [&a, &b] {
+                engine.faulty_reports.replace(Some((text.clone(), repeated.to_owned())));
+            }
+            let contents: Contents = Rc::new(RefCell::new(Some(view_of(copying(2), &[&a, &b]))));
+            let running = gateway(&contents).await;
+
+            let body = call(&running, "run-1").await;
+
+            let (first, other) = order(&a, &b);
+            assert_eq!(body, Err(()), "{text}");
+            assert_eq!(other.received.borrow().len(), 0, "{text}");
+            assert!(first.reports.get() > 0, "{text}");
+            wait_until("the connections are closed", || {
+                repeated.is_empty() || first.endless.get() == first.reports.get()
+            })
+            .await;
+        }
+    });
+}
+
 /// A continued run is one more arrival at the service than callers sent. If the retry budget is
 /// spent, as when many engines crash at once, further arrivals would overload the others.
 #[test]
--- a/gateway/tests/moves/failures.rs
+++ b/gateway/tests/moves/failures.rs
@@ -248,3 +248,34 @@
         assert_eq!((runs(&a).len(), runs(&b).len()), (1, 1));
     });
 }
+
+/// Guards against a broken answer of the engine that copies a run: taken for a copy, the run would be
+/// sent on with memory that the destination does not have.
+#[test]
+fn run_whose_source_sends_a_broken_answer_is_not_sent_on() {
+    run(async {
+        let head = "HTTP/1.1 200 OK\r\n";
+        let cases = [
+            (format!("{head}transfer-encoding: own\r\n\r\nh1"), ""),
+            (format!("{head}content-length: 2\r\ntransfer-encoding: own\r\n\r\nh1"), ""),
+            (format!("{head}\r\nh1"), "x"),
+            (head.to_owned(), "a: b\r\n"),
+        ];
+        for (text, repeated) in cases {
+            let (a, b) = two(script).await;
+            let running = gateway_before(moving(), &[&a, &b]).await;
+            let (_channel, body) = open(&running, "run-1").await;
+            tokio::time::sleep(Duration::from_millis(90)).await;
+            let (source, other) = order(&a, &b);
+            // The report is asked for first, and must be sound.
+            source.faulty_copies.replace(Some((text.clone(), repeated.to_owned())));
+            leave(&running, source);
+
+            let (received, is_complete) = read(body).await;
+
+            assert!(!source.copies.borrow().is_empty(), "{text}");
+            assert_eq!((received, is_complete), (data(1, EVENTS), true), "{text}");
+            assert_eq!((moves(&running, "moved"), other.received.borrow().len()), (0, 0), "{text}");
+        }
+    });
+}
--- a/gateway/tests/support/engine.rs
+++ b/gateway/tests/support/engine.rs
@@ -96,6 +96,13 @@
     pub freed: Rc<RefCell<Vec<String>>>,
     /// Status of the answer to a call that frees memory.
     pub free_status: Rc<Cell<u16>>,
+    /// In place of reports: a text, and another one that is repeated until the
+    /// connection is closed, if it is not empty.
+    pub faulty_reports: Rc<RefCell<Option<(String, String)>>>,
+    /// The same in place of answers to calls that copy a run.
+    pub faulty_copies: Rc<RefCell<Option<(String, String)>>>,
+    /// Connections with a repeated text that the gateway closed.
+    pub endless: Rc<Cell<u32>>,
     stopped: Rc<Cell<bool>>,
     accepting: Rc<RefCell<Option<JoinHandle<()>>>>,
     open: Rc<RefCell<Vec<JoinHandle<()>>>>,
@@ -115,6 +122,9 @@
             copy_script: Rc::new(RefCell::new(Rc::new(|stop| Copied::now(200, "h1", stop)))),
             freed: Rc::default(),
             free_status: Rc::new(Cell::new(200)),
+            faulty_reports: Rc::default(),
+            faulty_copies: Rc::default(),
+            endless: Rc::default(),
             stopped: Rc::default(),
             accepting: Rc::default(),
             open: Rc::default(),
@@ -137,6 +147,10 @@
         while let Some(received) = read(&mut stream).await {
             if received.head.starts_with(&format!("GET {}", own::REPORT_PATH)) {
                 self.reports.set(self.reports.get() + 1);
+                let faulty = self.faulty_reports.borrow().clone();
+                if let Some(faulty) = faulty {
+                    return self.respond_faulty(stream, faulty).await;
+                }
                 let (status, body) = self.report.borrow().clone();
                 respond(&mut stream, status, &body).await;
                 continue;
@@ -152,6 +166,10 @@
                 let script = Rc::clone(&self.copy_script.borrow());
                 let copied = script(received.header(own::STOP).is_some());
                 self.copies.borrow_mut().push(received);
+                let faulty = self.faulty_copies.borrow().clone();
+                if let Some(faulty) = faulty {
+                    return self.respond_faulty(stream, faulty).await;
+                }
                 self.stopped.set(self.stopped.get() || copied.stopped);
                 tokio::time::sleep(copied.delay).await;
                 match copied.answer {
@@ -193,6 +211,14 @@
         }
     }
 
+    async fn respond_faulty(&self, mut stream: TcpStream, (text, repeated): (String, String)) {
+        let mut is_open = stream.write_all(text.as_bytes()).await.is_ok();
+        while is_open && !repeated.is_empty() {
+            is_open = stream.write_all(repeated.repeat(1_000).as_bytes()).await.is_ok();
+            self.endless.set(self.endless.get() + u32::from(!is_open));
+        }
+    }
+
     /// Ends the process. The listener and the connections close when their tasks are next run.
     pub fn crash(&self) {
         if let Some(accepting) = self.accepting.take() {
