Store what began streams, so that take-ups outlive all gateways

Callers saw: after all gateways had been killed at once, each stream that broke off was refused when its caller took it up (503, not run), for 30 s, though replicas of its version were there.

Cause: what began a stream is known to its gateway and replicated to three or four others; all of that ends with them. A gateway that has just started knows no build history either, so that streams of a service with a single build were refused as well.

Change: gateways store the builds of replicated streams in batches of 12 bytes a stream, under leases, and which services have had one build for as long as streams last. A gateway that has just started restores both from its first reads; the others learn of it by the questions that they ask already. A stored build is believed only while no other one is listed, and only if it was read after the last gap in the lists. Nothing is stored while a service has one build but that single fact. All gateways together store at most 1,000 streams a second in 40 batches, since readers of the store get them all; larger fleets store a part, and refuse the rest after such a kill as before.

Without a network: half at least go on with two builds, all with one, none if another build came meanwhile or after a gap, none is joined.

Why it works: the store is the one thing that outlives all gateways, and it is written before a stream is as old as most are when they break off.

--- a/core/src/gateway/origin.rs
+++ b/core/src/gateway/origin.rs
@@ -6,6 +6,10 @@
 //! the call determines these holders: a gateway at which a caller resumes the stream queries them.
 //! While a service has had one build for as long as streams last, nothing is sent; the streams of that
 //! time are replicated once another build is listed, or once this gateway's lists are stale.
+//!
+//! Replicas of an origin end with their gateways. What must outlive all gateways is also stored: the
+//! builds of replicated streams, in batches, and which services have had one build for as long as
+//! streams last.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -27,6 +31,17 @@
 /// heartbeat interval and the age of a list. A stream that began in that time may be of either one.
 const ENTRY_LAG: Span = Span::secs(3);
 
+/// Origins a second that all gateways store together. Each reader of the store gets all of them: with
+/// many more, they would take its link and its memory. Of the streams of a fleet that begins more, most
+/// can't be resumed after all gateways have ended.
+const MAX_STORED_PER_SEC: usize = 1_000;
+/// Batches of origins a second that all gateways store together, a tenth of the writes that a store of
+/// a small fleet takes.
+const MAX_BATCHES_PER_SEC: u64 = 40;
+/// Shortest time from one batch of a gateway to the next. Streams that began since the last batch are
+/// lost if all gateways end.
+const MIN_BATCH_INTERVAL: Span = Span::millis(100);
+
 /// Hash of the id of a caller's attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[display("{_0:016x}")]
@@ -57,6 +72,27 @@
     pub origin: Origin,
 }
 
+/// Build of a stream as it is stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stored {
+    /// The attempt that brought the first event.
+    pub call: Call,
+    /// Build of the replica that began it.
+    pub build: Build,
+}
+
+/// Time from one batch of stored origins to the next of a gateway among so many.
+pub fn batch_interval(gateways: usize) -> Span {
+    let interval = Span(Span::secs(gateways as u64).0 / MAX_BATCHES_PER_SEC);
+    interval.max(MIN_BATCH_INTERVAL)
+}
+
+/// Most origins in a batch of a gateway among so many.
+pub fn max_batch(gateways: usize) -> usize {
+    let millis = batch_interval(gateways).as_millis() as usize;
+    (MAX_STORED_PER_SEC * millis / 1_000).div_ceil(gateways.max(1))
+}
+
 /// Query for the origin of a stream that a caller resumes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Question {
@@ -102,6 +138,8 @@
     order: VecDeque<(Time, Call)>,
     /// Own streams whose origins were not replicated, by service.
     unreplicated: BTreeSet<(u32, Call)>,
+    /// Own streams whose origins were replicated and not stored, in the order of their records.
+    unstored: VecDeque<Call>,
 }
 
 impl Table {
@@ -110,8 +148,12 @@
         let Record { call, origin } = *record;
         self.entries.insert(call, Entry { at: now, origin, own });
         self.order.push_back((now, call));
-        if let Some(own) = own.filter(|own| !own.is_replicated) {
-            self.unreplicated.insert((own.service, call));
+        match own {
+            Some(Own { service, is_replicated: false }) => {
+                self.unreplicated.insert((service, call));
+            }
+            Some(_) => self.unstored.push_back(call),
+            None => {}
         }
     }
 
@@ -152,12 +194,25 @@
             self.unreplicated.remove(&key);
             if let Some(entry) = self.entries.get_mut(&key.1) {
                 entry.own = Some(Own { service, is_replicated: true });
+                self.unstored.push_back(key.1);
                 records.push((entry.at, Record { call: key.1, origin: entry.origin }));
             }
         }
         records
     }
 
+    /// Takes the newest of the origins of own streams that were replicated and not stored, with the
+    /// times of the first events; older ones beyond `max_count` are never stored.
+    pub fn take_unstored(&mut self, max_count: usize) -> Vec<(Time, Record)> {
+        let excess = self.unstored.len().saturating_sub(max_count);
+        let calls = std::mem::take(&mut self.unstored);
+        let known = calls.into_iter().skip(excess).filter_map(|call| {
+            let entry = self.entries.get(&call)?;
+            Some((entry.at, Record { call, origin: entry.origin }))
+        });
+        known.collect()
+    }
+
     /// Replicated origins of own streams, with the times of the first events.
     pub fn replicated(&self) -> impl Iterator<Item = (Time, Record)> {
         let replicated =
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -43,6 +43,7 @@
 use super::admission::ticket;
 use super::budget;
 use super::budget::Budget;
+use super::build::Build;
 use super::config::Config;
 use super::config::Engine;
 use super::config::Route;
@@ -218,6 +219,9 @@
     tickets: ticket::Table,
     issuer: Issuer,
     origins: origin::Table,
+    /// Stored builds of services that have had only one for as long as streams last, and the time of the
+    /// read.
+    stored_builds: (Time, BTreeMap<String, Build>),
     copies: Copies,
     /// Time of the last replication of origins to gateways that had started.
     streams_replicated: Time,
@@ -266,6 +270,7 @@
             tickets: ticket::Table::default(),
             issuer: Issuer::default(),
             origins: origin::Table::default(),
+            stored_builds: (Time(0), BTreeMap::new()),
             copies: Copies::default(),
             streams_replicated: now,
             last_sweep: now,
--- a/core/src/gateway/state/origins.rs
+++ b/core/src/gateway/state/origins.rs
@@ -16,6 +16,7 @@
 use crate::gateway::origin::Own;
 use crate::gateway::origin::Question;
 use crate::gateway::origin::Record;
+use crate::gateway::origin::Stored;
 use crate::gateway::refusal::Reason;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::submission::Submission;
@@ -110,6 +111,70 @@
         }
     }
 
+    /// Builds of own streams to store from now on: those that were replicated since the last call and
+    /// are certain.
+    pub fn take_unstored_streams(&mut self, now: Time) -> Vec<Stored> {
+        let max_count = origin::max_batch(self.fleet_size(now));
+        let records = self.origins.take_unstored(max_count);
+        let build = |(at, record): (Time, Record)| {
+            let build = self.confirmed(at, record.origin)?.build?;
+            Some(Stored { call: record.call, build })
+        };
+        records.into_iter().filter_map(build).collect()
+    }
+
+    /// Time from one batch of stored origins to the next.
+    pub fn origin_batch_interval(&self, now: Time) -> Span {
+        origin::batch_interval(self.fleet_size(now))
+    }
+
+    fn fleet_size(&self, now: Time) -> usize {
+        self.directory.live_peers(now) + 1
+    }
+
+    /// Time for which a stored origin is of use.
+    pub fn origin_lifetime(&self) -> Span {
+        self.stream_lifetime()
+    }
+
+    /// Whether streams from before the start of this gateway may still be resumed.
+    pub fn needs_stored_origins(&self, now: Time) -> bool {
+        now.since(self.started_at) < self.stream_lifetime()
+    }
+
+    /// Restores stored origins that this gateway does not know.
+    pub fn restore_origins(&mut self, now: Time, stored: &[Stored]) {
+        for Stored { call, build } in stored {
+            if self.origins.get(*call).is_none() {
+                let origin = Origin { replica: Digest(0), build: Some(*build) };
+                self.origins.record(now, &Record { call: *call, origin }, None);
+            }
+        }
+    }
+
+    /// Restores which services have had one build for as long as streams last, by a read of the store
+    /// that was sent at `sent`.
+    pub fn restore_builds(&mut self, sent: Time, stored: BTreeMap<String, Build>) {
+        self.stored_builds = (sent, stored);
+    }
+
+    /// Services with the one build that they have had for as long as streams last, if the stored ones
+    /// differ. A stored build is kept until another one is seen, as this gateway may just have started.
+    pub fn builds_to_store(
+        &self,
+        now: Time,
+        stored: &BTreeMap<String, Build>,
+    ) -> Option<BTreeMap<String, Build>> {
+        let mut builds = stored.clone();
+        for service in self.fleet.services() {
+            match self.only_build(now, service) {
+                Some(Some(build)) => builds.insert(service.to_owned(), build),
+                _ => builds.remove(service),
+            };
+        }
+        (builds != *stored).then_some(builds)
+    }
+
     /// Answers the query of another gateway.
     pub fn answer_origin(&self, now: Time, question: &Question) -> Answer {
         if let Some((at, origin)) = self.origins.get(question.call) {
@@ -203,11 +268,19 @@
     }
 
     /// The one build that a service has had for as long as streams last; `None` if it had several, or if
-    /// this gateway's lists were stale in that time.
+    /// this gateway's lists are stale. If they are current for a shorter time, the build that was stored
+    /// at their start counts for the time before.
     fn only_build(&self, now: Time, service: &str) -> Option<Option<Build>> {
         let since = now - self.stream_lifetime();
-        let is_informed = self.freshness.unbroken_since(now).is_some_and(|from| from <= since);
-        self.fleet.only_build(service, since).filter(|_| is_informed)
+        let unbroken_since = self.freshness.unbroken_since(now)?;
+        if unbroken_since <= since {
+            return self.fleet.only_build(service, since);
+        }
+        let (read_at, stored) = &self.stored_builds;
+        let seen = self.fleet.only_build(service, Time(0))?;
+        let is_stored = seen.is_some() && seen == stored.get(service).copied();
+        // Before a gap in the lists, another build may have come and gone unseen.
+        (is_stored && unbroken_since <= *read_at).then_some(seen)
     }
 
     /// Time for which a caller may go on with a stream: two attempts that each last to the route's
--- a/core/tests/gateway/origins.rs
+++ b/core/tests/gateway/origins.rs
@@ -7,15 +7,18 @@
 
 use laburnumwheel_core::gateway::Gateway;
 use laburnumwheel_core::gateway::Settings;
+use laburnumwheel_core::gateway::build::Build;
 use laburnumwheel_core::gateway::directory;
 use laburnumwheel_core::gateway::directory::Entry;
 use laburnumwheel_core::gateway::fleet::Listing;
 use laburnumwheel_core::gateway::gossip::Demand;
+use laburnumwheel_core::gateway::origin;
 use laburnumwheel_core::gateway::origin::Answer;
 use laburnumwheel_core::gateway::origin::Call;
 use laburnumwheel_core::gateway::origin::Origin;
 use laburnumwheel_core::gateway::origin::Question;
 use laburnumwheel_core::gateway::origin::Record;
+use laburnumwheel_core::gateway::origin::Stored;
 use laburnumwheel_core::gateway::submission::Submission;
 use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
@@ -344,6 +347,150 @@
     }
 }
 
+/// Ids and builds of streams.
+type Begun = Vec<(String, Option<String>)>;
+
+/// Begins streams at all gateways, 100 a second, and has their origins stored; returns the ids and builds
+/// of the streams, and what is stored.
+fn begin_stored(world: &mut World) -> (Begun, Vec<Stored>) {
+    let (mut begun, mut stored) = (Vec::new(), Vec::new());
+    let mut next_batch = world.now;
+    for n in 0..STREAMS {
+        world.now = world.now + Span::millis(10);
+        if n % 50 == 0 {
+            world.refresh();
+        }
+        let id = format!("call-{n}");
+        let at = world.rng.random_range(0..world.serving.len());
+        begun.push((id.clone(), world.begin(at, &id)));
+        if world.now >= next_batch {
+            next_batch = world.now + world.serving[0].origin_batch_interval(world.now);
+            let now = world.now;
+            stored.extend(world.serving.iter_mut().flat_map(|g| g.take_unstored_streams(now)));
+        }
+    }
+    (begun, stored)
+}
+
+/// Kills and starts all gateways, after which the first three read the store.
+fn restart_all(world: &mut World, stored: &[Stored], builds: &BTreeMap<String, Build>) {
+    world.kept.clear();
+    world.now = world.now + Span::secs(1);
+    for n in 0..world.serving.len() {
+        let settings = Settings { seed: n as u64, ..settings(&name(n)) };
+        world.serving[n] = Gateway::new(settings, world.now);
+        world.serving[n].record_read(world.now, Some(Arc::new(config(1))));
+    }
+    world.refresh();
+    for gateway in &mut world.serving[..3] {
+        gateway.restore_origins(world.now, stored);
+        gateway.restore_builds(world.now, builds.clone());
+    }
+}
+
+/// What becomes of streams that their callers resume at random gateways.
+fn resume_at_random(world: &mut World, begun: Begun) -> Outcome {
+    let mut outcome = Outcome::default();
+    for (id, build) in begun {
+        let at = world.rng.random_range(0..world.serving.len());
+        outcome.resumed += 1;
+        match world.resume_by_caller(at, &id) {
+            Some(other) if other == build => outcome.continued += 1,
+            Some(_) => outcome.joined += 1,
+            None => {}
+        }
+    }
+    outcome
+}
+
+/// Guards against streams that are refused, or joined, after all gateways were killed while a service had
+/// several builds: only the store knows what began them.
+#[test]
+fn stored_streams_go_on_after_all_gateways_were_killed() {
+    let mut world = World::start(9, 9, 3);
+    let (begun, stored) = begin_stored(&mut world);
+
+    restart_all(&mut world, &stored, &BTreeMap::new());
+    let last = begun[STREAMS - 100..].to_vec();
+
+    assert_kept(resume_at_random(&mut world, last));
+}
+
+/// Lets a service have one build for longer than streams last, and begins streams that are not stored.
+/// Returns the ids and builds of the streams, and the stored builds.
+fn begin_at_one_build(world: &mut World) -> (Begun, BTreeMap<String, Build>) {
+    world.replicas.retain(|replica| replica.build.as_deref() == Some("v1"));
+    world.serving = (0..world.serving.len()).map(start).collect();
+    while world.now < START + Span::secs(32) {
+        world.now = world.now + Span::millis(500);
+        world.refresh();
+    }
+    let builds = world.serving[0].builds_to_store(world.now, &BTreeMap::new()).unwrap();
+    let (begun, stored) = begin_stored(world);
+    assert_eq!(stored.len(), 0);
+    (begun, builds)
+}
+
+/// Guards against streams of the only build of a service that are refused after all gateways were killed.
+#[test]
+fn streams_of_an_only_build_go_on_after_all_gateways_were_killed() {
+    let mut world = World::start(9, 9, 4);
+    let (begun, builds) = begin_at_one_build(&mut world);
+
+    restart_all(&mut world, &[], &builds);
+    let outcome = resume_at_random(&mut world, begun);
+
+    assert_eq!((outcome.continued, outcome.joined), (STREAMS, 0));
+    assert_eq!(world.serving[0].builds_to_store(world.now, &builds), None);
+}
+
+/// Guards against a stored build that is believed although the service has another one by now.
+#[test]
+fn no_stream_is_joined_if_another_build_came_while_all_gateways_were_down() {
+    for left in [["v1", "v2"].as_slice(), &["v2"]] {
+        let mut world = World::start(9, 9, 5);
+        let all = world.replicas.clone();
+        let (begun, builds) = begin_at_one_build(&mut world);
+        let is_left = |replica: &Listing| left.contains(&replica.build.as_deref().unwrap());
+        world.replicas = all.into_iter().filter(is_left).collect();
+
+        restart_all(&mut world, &[], &builds);
+        let outcome = resume_at_random(&mut world, begun);
+
+        assert_eq!(outcome.continued + outcome.joined, 0, "{left:?}: {outcome:?}");
+        let kept = world.serving[0].builds_to_store(world.now, &builds);
+        assert_eq!(kept, Some(BTreeMap::new()), "{left:?}");
+    }
+}
+
+/// Guards against a stored build that was read before a gap in the lists, in which another build may have
+/// come and gone.
+#[test]
+fn stored_build_from_before_a_gap_is_not_believed() {
+    let mut world = World::start(9, 9, 6);
+    let (begun, builds) = begin_at_one_build(&mut world);
+    restart_all(&mut world, &[], &builds);
+
+    world.now = world.now + Span::secs(5);
+    world.refresh();
+    let outcome = resume_at_random(&mut world, begun);
+
+    assert_eq!(outcome.continued + outcome.joined, 0, "{outcome:?}");
+}
+
+/// Guards against stored origins that take the link and the memory of the store's readers.
+#[test]
+fn stored_origins_are_bounded_for_all_gateways_together() {
+    for gateways in [1, 9, 100, 440, 1_000] {
+        let batch = origin::max_batch(gateways) * gateways;
+        let per_sec = batch as f64 / origin::batch_interval(gateways).as_secs_f64();
+        let batches_per_sec = gateways as f64 / origin::batch_interval(gateways).as_secs_f64();
+
+        assert!(per_sec <= 1_100.0, "{gateways}: {per_sec} origins a second");
+        assert!(batches_per_sec <= 40.1, "{gateways}: {batches_per_sec} batches a second");
+    }
+}
+
 /// Guards against streams that are joined after all gateways restarted: nothing knows what began them.
 #[test]
 fn no_stream_goes_on_after_all_gateways_have_restarted() {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -42,6 +42,7 @@
 use crate::log::Log;
 use crate::memory::Memory;
 use crate::metrics::Metrics;
+use crate::origin;
 use crate::peers;
 use crate::reach;
 use crate::server;
@@ -219,9 +220,13 @@
         spawn(Box::pin(tick(shared.clone())));
         let eras = self.store.eras;
         spawn(Box::pin(era::follow(shared.clone(), eras.clone())));
-        let (read, write_quarantine) = (self.store.read, self.store.write_quarantine);
-        let follower =
-            store::Follower { eras: eras.clone(), read, write_quarantine, reachable: true };
+        let follower = store::Follower {
+            eras: eras.clone(),
+            read: self.store.read,
+            write_quarantine: self.store.write_quarantine,
+            write_builds: self.store.write_builds,
+            reachable: true,
+        };
         let seeds = bootstrap::Calls {
             list: self.store.list_seeds,
             register: self.store.register,
@@ -235,6 +240,7 @@
         let entry_task =
             store::maintain_entry(shared.clone(), entry, eras.clone(), announce, renew);
         spawn(Box::pin(entry_task));
+        spawn(Box::pin(origin::persist(shared.clone(), self.store.write_origins)));
         spawn(Box::pin(peers::send_heartbeats(shared.clone())));
         spawn(Box::pin(peers::receive(shared.clone())));
         spawn(Box::pin(peers::send_reports(shared.clone())));
--- a/gateway/src/origin.rs
+++ b/gateway/src/origin.rs
@@ -8,12 +8,15 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use laburnumwheel_core::gateway::Grant;
+use laburnumwheel_core::gateway::build::Build;
 use laburnumwheel_core::gateway::fleet::Claim;
 use laburnumwheel_core::gateway::origin::Answer;
 use laburnumwheel_core::gateway::origin::Question;
 use laburnumwheel_core::gateway::origin::Record;
+use laburnumwheel_core::gateway::origin::Stored;
 use laburnumwheel_core::gateway::refusal::Refusal;
 use laburnumwheel_core::gateway::submission::Submission;
+use laburnumwheel_core::time::Time;
 use rand::Rng;
 use tokio::sync::oneshot;
 
@@ -22,11 +25,16 @@
 use crate::peers;
 use crate::peers::Message;
 use crate::shared::Shared;
+use crate::store;
+use crate::store::Reading;
+use crate::store::Reply;
 
 /// Timeout of a query: several round trips between failure domains.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
 /// Number of times that a query is sent to gateways that do not answer, as datagrams may be lost.
 const ROUNDS: usize = 2;
+/// Time beyond that for which streams last in which stored origins outlive an outage of all gateways.
+const MAX_OUTAGE: Duration = Duration::from_secs(30);
 /// Records in one datagram.
 const MAX_RECORDS: usize = 128;
 
@@ -58,6 +66,70 @@
     }
 }
 
+/// Stored builds of services that have had only one for as long as streams last.
+#[derive(Clone, Debug, Default)]
+pub struct Builds {
+    /// Revision of the entry; 0 if there is none.
+    pub revision: u64,
+    /// Build of each service.
+    pub builds: BTreeMap<String, Build>,
+}
+
+/// Writes origins to the store; see [`store::Store::write_origins`].
+pub type Write = Box<dyn FnMut(Vec<Stored>, Duration) -> Reply<()>>;
+
+/// Stores the origins of own streams, forever.
+pub async fn persist(shared: Shared, mut write: Write) {
+    loop {
+        let interval = shared.gateway.borrow().origin_batch_interval(clock::now());
+        tokio::time::sleep(store::jittered(&shared, clock::duration(interval))).await;
+        let stored = shared.gateway.borrow_mut().take_unstored_streams(clock::now());
+        if stored.is_empty() {
+            continue;
+        }
+        let lifetime = clock::duration(shared.gateway.borrow().origin_lifetime());
+        let count = stored.len() as u64;
+        let result = store::with_timeout(write(stored, lifetime + MAX_OUTAGE)).await;
+        shared.metrics.count_store_call("origins", result.is_ok());
+        if result.is_ok() {
+            shared.metrics.add("origins_stored_total", String::new(), count);
+        }
+    }
+}
+
+/// Stores which services have had one build for as long as streams last, if that has changed. The first
+/// reader does so for all.
+pub async fn persist_builds(shared: &Shared, stored: &Builds, write: &mut store::WriteBuilds) {
+    let builds = {
+        let (gateway, now) = (shared.gateway.borrow(), clock::now());
+        let is_first = gateway.reader_rank(now) == 0;
+        gateway.builds_to_store(now, &stored.builds).filter(|_| is_first)
+    };
+    let Some(builds) = builds else {
+        return;
+    };
+    let line = Line::new("builds_stored").with("services", builds.len());
+    // If another gateway has written, the next read shows it.
+    let result = store::with_timeout(write(builds, stored.revision)).await;
+    shared.metrics.count_store_call("builds", result.is_ok());
+    shared.log(match result {
+        Ok(()) => line.with("outcome", "written"),
+        Err(e) => line.with("outcome", e),
+    });
+}
+
+/// Restores what a read of the store that was sent at `sent` shows of origins.
+pub fn restore(shared: &Shared, sent: Time, reading: &Reading) {
+    let mut gateway = shared.gateway.borrow_mut();
+    let now = clock::now();
+    if gateway.needs_stored_origins(now) {
+        for stored in &reading.origins {
+            gateway.restore_origins(now, stored);
+        }
+    }
+    gateway.restore_builds(sent, reading.builds.builds.clone());
+}
+
 /// Finds the origin of the stream that a call resumes; queries other gateways if need be.
 ///
 /// # Errors
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -19,8 +19,10 @@
 use laburnumwheel_core::gateway::autoscaler::Capacities;
 use laburnumwheel_core::gateway::autoscaler::Scaling;
 use laburnumwheel_core::gateway::bootstrap::Seed;
+use laburnumwheel_core::gateway::build::Build;
 use laburnumwheel_core::gateway::directory::Entry;
 use laburnumwheel_core::gateway::directory::Readers;
+use laburnumwheel_core::gateway::origin::Stored;
 use laburnumwheel_core::gateway::view::Snapshot;
 use laburnumwheel_core::rendezvous;
 use laburnumwheel_core::time::Span;
@@ -39,6 +41,7 @@
 use crate::flaw::Kind;
 use crate::flaw::Subject;
 use crate::log::Line;
+use crate::origin;
 use crate::peers;
 use crate::quarantine;
 use crate::shared::Shared;
@@ -89,6 +92,10 @@
     pub view: View,
     /// Stored records of the quarantine.
     pub fingerprints: quarantine::Entry,
+    /// Stored origins of streams.
+    pub origins: Vec<Arc<[Stored]>>,
+    /// Stored builds of services that have had only one for as long as streams last.
+    pub builds: origin::Builds,
     /// Revision of the leader's record, if there is one.
     pub leader: Option<u64>,
     /// Limits and prices of the replicas that may be ordered, by service.
@@ -135,6 +142,9 @@
 /// Writes the gateway's entry; see [`Store::announce`].
 pub type Announce = Box<dyn FnMut(Entry, Duration, Option<u64>) -> Reply<u64>>;
 
+/// Replaces the stored builds of services; see [`Store::write_builds`].
+pub type WriteBuilds = Box<dyn FnMut(BTreeMap<String, Build>, u64) -> Reply<()>>;
+
 /// The store's calls, as one platform makes them.
 pub struct Store {
     /// Eras that the store's responses have stated.
@@ -147,6 +157,10 @@
     pub announce: Announce,
     /// Replaces the stored records of the quarantine if their revision is still this one.
     pub write_quarantine: Box<dyn FnMut(Vec<quarantine::Record>, u64) -> Reply<()>>,
+    /// Stores the origins of streams for this long at least.
+    pub write_origins: Box<dyn FnMut(Vec<Stored>, Duration) -> Reply<()>>,
+    /// Replaces the stored builds if their revision is still this one.
+    pub write_builds: WriteBuilds,
     /// Renews a lease.
     pub renew: bootstrap::Renew,
     /// Ends a lease, which deletes the entries under it.
@@ -196,6 +210,8 @@
     pub read: Box<dyn FnMut() -> Reply<Reading>>,
     /// Same as [`Store::write_quarantine`].
     pub write_quarantine: Box<dyn FnMut(Vec<quarantine::Record>, u64) -> Reply<()>>,
+    /// Same as [`Store::write_builds`].
+    pub write_builds: WriteBuilds,
     /// Whether the last read succeeded.
     pub reachable: bool,
 }
@@ -232,9 +248,11 @@
             if !was_reachable {
                 shared.log(Line::new("store_regained"));
             }
+            let builds = reading.builds.clone();
             let stored = apply_reading(shared, sent, reading);
             if is_reader {
                 quarantine::persist(shared, &stored, &mut follower.write_quarantine).await;
+                origin::persist_builds(shared, &builds, &mut follower.write_builds).await;
             }
             Ok(())
         }
@@ -405,6 +423,7 @@
     // The quarantine is restored first, so that a gateway that has just started enforces it from
     // its first call on.
     quarantine::restore(shared, &reading.fingerprints);
+    origin::restore(shared, sent, &reading);
     reading.view.replicas = shared.gateway.borrow().reconcile(sent, reading.view.replicas);
     // A configuration that can't be decoded may be the one that revokes a key. The last readable
     // one stays in force, and its proof of freshness ages as during an outage of the store, so that
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -322,6 +322,8 @@
         }),
         announce: Box::new(|_, _, _| Box::pin(async { Ok(1) })),
         write_quarantine: Box::new(|_, _| Box::pin(async { Ok(()) })),
+        write_origins: Box::new(|_, _| Box::pin(async { Ok(()) })),
+        write_builds: Box::new(|_, _| Box::pin(async { Ok(()) })),
         renew: Rc::new(|_| Box::pin(async { Ok(()) })),
         withdraw: Box::new(|_| Box::pin(async { Ok(()) })),
         list_seeds: Box::new(|_| Box::pin(async { Ok(Vec::new()) })),
