Refuse calls that waited too long into a stop

Callers saw, in a planned stop in calm: a call that waits for a place at a full engine got it late in the grace period, was sent, and was cut off when the process ended; one that may not be repeated was lost.

Cause: whether a call may still begin was checked when its attempt began, and not after the waits for a place, for a permit or for a connection, which may take seconds.

Change: the check is repeated while a call waits and right before it is sent, also to a delegate. A call that may outlast the process is refused as not run, so that its caller repeats it elsewhere at once. A call that may have run, and a response that has begun, go on as before.

Evidence: `a_waiting_call_that_may_outlast_its_gateway_does_not_run` got 200 before, sent two seconds before the end of a stop with a deadline of three; now it is refused and does not reach the replica. Tests of stops, waits, delegated calls, copies and moves pass.

Why it works: nothing passes from a wait to a replica without the check that a new call passes.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -302,6 +302,7 @@
     if call.shared.gateway.borrow().is_grace_over(now) {
         return Err(Failure::Fault(Fault::Stopped, None));
     }
+    call.check_stop()?;
     if !call.may_send(now, pick) {
         return Err(call.fail_unsent(pick, Fault::Withdrawn, "replica closed"));
     }
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -350,9 +350,7 @@
         let now = clock::now();
         // A copy belongs to one attempt, also if another gateway makes the next one.
         self.free_copy();
-        if !self.may_have_run {
-            self.shared.gateway.borrow().may_begin(now, &self.grant).map_err(Failure::Denied)?;
-        }
+        self.check_stop()?;
         if self.grant.is_delegated
             && self.shared.gateway.borrow().is_out_of_reach(&self.grant.service)
         {
@@ -384,6 +382,16 @@
         sent
     }
 
+    /// Checks that a call which has not run may still begin. In a stop, one that may outlast the process
+    /// is refused, so that its caller repeats it elsewhere.
+    pub(crate) fn check_stop(&self) -> Result<(), Failure> {
+        if self.may_have_run || self.responding {
+            return Ok(());
+        }
+        let begin = self.shared.gateway.borrow().may_begin(clock::now(), &self.grant);
+        begin.map_err(Failure::Denied)
+    }
+
     /// Frees the copy of a run that has ended, or has not begun.
     pub(crate) fn free_copy(&mut self) {
         if let Some(copy) = self.copy.take() {
@@ -481,6 +489,7 @@
             if !self.responding && self.shared.gateway.borrow().is_grace_over(now) {
                 return Err(Failure::Fault(Fault::Stopped, None));
             }
+            self.check_stop()?;
             if !self.may_send(now, pick) {
                 return Err(self.fail_unsent(pick, Fault::Withdrawn, "replica closed"));
             }
@@ -563,6 +572,7 @@
 
     /// Checks again, after connecting, that the call may still be sent to the replica.
     fn confirm(&mut self, pick: &Pick) -> Result<(), Failure> {
+        self.check_stop()?;
         let service = self.grant.service.clone();
         let now = clock::now();
         let gateway = &self.shared.gateway;
--- a/gateway/src/delegation.rs
+++ b/gateway/src/delegation.rs
@@ -378,6 +378,7 @@
             self.count_delegation(delegate, "unreachable");
             return Err(Rejection::Elsewhere);
         };
+        self.check_stop().map_err(Rejection::Failed)?;
         let recheck =
             self.shared.gateway.borrow().recheck(clock::now(), &self.submission, &mut self.grant);
         recheck.map_err(|refusal| Rejection::Failed(Failure::Denied(refusal)))?;
--- a/gateway/tests/admission.rs
+++ b/gateway/tests/admission.rs
@@ -496,3 +496,30 @@
         assert_eq!(*owner.returning.borrow(), [false, false, true]);
     });
 }
+
+/// Guards against a call that waits for a place and gets it late in a stop: it may outlast the process,
+/// and its answer would be cut off. It must be refused as not run.
+#[test]
+fn a_waiting_call_that_may_outlast_its_gateway_does_not_run() {
+    run(async {
+        let (replica, all, _) = gateways_before(3).await;
+        let first: Vec<_> = (0..3).map(|n| spawn_call(&all[0], &format!("hanging-{n}"))).collect();
+        wait_until("the engine is full", || replica.received.borrow().len() == 3).await;
+        let waiting = spawn_call(&all[1], "waiting");
+        wait_until("the call waits", || queued(&all) == 1).await;
+        // The call's deadline, in 3 s, is after the end of the stop.
+        let (announcement, grace) = (Span::millis(100), Span::secs(2));
+        all[1].shared.gateway.borrow_mut().stop(clock::now(), announcement, grace);
+        wait_until("callers know of the stop", || {
+            all[1].shared.gateway.borrow().is_closing(clock::now())
+        })
+        .await;
+
+        first[0].abort();
+        let status = waiting.await.unwrap().status();
+
+        assert_eq!(status, 503);
+        assert!(replica.received.borrow().iter().all(|call| call.id() != "waiting"));
+        assert_eq!(queued(&all), 0);
+    });
+}
