Test calls that come until the end of a planned stop

Twenty callers send calls on kept and new connections until nobody listens: plain and streams, with deadlines before and after the end of the stop. Each must get a whole answer or not reach the replica.

The test only guards.

--- a/gateway/tests/stops.rs
+++ b/gateway/tests/stops.rs
@@ -38,6 +38,8 @@
 const LONG: usize = 12 << 20;
 /// Time in which a stop with nothing to wait for ends.
 const PAUSE: Duration = Duration::from_secs(1);
+/// Time after which callers connect again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Timeout of a stop that nothing holds up, and of reads.
 const TIMEOUT: Duration = Duration::from_secs(60);
 /// Grace period that no test reaches.
@@ -56,6 +58,12 @@
     /// Starts a gateway with a replica that follows `script`. When it has ended, `ended` gets the
     /// number of calls that the replica received.
     fn start(script: Vec<Action>, grace: Duration) -> Process {
+        Process::start_observed(script, grace).0
+    }
+
+    /// The same; the ids of the calls that the replica received are sent when the gateway has ended.
+    fn start_observed(script: Vec<Action>, grace: Duration) -> (Process, mpsc::Receiver<String>) {
+        let (observe, observed) = mpsc::channel();
         let (stop, stopped) = oneshot::channel();
         let (start, started) = mpsc::channel();
         let (end, ended) = mpsc::channel();
@@ -69,10 +77,14 @@
                 start.send(running.callers).unwrap();
                 stopped.await.unwrap();
                 running.stop().await;
+                for call in replica.received.borrow().iter() {
+                    // Most tests do not observe them.
+                    let _ = observe.send(call.id().to_owned());
+                }
                 end.send(replica.received.borrow().len()).unwrap();
             });
         });
-        Process { address: started.recv().unwrap(), stop, ended, thread }
+        (Process { address: started.recv().unwrap(), stop, ended, thread }, observed)
     }
 
     /// Tells the gateway to stop.
@@ -398,6 +410,111 @@
     assert_eq!(stopping.end(), 2);
 }
 
+/// What became of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// A whole answer with this status.
+    Answered(u16),
+    /// The beginning of an answer.
+    Cut,
+    /// The connection was closed without an answer.
+    Closed,
+}
+
+/// Reads the next answer, which states its length or is sent in chunks.
+fn read_answer(caller: &mut TcpStream) -> End {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes);
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+            let is_whole = match length {
+                Some(length) => body.len() == length.parse::<usize>().unwrap(),
+                None => body.ends_with(END),
+            };
+            if is_whole {
+                return End::Answered(head[9..12].parse().unwrap());
+            }
+        }
+        let mut more = [0; 4_096];
+        match caller.read(&mut more) {
+            Ok(count) if count > 0 => bytes.extend_from_slice(&more[..count]),
+            _ if bytes.is_empty() => return End::Closed,
+            _ => return End::Cut,
+        }
+    }
+}
+
+/// Makes calls on kept and new connections, until nobody listens.
+fn call_until_gone(
+    address: SocketAddr,
+    path: &str,
+    patience_ms: u32,
+    name: &str,
+) -> Vec<(String, End)> {
+    let mut ends = Vec::new();
+    while let Ok(mut caller) = TcpStream::connect(address) {
+        caller.set_read_timeout(Some(TIMEOUT)).unwrap();
+        let mut end = End::Answered(200);
+        while end == End::Answered(200) {
+            let id = format!("{name}-{}", ends.len());
+            let head = head(path, 0).replace("call-1", &id);
+            let head = head.replace("-ms: 3000", &format!("-ms: {patience_ms}"));
+            end = match caller.write_all(head.as_bytes()) {
+                Ok(()) => read_answer(&mut caller),
+                Err(_) => End::Closed,
+            };
+            ends.push((id, end));
+        }
+        std::thread::sleep(RETRY_INTERVAL);
+    }
+    ends
+}
+
+/// Guards against calls that are taken late in a stop and cut off: until the process is gone, each call
+/// gets a whole answer or does not reach a replica.
+#[test]
+fn calls_until_the_end_of_a_stop_are_answered_or_not_run() {
+    let grace = Duration::from_millis(2_500);
+    // It is a whole stream too.
+    let body = "id: 1\ndata: t1\n\n";
+    let whole = Action::WriteLater(response("200 OK", body), Duration::from_millis(40));
+    let (process, received) = Process::start_observed(vec![whole], grace);
+    let address = process.address;
+    let kinds = [
+        ("/once/x", 150),
+        ("/once/x", 3_000),
+        ("/safe/x", 150),
+        ("/once-stream/x", 150),
+        ("/once-stream/x", 3_000),
+    ];
+    let callers: Vec<_> = (0..20)
+        .map(|n| {
+            let (path, patience_ms) = kinds[n % kinds.len()];
+            let call = move || call_until_gone(address, path, patience_ms, &format!("caller-{n}"));
+            std::thread::spawn(call)
+        })
+        .collect();
+    std::thread::sleep(PAUSE / 2);
+
+    let stopping = process.stop();
+    stopping.end();
+
+    let ends: Vec<(String, End)> =
+        callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect();
+    let received: Vec<String> = received.iter().collect();
+    let count = |end: End| ends.iter().filter(|(_, e)| *e == end).count();
+    println!("{} whole, {} refused", count(End::Answered(200)), count(End::Answered(503)));
+    let is_lost = |(id, end): &&(String, End)| match end {
+        End::Answered(200) => false,
+        End::Answered(503) | End::Closed => received.contains(id),
+        End::Answered(_) | End::Cut => true,
+    };
+    let lost: Vec<&(String, End)> = ends.iter().filter(is_lost).collect();
+    assert!(lost.is_empty(), "{lost:?}");
+    assert!(count(End::Answered(200)) > 0 && count(End::Answered(503)) > 0);
+}
+
 /// A gateway stops during an outage of the store, before it has read a configuration.
 #[test]
 fn gateway_without_a_configuration_stops() {
