Store the builds of services, so that one build costs nothing

Cause: a gateway that has just started can't tell that a service has one build, so that it replicates and stored the origins of all streams for 30 s. And the bounds on what is stored left one stream in a hundred at the design size, for 16 KB a second at the store's readers.

Change: the store names the builds that each service has had for as long as streams last; the first reader keeps it up to date and adds a service when it first sees it. Gateways that read only views read that entry at their start. While a service has had one build, nothing else is stored or replicated, from the start on. Fleets of more than 64 gateways store no streams, and all of a smaller one 500 a second.

Why it works: what a gateway can't know after its start is what the entry says, and it says more than one build as long as streams of an earlier one may be taken up.

--- a/core/src/gateway/build.rs
+++ b/core/src/gateway/build.rs
@@ -71,11 +71,16 @@
         self.services.get(service).is_some_and(|builds| builds.keys().any(Option::is_some))
     }
 
+    /// Builds that a service has had since a time; `None` is an entry without one.
+    pub fn since(&self, service: &str, since: Time) -> impl Iterator<Item = Option<Build>> {
+        let builds = self.services.get(service).into_iter().flatten();
+        builds.filter(move |(_, presence)| presence.was_there(since)).map(|(build, _)| *build)
+    }
+
     /// The one build that a service has had since a time; `None` if it had several, or no replica.
     pub fn only(&self, service: &str, since: Time) -> Option<Option<Build>> {
-        let builds = self.services.get(service)?;
-        let mut there = builds.iter().filter(|(_, presence)| presence.was_there(since));
-        let (first, _) = there.next()?;
-        there.next().is_none().then_some(*first)
+        let mut builds = self.since(service, since);
+        let first = builds.next()?;
+        builds.next().is_none().then_some(first)
     }
 }
--- a/core/src/gateway/fleet/builds.rs
+++ b/core/src/gateway/fleet/builds.rs
@@ -20,6 +20,11 @@
         self.census.is_stated(service)
     }
 
+    /// Builds that a service has had since a time; `None` is an entry without one.
+    pub fn builds_since(&self, service: &str, since: Time) -> impl Iterator<Item = Option<Build>> {
+        self.census.since(service, since)
+    }
+
     /// The one build that a service has had since a time; `None` if it had several, or no replica.
     pub fn only_build(&self, service: &str, since: Time) -> Option<Option<Build>> {
         self.census.only(service, since)
--- a/core/src/gateway/origin.rs
+++ b/core/src/gateway/origin.rs
@@ -8,7 +8,7 @@
 //! time are replicated once another build is listed, or once this gateway's lists are stale.
 //!
 //! Replicas of an origin end with their gateways. What must outlive all gateways is also stored: the
-//! builds of replicated streams, in batches, and which services have had one build for as long as
+//! builds of replicated streams, in batches, and which builds each service has had for as long as
 //! streams last.
 
 use std::collections::BTreeMap;
@@ -31,10 +31,14 @@
 /// heartbeat interval and the age of a list. A stream that began in that time may be of either one.
 const ENTRY_LAG: Span = Span::secs(3);
 
+/// Largest fleet whose gateways store origins. In a larger one the bound on batches makes the time
+/// between those of a gateway longer than most streams last, and readers of the store would still get
+/// all of them.
+const MAX_STORING_GATEWAYS: usize = 64;
 /// Origins a second that all gateways store together. Each reader of the store gets all of them: with
 /// many more, they would take its link and its memory. Of the streams of a fleet that begins more, most
 /// can't be resumed after all gateways have ended.
-const MAX_STORED_PER_SEC: usize = 1_000;
+const MAX_STORED_PER_SEC: usize = 500;
 /// Batches of origins a second that all gateways store together, a tenth of the writes that a store of
 /// a small fleet takes.
 const MAX_BATCHES_PER_SEC: u64 = 40;
@@ -81,14 +85,21 @@
     pub build: Build,
 }
 
+/// Builds that each service has had for as long as streams last, as they are stored. A service that is
+/// missing has never been seen. One without a build has had replicas that stated none.
+pub type Builds = BTreeMap<String, BTreeSet<Build>>;
+
 /// Time from one batch of stored origins to the next of a gateway among so many.
 pub fn batch_interval(gateways: usize) -> Span {
     let interval = Span(Span::secs(gateways as u64).0 / MAX_BATCHES_PER_SEC);
     interval.max(MIN_BATCH_INTERVAL)
 }
 
-/// Most origins in a batch of a gateway among so many.
+/// Most origins in a batch of a gateway among so many; 0 if they store none.
 pub fn max_batch(gateways: usize) -> usize {
+    if gateways > MAX_STORING_GATEWAYS {
+        return 0;
+    }
     let millis = batch_interval(gateways).as_millis() as usize;
     (MAX_STORED_PER_SEC * millis / 1_000).div_ceil(gateways.max(1))
 }
--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -43,7 +43,6 @@
 use super::admission::ticket;
 use super::budget;
 use super::budget::Budget;
-use super::build::Build;
 use super::config::Config;
 use super::config::Engine;
 use super::config::Route;
@@ -219,9 +218,8 @@
     tickets: ticket::Table,
     issuer: Issuer,
     origins: origin::Table,
-    /// Stored builds of services that have had only one for as long as streams last, and the time of the
-    /// read.
-    stored_builds: (Time, BTreeMap<String, Build>),
+    /// Stored builds of services for as long as streams last, and the time of the read.
+    stored_builds: (Time, origin::Builds),
     copies: Copies,
     /// Time of the last replication of origins to gateways that had started.
     streams_replicated: Time,
@@ -270,7 +268,7 @@
             tickets: ticket::Table::default(),
             issuer: Issuer::default(),
             origins: origin::Table::default(),
-            stored_builds: (Time(0), BTreeMap::new()),
+            stored_builds: (Time(0), origin::Builds::new()),
             copies: Copies::default(),
             streams_replicated: now,
             last_sweep: now,
--- a/core/src/gateway/state/origins.rs
+++ b/core/src/gateway/state/origins.rs
@@ -3,6 +3,7 @@
 //! See [`crate::gateway::origin`].
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use super::Gateway;
 use super::Grant;
@@ -11,6 +12,7 @@
 use crate::gateway::fleet::Claim;
 use crate::gateway::origin;
 use crate::gateway::origin::Answer;
+use crate::gateway::origin::Builds;
 use crate::gateway::origin::Call;
 use crate::gateway::origin::Origin;
 use crate::gateway::origin::Own;
@@ -152,25 +154,37 @@
         }
     }
 
-    /// Restores which services have had one build for as long as streams last, by a read of the store
-    /// that was sent at `sent`.
-    pub fn restore_builds(&mut self, sent: Time, stored: BTreeMap<String, Build>) {
+    /// Restores the builds of services for as long as streams last, by a read of the store that was sent
+    /// at `sent`.
+    pub fn restore_builds(&mut self, sent: Time, stored: Builds) {
         self.stored_builds = (sent, stored);
     }
 
-    /// Services with the one build that they have had for as long as streams last, if the stored ones
-    /// differ. A stored build is kept until another one is seen, as this gateway may just have started.
-    pub fn builds_to_store(
-        &self,
-        now: Time,
-        stored: &BTreeMap<String, Build>,
-    ) -> Option<BTreeMap<String, Build>> {
+    /// Whether stored builds would tell this gateway more of services than it has seen since its start.
+    pub fn lacks_stored_builds(&self, now: Time) -> bool {
+        let (_, stored) = &self.stored_builds;
+        let is_missing =
+            |service: &str| self.fleet.states_builds(service) && !stored.contains_key(service);
+        self.needs_stored_origins(now) && self.fleet.services().any(is_missing)
+    }
+
+    /// Builds of the services for as long as streams last, if the stored ones differ. Stored builds are
+    /// kept for as long as this gateway can't tell, as after its start.
+    pub fn builds_to_store(&self, now: Time, stored: &Builds) -> Option<Builds> {
+        let since = now - self.stream_lifetime();
+        let is_informed = self.freshness.unbroken_since(now).is_some_and(|from| from <= since);
         let mut builds = stored.clone();
-        for service in self.fleet.services() {
-            match self.only_build(now, service) {
-                Some(Some(build)) => builds.insert(service.to_owned(), build),
-                _ => builds.remove(service),
+        for service in self.fleet.services().filter(|service| self.fleet.states_builds(service)) {
+            let since = if is_informed { since } else { Time(0) };
+            let seen: Option<BTreeSet<Build>> = self.fleet.builds_since(service, since).collect();
+            let before = stored.get(service).filter(|_| !is_informed);
+            let value = match (seen, before) {
+                (None, _) => BTreeSet::new(),
+                (Some(seen), None) => seen,
+                (Some(_), Some(before)) if before.is_empty() => BTreeSet::new(),
+                (Some(seen), Some(before)) => before.union(&seen).copied().collect(),
             };
+            builds.insert(service.to_owned(), value);
         }
         (builds != *stored).then_some(builds)
     }
@@ -278,9 +292,10 @@
         }
         let (read_at, stored) = &self.stored_builds;
         let seen = self.fleet.only_build(service, Time(0))?;
-        let is_stored = seen.is_some() && seen == stored.get(service).copied();
+        let mut stored = stored.get(service)?.iter();
+        let is_only = seen.is_some() && stored.next().copied() == seen && stored.next().is_none();
         // Before a gap in the lists, another build may have come and gone unseen.
-        (is_stored && unbroken_since <= *read_at).then_some(seen)
+        (is_only && unbroken_since <= *read_at).then_some(seen)
     }
 
     /// Time for which a caller may go on with a stream: two attempts that each last to the route's
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -241,6 +241,7 @@
             store::maintain_entry(shared.clone(), entry, eras.clone(), announce, renew);
         spawn(Box::pin(entry_task));
         spawn(Box::pin(origin::persist(shared.clone(), self.store.write_origins)));
+        spawn(Box::pin(origin::read_builds(shared.clone(), self.store.read_builds)));
         spawn(Box::pin(peers::send_heartbeats(shared.clone())));
         spawn(Box::pin(peers::receive(shared.clone())));
         spawn(Box::pin(peers::send_reports(shared.clone())));
--- a/gateway/src/origin.rs
+++ b/gateway/src/origin.rs
@@ -8,9 +8,9 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use laburnumwheel_core::gateway::Grant;
-use laburnumwheel_core::gateway::build::Build;
 use laburnumwheel_core::gateway::fleet::Claim;
 use laburnumwheel_core::gateway::origin::Answer;
+use laburnumwheel_core::gateway::origin::Builds;
 use laburnumwheel_core::gateway::origin::Question;
 use laburnumwheel_core::gateway::origin::Record;
 use laburnumwheel_core::gateway::origin::Stored;
@@ -35,6 +35,8 @@
 const ROUNDS: usize = 2;
 /// Time beyond that for which streams last in which stored origins outlive an outage of all gateways.
 const MAX_OUTAGE: Duration = Duration::from_secs(30);
+/// Time between two reads of the stored builds of a gateway that has just started.
+const BUILDS_INTERVAL: Duration = Duration::from_secs(1);
 /// Records in one datagram.
 const MAX_RECORDS: usize = 128;
 
@@ -66,18 +68,46 @@
     }
 }
 
-/// Stored builds of services that have had only one for as long as streams last.
+/// Stored builds of services for as long as streams last.
 #[derive(Clone, Debug, Default)]
-pub struct Builds {
+pub struct Entry {
     /// Revision of the entry; 0 if there is none.
     pub revision: u64,
-    /// Build of each service.
-    pub builds: BTreeMap<String, Build>,
+    /// Builds of each service.
+    pub builds: Builds,
 }
 
 /// Writes origins to the store; see [`store::Store::write_origins`].
 pub type Write = Box<dyn FnMut(Vec<Stored>, Duration) -> Reply<()>>;
 
+/// Reads the stored builds; see [`store::Store::read_builds`].
+pub type ReadBuilds = Box<dyn FnMut() -> Reply<Entry>>;
+
+/// Reads the stored builds until they name all services, as only some gateways read the whole store.
+/// After some time the lists show as much.
+pub async fn read_builds(shared: Shared, mut read: ReadBuilds) {
+    loop {
+        tokio::time::sleep(store::jittered(&shared, BUILDS_INTERVAL)).await;
+        let sent = clock::now();
+        let (is_configured, is_new, lacks_builds) = {
+            let gateway = shared.gateway.borrow();
+            let is_configured = gateway.config().is_some();
+            (is_configured, gateway.needs_stored_origins(sent), gateway.lacks_stored_builds(sent))
+        };
+        if is_configured && !is_new {
+            return;
+        }
+        if !lacks_builds {
+            continue;
+        }
+        let result = store::with_timeout(read()).await;
+        shared.metrics.count_store_call("read_builds", result.is_ok());
+        if let Ok(stored) = result {
+            shared.gateway.borrow_mut().restore_builds(sent, stored.builds);
+        }
+    }
+}
+
 /// Stores the origins of own streams, forever.
 pub async fn persist(shared: Shared, mut write: Write) {
     loop {
@@ -97,9 +127,9 @@
     }
 }
 
-/// Stores which services have had one build for as long as streams last, if that has changed. The first
-/// reader does so for all.
-pub async fn persist_builds(shared: &Shared, stored: &Builds, write: &mut store::WriteBuilds) {
+/// Stores the builds of services for as long as streams last, if they have changed. The first reader does
+/// so for all.
+pub async fn persist_builds(shared: &Shared, stored: &Entry, write: &mut store::WriteBuilds) {
     let builds = {
         let (gateway, now) = (shared.gateway.borrow(), clock::now());
         let is_first = gateway.reader_rank(now) == 0;
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -19,9 +19,9 @@
 use laburnumwheel_core::gateway::autoscaler::Capacities;
 use laburnumwheel_core::gateway::autoscaler::Scaling;
 use laburnumwheel_core::gateway::bootstrap::Seed;
-use laburnumwheel_core::gateway::build::Build;
 use laburnumwheel_core::gateway::directory::Entry;
 use laburnumwheel_core::gateway::directory::Readers;
+use laburnumwheel_core::gateway::origin::Builds;
 use laburnumwheel_core::gateway::origin::Stored;
 use laburnumwheel_core::gateway::view::Snapshot;
 use laburnumwheel_core::rendezvous;
@@ -94,8 +94,8 @@
     pub fingerprints: quarantine::Entry,
     /// Stored origins of streams.
     pub origins: Vec<Arc<[Stored]>>,
-    /// Stored builds of services that have had only one for as long as streams last.
-    pub builds: origin::Builds,
+    /// Stored builds of services for as long as streams last.
+    pub builds: origin::Entry,
     /// Revision of the leader's record, if there is one.
     pub leader: Option<u64>,
     /// Limits and prices of the replicas that may be ordered, by service.
@@ -143,7 +143,7 @@
 pub type Announce = Box<dyn FnMut(Entry, Duration, Option<u64>) -> Reply<u64>>;
 
 /// Replaces the stored builds of services; see [`Store::write_builds`].
-pub type WriteBuilds = Box<dyn FnMut(BTreeMap<String, Build>, u64) -> Reply<()>>;
+pub type WriteBuilds = Box<dyn FnMut(Builds, u64) -> Reply<()>>;
 
 /// The store's calls, as one platform makes them.
 pub struct Store {
@@ -161,6 +161,8 @@
     pub write_origins: Box<dyn FnMut(Vec<Stored>, Duration) -> Reply<()>>,
     /// Replaces the stored builds if their revision is still this one.
     pub write_builds: WriteBuilds,
+    /// Reads the stored builds; an error if there are none.
+    pub read_builds: origin::ReadBuilds,
     /// Renews a lease.
     pub renew: bootstrap::Renew,
     /// Ends a lease, which deletes the entries under it.
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -324,6 +324,7 @@
         write_quarantine: Box::new(|_, _| Box::pin(async { Ok(()) })),
         write_origins: Box::new(|_, _| Box::pin(async { Ok(()) })),
         write_builds: Box::new(|_, _| Box::pin(async { Ok(()) })),
+        read_builds: Box::new(|| Box::pin(async { Err(store::Error::NotFound) })),
         renew: Rc::new(|_| Box::pin(async { Ok(()) })),
         withdraw: Box::new(|_| Box::pin(async { Ok(()) })),
         list_seeds: Box::new(|_| Box::pin(async { Ok(Vec::new()) })),
