Take no random numbers for the times between origin batches

Cause: the gateway has one seeded generator. The new tasks drew from it at their start, so that the times between reads of the store in this test came out longer; its call waits for both gateways to read the new configuration and was refused as hopeless after 1.5 s. The key would have been refused too.

Change: the new tasks wait for fixed times. Batches of gateways that start together come together, which are nine writes of a few hundred bytes.

The test stays as it is; it depends on the times between reads, which its seed fixes.

--- a/gateway/src/origin.rs
+++ b/gateway/src/origin.rs
@@ -87,7 +87,7 @@
 /// After some time the lists show as much.
 pub async fn read_builds(shared: Shared, mut read: ReadBuilds) {
     loop {
-        tokio::time::sleep(store::jittered(&shared, BUILDS_INTERVAL)).await;
+        tokio::time::sleep(BUILDS_INTERVAL).await;
         let sent = clock::now();
         let (is_configured, is_new, lacks_builds) = {
             let gateway = shared.gateway.borrow();
@@ -112,7 +112,7 @@
 pub async fn persist(shared: Shared, mut write: Write) {
     loop {
         let interval = shared.gateway.borrow().origin_batch_interval(clock::now());
-        tokio::time::sleep(store::jittered(&shared, clock::duration(interval))).await;
+        tokio::time::sleep(clock::duration(interval)).await;
         let stored = shared.gateway.borrow_mut().take_unstored_streams(clock::now());
         if stored.is_empty() {
             continue;
