--- a/core/src/gateway/origin.rs
+++ b/core/src/gateway/origin.rs
@@ -42,6 +42,8 @@
 /// Batches of origins a second that all gateways store together, a fifth of the writes that a store of a
 /// small fleet takes.
 const MAX_BATCHES_PER_SEC: u64 = 80;
+/// Batches that may wait to be stored after a burst at one gateway.
+const MAX_WAITING_BATCHES: usize = 10;
 /// Shortest time from one batch of a gateway to the next. Streams that began since the last batch are
 /// lost if all gateways end.
 const MIN_BATCH_INTERVAL: Span = Span::millis(100);
@@ -212,12 +214,13 @@
         records
     }
 
-    /// Takes the newest of the origins of own streams that were replicated and not stored, with the
-    /// times of the first events; older ones beyond `max_count` are never stored.
+    /// Takes the oldest origins of own streams that were replicated and not stored, `max_count` at most,
+    /// with the times of the first events. Beyond some batches the oldest ones are never stored.
     pub fn take_unstored(&mut self, max_count: usize) -> Vec<(Time, Record)> {
-        let excess = self.unstored.len().saturating_sub(max_count);
-        let calls = std::mem::take(&mut self.unstored);
-        let known = calls.into_iter().skip(excess).filter_map(|call| {
+        let excess = self.unstored.len().saturating_sub(MAX_WAITING_BATCHES * max_count);
+        self.unstored.drain(..excess);
+        let calls = self.unstored.drain(..max_count.min(self.unstored.len()));
+        let known = calls.filter_map(|call| {
             let entry = self.entries.get(&call)?;
             Some((entry.at, Record { call, origin: entry.origin }))
         });
--- a/core/tests/gateway/origins.rs
+++ b/core/tests/gateway/origins.rs
@@ -500,6 +500,22 @@
     assert_eq!(outcome.continued + outcome.joined, 0, "{outcome:?}");
 }
 
+/// Guards against origins of a burst at one gateway that are dropped instead of stored with later batches.
+#[test]
+fn origins_of_a_burst_at_one_gateway_are_stored_in_turn() {
+    let mut world = World::start(3, 3, 8);
+    let burst = 2 * origin::max_batch(3);
+    for n in 0..burst {
+        world.begin(0, &format!("call-{n}"));
+    }
+    let now = world.now;
+
+    let batches: Vec<usize> =
+        (0..3).map(|_| world.serving[0].take_unstored_streams(now).len()).collect();
+
+    assert_eq!(batches, [burst / 2, burst / 2, 0]);
+}
+
 /// Guards against stored origins that take the link and the memory of the store's readers.
 #[test]
 fn stored_origins_are_bounded_for_all_gateways_together() {
