Log whether a resumed stream's connection leads to the listed replica

A stream that holds events of two versions may be due to an old entry of the replica it was resumed at, to an old entry of the one that began it, to a gateway out of step, or to no version at all. Logs could not tell these apart.

A gateway now keeps until when connections to a replica's address are shown to lead to the listed incarnation: by a later list, or by a response on a connection that is itself known to. It logs this with each stream that is resumed. No decision changes.

--- a/core/src/gateway/fleet.rs
+++ b/core/src/gateway/fleet.rs
@@ -10,6 +10,7 @@
 mod cooldown;
 mod copies;
 mod departures;
+mod evidence;
 mod limits;
 mod list;
 mod memory;
@@ -44,6 +45,9 @@
 pub use self::choice::Criteria;
 pub use self::choice::Requirements;
 pub use self::copies::has_copyable_prefix;
+pub use self::evidence::Certainty;
+use self::evidence::Lineage;
+use self::evidence::Proofs;
 pub use self::list::Changes;
 pub(super) use self::memory::is_missing;
 pub use self::reconcile::Presence;
@@ -74,8 +78,8 @@
     by_service: BTreeMap<String, Vec<Key<Replica>>>,
     /// Incarnations that were removed.
     removed: BTreeMap<Digest, Removed>,
-    /// Incarnations in whose place another one was listed, with the times of that.
-    replaced: BTreeMap<Digest, Time>,
+    proofs: Proofs,
+    lineage: Lineage,
     census: Census,
     /// Number of the last list of replicas.
     list_number: u64,
--- a/core/src/gateway/fleet/builds.rs
+++ b/core/src/gateway/fleet/builds.rs
@@ -39,7 +39,7 @@
 
     /// Time when a new incarnation was seen in the place of this one.
     pub fn replaced_at(&self, incarnation: Digest) -> Option<Time> {
-        self.replaced.get(&incarnation).copied()
+        self.lineage.succession(incarnation).map(|succession| succession.at)
     }
 
     /// Records that a connection to a replica broke, or could not be opened.
--- /dev/null
+++ b/core/src/gateway/fleet/evidence.rs
@@ -0,0 +1,168 @@
+//! Evidence of which incarnation of a replica a connection leads to.
+//!
+//! A replica may start again under its id and address, with another build. Its new entry is listed
+//! only some time later, and until then connections lead to a process that the list does not show. A
+//! connection surely leads to the listed incarnation if that incarnation is shown to have run after
+//! the connection was opened. Two kinds of evidence show this: a list that still has the entry when
+//! that of a successor would have been written, and a response on a connection that is itself known
+//! to lead there.
+
+use std::collections::BTreeMap;
+
+use super::Claim;
+use super::Fleet;
+use super::Replica;
+use crate::arena::Key;
+use crate::incarnation::Digest;
+use crate::time::Span;
+use crate::time::Time;
+
+/// Longest time from the start of a replica until its entry is in the store: an interval between
+/// heartbeats and a half. With a shorter one, streams are joined from two builds after upgrades in
+/// place; with a longer one, callers wait longer for streams that are resumed.
+const ENTRY_DELAY: Span = Span::millis(1_800);
+/// Longest time between two proofs of the list without an outage of the store in which replicas could
+/// not write their entries.
+const MAX_PROOF_GAP: Span = Span::secs(1);
+/// Time after an outage of the store in which replicas write the entries that they could not write.
+const OUTAGE_RECOVERY: Span = Span::secs(2);
+
+/// Proofs that the list of replicas was current.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Proofs {
+    /// Newest one.
+    last: Option<Time>,
+    /// End of the time after an outage in which lists may lack new entries.
+    recovered_at: Time,
+    /// Newest one outside of such a time.
+    settled: Time,
+}
+
+impl Proofs {
+    /// Records that the list was current at `sent`.
+    fn record(&mut self, sent: Time) {
+        if self.last.is_none_or(|last| sent.since(last) > MAX_PROOF_GAP) {
+            self.recovered_at = sent + OUTAGE_RECOVERY;
+        }
+        self.last = self.last.max(Some(sent));
+        if sent >= self.recovered_at {
+            self.settled = self.settled.max(sent);
+        }
+    }
+
+    /// Time until which no incarnation had started that the list lacks.
+    fn complete_until(&self) -> Time {
+        self.settled - ENTRY_DELAY
+    }
+}
+
+/// An incarnation in whose place another one was listed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Succession {
+    /// Time when the successor was listed.
+    pub(super) at: Time,
+    /// Connections that were opened until then led to the earlier incarnation.
+    confirmed_until: Time,
+}
+
+/// Incarnations that were listed under the ids of replicas, and those that have taken their places.
+#[derive(Debug, Default)]
+pub(super) struct Lineage {
+    /// Incarnation that was last listed under an id.
+    last: BTreeMap<String, Digest>,
+    successions: BTreeMap<Digest, Succession>,
+}
+
+impl Lineage {
+    /// What is known of the incarnation that has taken the place of this one.
+    pub(super) fn succession(&self, incarnation: Digest) -> Option<&Succession> {
+        self.successions.get(&incarnation)
+    }
+}
+
+/// How certain it is that a connection led to an incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Certainty {
+    /// It did.
+    Certain,
+    /// Later lists may show it.
+    Pending,
+    /// It may have led to a successor, and nothing will show it.
+    Doubtful,
+}
+
+impl Fleet {
+    /// Records that the current list was complete at `sent`.
+    pub(in crate::gateway) fn record_proof(&mut self, sent: Time) {
+        self.proofs.record(sent);
+    }
+
+    /// Records a response to an attempt. If the connection is known to lead to the incarnation, that
+    /// was running when the attempt was sent.
+    pub(in crate::gateway) fn record_response(&mut self, claim: &Claim) {
+        if let Some(opened) = claim.connected {
+            self.record_running(claim.replica, opened, claim.sent);
+        }
+    }
+
+    fn record_running(&mut self, key: Key<Replica>, opened: Time, at: Time) {
+        let is_confirmed = self.leads_to(key, opened);
+        if let Some(replica) = self.replicas.get_mut(key).filter(|_| is_confirmed) {
+            replica.heard_at = replica.heard_at.max(at);
+        }
+    }
+
+    /// Whether a connection to the address of a replica that was opened at `opened` surely leads to the
+    /// listed incarnation.
+    pub fn leads_to(&self, key: Key<Replica>, opened: Time) -> bool {
+        self.get(key).is_some_and(|replica| opened <= self.confirmed_until(replica.digest()))
+    }
+
+    /// How certain it is that a connection which was opened at `opened`, or before, led to this
+    /// incarnation.
+    pub fn certainty(&self, incarnation: Digest, opened: Time) -> Certainty {
+        let succession = self.lineage.succession(incarnation);
+        // Without stated starts a successor may have the same digest.
+        if let Some(succession) = succession
+            && (opened <= succession.at || !self.contains(incarnation))
+        {
+            return match opened <= succession.confirmed_until {
+                true => Certainty::Certain,
+                false => Certainty::Doubtful,
+            };
+        }
+        match opened <= self.confirmed_until(incarnation) {
+            true => Certainty::Certain,
+            false => Certainty::Pending,
+        }
+    }
+
+    /// Time until which opened connections lead to an incarnation that has no listed successor.
+    fn confirmed_until(&self, incarnation: Digest) -> Time {
+        let listed = self.find(incarnation).map(|replica| replica.heard_at);
+        let removed = || self.removed.get(&incarnation).map(|removed| removed.heard_at);
+        let heard_at = listed.or_else(removed);
+        heard_at.map_or(Time(0), |heard_at| heard_at.max(self.proofs.complete_until()))
+    }
+
+    /// Records that an incarnation is listed under an id; with `replaces`, in the place of one with the
+    /// same digest.
+    pub(super) fn record_listed(&mut self, now: Time, id: &str, digest: Digest, replaces: bool) {
+        let Some(previous) = self.lineage.last.insert(id.to_owned(), digest) else {
+            return;
+        };
+        if previous != digest || replaces {
+            let confirmed_until = self.confirmed_until(previous);
+            self.lineage.successions.insert(previous, Succession { at: now, confirmed_until });
+        }
+    }
+
+    /// Drops what is older than `lifetime` of incarnations that are listed no more.
+    pub(super) fn expire_lineage(&mut self, now: Time, lifetime: Span) {
+        self.lineage.successions.retain(|_, succession| now.since(succession.at) < lifetime);
+        let (by_id, removed) = (&self.by_id, &self.removed);
+        self.lineage
+            .last
+            .retain(|id, digest| by_id.contains_key(id) || removed.contains_key(digest));
+    }
+}
--- a/core/src/gateway/fleet/list.rs
+++ b/core/src/gateway/fleet/list.rs
@@ -80,9 +80,7 @@
             Some(key) if self.is_same_incarnation(key, &listing) => key,
             Some(key) => {
                 // Late events of the earlier incarnation find no replica under its key.
-                if let Some(replica) = self.replicas.get(key) {
-                    self.replaced.insert(replica.digest(), now);
-                }
+                self.record_listed(now, id, listing.incarnation.digest(), true);
                 self.remove(now, id, key);
                 changes.replaced.push(id.clone());
                 self.insert(now, listing.clone())
@@ -217,11 +215,13 @@
         let id = listing.incarnation.id.clone();
         let service = listing.service.clone();
         let digest = listing.incarnation.digest();
+        self.record_listed(now, &id, digest, false);
         let departed_at = self.departures.first_said(digest);
         // The entry of a removed replica is back: only its lease had expired.
         let removed = self.removed.remove(&digest);
         let cooldown = cooldown::restored(removed.and_then(|removed| removed.cooldown));
-        let replica = Replica { departed_at, cooldown, ..Replica::new(listing, now) };
+        let heard_at = removed.map_or(Time(0), |removed| removed.heard_at);
+        let replica = Replica { departed_at, cooldown, heard_at, ..Replica::new(listing, now) };
         self.census.add(now, &service, replica.build);
         let key = self.replicas.insert(replica);
         self.by_id.insert(id, key);
@@ -238,7 +238,12 @@
         self.by_digest.remove(&replica.digest());
         self.census.remove(now, &replica.listing.service, replica.build);
         let was_leaving = replica.is_leaving();
-        let removed = Removed { at: now, cooldown: replica.cooldown, was_leaving };
+        let removed = Removed {
+            at: now,
+            cooldown: replica.cooldown,
+            was_leaving,
+            heard_at: replica.heard_at,
+        };
         self.removed.insert(replica.digest(), removed);
         if let Some(keys) = self.by_service.get_mut(&replica.listing.service) {
             keys.retain(|k| *k != key);
--- a/core/src/gateway/fleet/reconcile.rs
+++ b/core/src/gateway/fleet/reconcile.rs
@@ -24,6 +24,8 @@
     pub(super) cooldown: Option<Cooldown>,
     /// Whether it was known to leave.
     pub(super) was_leaving: bool,
+    /// Time at which it was last known to run by its responses.
+    pub(super) heard_at: Time,
 }
 
 /// What the list of replicas tells of an incarnation.
@@ -41,7 +43,7 @@
     /// Drops removed incarnations whose lifetime has ended.
     pub(super) fn expire_removed(&mut self, now: Time) {
         self.removed.retain(|_, removed| now.since(removed.at) < REMOVED_LIFETIME);
-        self.replaced.retain(|_, at| now.since(*at) < REMOVED_LIFETIME);
+        self.expire_lineage(now, REMOVED_LIFETIME);
     }
 
     /// What the last list tells of an incarnation. The entry of one without a stated start may be that
--- a/core/src/gateway/fleet/replica.rs
+++ b/core/src/gateway/fleet/replica.rs
@@ -127,6 +127,8 @@
     /// Whether the replica is in use although its entry is missing, which may have expired in an
     /// outage of the store.
     pub(super) retained: bool,
+    /// Time at which it was last known to run by its responses.
+    pub(super) heard_at: Time,
     /// Number of the last list that had the replica.
     pub(super) listed_in: u64,
     /// Hash of the incarnation, by which all gateways order the replicas of a service alike.
@@ -174,6 +176,7 @@
             closed_at: None,
             departed_at: None,
             retained: false,
+            heard_at: Time(0),
             listed_in: 0,
             listing,
             sensitive_streams: 0,
--- a/core/src/gateway/state/attempts.rs
+++ b/core/src/gateway/state/attempts.rs
@@ -40,6 +40,11 @@
         self.record_survival(now, claim);
     }
 
+    /// Records that a replica has responded to an attempt.
+    pub fn record_response(&mut self, claim: &Claim) {
+        self.fleet.record_response(claim);
+    }
+
     /// Records an event, or the whole answer, of an attempt; returns whether it is the first.
     pub fn record_event(&mut self, now: Time, claim: &mut Claim) -> bool {
         if !claim.first_event_seen {
--- a/core/src/gateway/state/reads.rs
+++ b/core/src/gateway/state/reads.rs
@@ -93,7 +93,17 @@
         self.directory.update(now, gateways.into_iter().filter(|e| e.name != own).collect());
         let absence = self.fleet.absence(&replicas);
         let keep_missing = self.outage.record_list(sent, now, absence);
-        self.fleet.update(now, replicas, keep_missing)
+        let changes = self.fleet.update(now, replicas, keep_missing);
+        self.record_view_proof(sent);
+        changes
+    }
+
+    /// Records that the list of replicas was complete at `sent`, unless the store may hold older
+    /// entries after a rollback.
+    fn record_view_proof(&mut self, sent: Time) {
+        if !self.rollback.may_hold_stale_entries(sent) {
+            self.fleet.record_proof(sent);
+        }
     }
 
     /// Probability with which a gateway that is no reader, and got no fresh proof in this round and
@@ -121,6 +131,7 @@
     /// that are closed now, because their entries are still missing after an outage of the store.
     pub fn confirm_view(&mut self, sent: Time) -> Vec<String> {
         self.freshness.record_proof(sent);
+        self.record_view_proof(sent);
         if self.outage.record_reply(sent) { self.fleet.close_retained() } else { Vec::new() }
     }
 
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -418,9 +418,25 @@
         if let Some(place) = place {
             place.occupy();
         }
+        if last_event.is_some() || self.submission.last_event.is_some() {
+            self.log_resumption(&pick, channel.opened);
+        }
         self.send(&mut pick, channel, request).await
     }
 
+    /// Logs where a stream is resumed, and whether the connection surely leads to the listed replica.
+    fn log_resumption(&self, pick: &Pick, opened: Time) {
+        let is_confirmed =
+            self.shared.gateway.borrow().fleet().leads_to(pick.claim.replica, opened);
+        let line = Line::new("resumption_sent")
+            .with("request", String::from_utf8_lossy(&self.submission.id))
+            .with("replica", &pick.id)
+            .with("build", pick.build.as_deref().unwrap_or("-"))
+            .with("connection_age_ms", clock::now().since(opened).as_millis())
+            .with("confirmed", is_confirmed);
+        self.shared.log(line);
+    }
+
     /// Makes one attempt at a gateway that has a place for the call, unless another one delegated it.
     async fn find_place(
         &mut self,
@@ -662,6 +678,7 @@
             return Err(self.fail(&in_flight, &pick.id, fault));
         }
         if is_of_replica {
+            self.shared.gateway.borrow_mut().record_response(&pick.claim);
             in_flight.record_activity(Some(&metadata));
             self.record_limit(pick, &metadata);
         }
