Log what replicas answer to questions for their starts

The log of a resumption could not tell a replica that was not asked from one whose report lacks its start.

--- a/gateway/src/confirmation.rs
+++ b/gateway/src/confirmation.rs
@@ -47,13 +47,15 @@
 }
 
 /// What a replica's report says of the start of its process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[display(rename_all = "snake_case")]
 enum Statement {
     /// It is that of the listed incarnation.
     Listed,
     /// It is another one.
     Other,
     /// Nothing.
-    None,
+    Missing,
 }
 
 impl Call {
@@ -160,7 +162,7 @@
                         self.log_replica(pick, "none", began);
                         return Err(self.fail_unsent(pick, Fault::Withdrawn, "replica restarted"));
                     }
-                    Statement::Listed | Statement::None => {}
+                    Statement::Listed | Statement::Missing => {}
                 }
                 if !channel.becomes_ready(REPORT_TIMEOUT).await {
                     channel = self.connect(pick).await?;
@@ -196,23 +198,25 @@
         let statement = match report.await.ok().flatten() {
             Some((StatusCode::MISDIRECTED_REQUEST, _)) => Statement::Other,
             Some((StatusCode::OK, body)) => self.judge_start(pick, &body, asked),
-            _ => Statement::None,
+            _ => Statement::Missing,
         };
-        if matches!(statement, Statement::None) {
+        if statement == Statement::Missing {
             self.shared.gateway.borrow_mut().record_unstated_start(key);
         }
-        let outcome = match statement {
-            Statement::Listed => "listed",
-            Statement::Other => "other",
-            Statement::None => "unstated",
-        };
-        self.shared.metrics.count("replica_starts_total", format!("outcome=\"{outcome}\""));
+        let labels = format!("start=\"{statement}\"");
+        self.shared.metrics.count("replica_starts_total", labels);
+        let line = Line::new("replica_start_asked")
+            .with("request", String::from_utf8_lossy(&self.submission.id))
+            .with("replica", &pick.id)
+            .with("start", statement)
+            .with("took_ms", clock::now().since(asked).as_millis());
+        self.shared.log(line);
         statement
     }
 
     fn judge_start(&self, pick: &Pick, report: &Bytes, asked: Time) -> Statement {
         let Some(start_ms) = (self.shared.dialect.copies.parse_start)(report) else {
-            return Statement::None;
+            return Statement::Missing;
         };
         let mut gateway = self.shared.gateway.borrow_mut();
         match gateway.record_start(pick.claim.replica, start_ms, asked) {
