Rely on the only build of lists from after the call alone

Callers saw streams of a new version go on at an old one, where they took them up at a gateway that had been out of step for up to 3 s while the first replicas of that version joined.

Cause: a gateway that knows no origin takes the only build that it has listed, and counted lists without a gap of more than 3 s as current. A stream that began at a build which is missing there was joined.

The only build now counts if a list was read after the call came, or after the stream broke off: what began the stream was listed by then. Other gateways answer by the same rule, from the time of the first question on. The call waits for that list, for 1.5 s at most.

--- a/core/src/gateway/state.rs
+++ b/core/src/gateway/state.rs
@@ -141,6 +141,8 @@
     pub attempts: u32,
     /// What began the stream that the call goes on with; `None` before its first event.
     pub origin: Option<Origin>,
+    /// Time at which the stream that the call goes on with had broken off.
+    pub resumed_at: Time,
     /// Latest time at which the connection to the replica that began the stream can have been opened.
     pub origin_opened: Time,
     /// The last replica that was chosen, also if the call was then refused for overload.
@@ -523,6 +525,7 @@
             denials: 0,
             attempts: 0,
             origin: None,
+            resumed_at: arrived,
             origin_opened: Time(0),
             last_pick: None,
             version: config.version,
@@ -565,6 +568,7 @@
         renewed.denials = grant.denials;
         renewed.attempts = grant.attempts;
         renewed.origin = grant.origin;
+        renewed.resumed_at = grant.resumed_at;
         renewed.origin_opened = grant.origin_opened;
         *grant = renewed;
         Ok(())
--- a/core/src/gateway/state/origins.rs
+++ b/core/src/gateway/state/origins.rs
@@ -199,15 +199,22 @@
         (builds != *stored).then_some(builds)
     }
 
-    /// Answers the query of another gateway.
+    /// Answers the query of another gateway that it sends for the first time.
     pub fn answer_origin(&self, now: Time, question: &Question) -> Answer {
+        self.answer_repeated_origin(now, now, question)
+    }
+
+    /// Answers the query of another gateway that it first sent at `asked`. The one build of a service is
+    /// no answer until the lists are proved current from then on.
+    pub fn answer_repeated_origin(&self, now: Time, asked: Time, question: &Question) -> Answer {
         if let Some(known) = self.origins.known(question.call) {
             let record = self.record_of(question.call, known);
             return record.map_or(Answer::Unknown, |record| Answer::Known(record.origin));
         }
         let is_asked = |service: &&str| directory::short_hash(service) == question.service;
         let service = self.fleet.services().find(is_asked);
-        let only = service.and_then(|service| self.only_build(now, service));
+        let only = service.filter(|_| self.is_proved_since(asked));
+        let only = only.and_then(|service| self.only_build(now, service));
         only.map_or(Answer::Unknown, Answer::Only)
     }
 
@@ -230,6 +237,7 @@
         let Some(first) = &submission.resumes else {
             // The stream is not named, so its build is known only if there is one.
             let seen = self.fleet.only_build(&grant.service, Time(0));
+            let seen = seen.filter(|_| self.is_proved_since(grant.resumed_at));
             let build = seen.ok_or(REFUSAL)?;
             grant.origin = origin_of(build);
             return Ok(None);
@@ -288,21 +296,37 @@
         });
         if let Some(origin) = known.max_by_key(Origin::is_confirmed) {
             grant.origin = Some(origin);
-            // The stream broke off before its caller resumed it.
-            grant.origin_opened = grant.arrived;
+            grant.origin_opened = grant.resumed_at;
             return Ok(());
         }
         let answered = answers.iter().find_map(|answer| match answer {
             Answer::Only(build) => Some(*build),
             _ => None,
         });
-        let only = self.only_build(now, &grant.service).or(answered);
+        let own = self.only_build(now, &grant.service);
+        let own = own.filter(|_| self.is_proved_since(grant.resumed_at));
+        let only = own.or(answered);
         let all_answered = asked > 0 && answers.len() == asked;
         let retry_after = if all_answered { RETRY_UNKNOWN_STREAM } else { RETRY_STREAM };
         grant.origin = origin_of(only.ok_or(Refusal::not_run(Reason::UnknownOrigin, retry_after))?);
         Ok(())
     }
 
+    /// Whether a list that was sent at `time` or later has been read. One from before lacks replicas, and
+    /// builds, that other gateways may have used at that time.
+    fn is_proved_since(&self, time: Time) -> bool {
+        self.freshness.proved_at().is_some_and(|proved_at| proved_at >= time)
+    }
+
+    /// Whether the next lists of this gateway, or of others, may show the one build that a stream of
+    /// unknown origin can have.
+    pub fn may_learn_build(&self, now: Time, grant: &Grant) -> bool {
+        let since = now - self.stream_lifetime();
+        let is_young = self.freshness.unbroken_since(now).is_none_or(|from| from > since);
+        self.fleet.only_build(&grant.service, Time(0)).is_some()
+            && (is_young || !self.is_proved_since(grant.resumed_at))
+    }
+
     /// Refuses the origin of a stream that is doubtful, before the stream is resumed.
     pub fn confirm_origin(&self, submission: &Submission, grant: &mut Grant) {
         if let Some(known) = self.origins.known(Call::of(&submission.id)) {
--- a/core/tests/gateway/builds.rs
+++ b/core/tests/gateway/builds.rs
@@ -306,6 +306,47 @@
     now
 }
 
+/// Guards against a gateway that was out of step for a moment, and lets streams of a build that it has not
+/// seen go on at the only one of its list.
+#[test]
+fn only_build_of_a_list_from_before_the_call_is_not_relied_on() {
+    let replicas = [built("engine-0", "v1"), built("engine-1", "v1")];
+    let mut gateway = gateway_before(&replicas);
+    let read = watch(&mut gateway, START, Span::secs(31), &replicas);
+    let now = read + Span::secs(1);
+    let named = resumption("again-1", "call-1");
+    let unnamed = Submission { resumes: None, ..named.clone() };
+
+    let resumed = resume_by_caller(&mut gateway, now, &named);
+    let resumed_unnamed = resume_by_caller(&mut gateway, now, &unnamed);
+    update(&mut gateway, now, &replicas);
+
+    assert_eq!(resumed.unwrap_err(), Reason::UnknownOrigin);
+    assert_eq!(resumed_unnamed.unwrap_err(), Reason::UnknownOrigin);
+    assert!(resume_by_caller(&mut gateway, now, &named).is_ok());
+    assert!(resume_by_caller(&mut gateway, now, &unnamed).is_ok());
+}
+
+/// Guards against the same where another gateway asks the one that is out of step.
+#[test]
+fn only_build_of_a_list_from_before_the_question_is_not_answered() {
+    let replicas = [built("engine-0", "v1"), built("engine-1", "v1")];
+    let mut gateway = gateway_before(&replicas);
+    let read = watch(&mut gateway, START, Span::secs(31), &replicas);
+    let asked = read + Span::millis(400);
+    let question =
+        Question { call: Call::of(b"call-1"), service: directory::short_hash("engines") };
+
+    let first = gateway.answer_origin(asked, &question);
+    update(&mut gateway, asked + Span::millis(100), &replicas);
+    let later = asked + Span::millis(200);
+    let repeated = gateway.answer_repeated_origin(later, asked, &question);
+
+    assert_eq!(first, Answer::Unknown);
+    assert_eq!(repeated, Answer::Only(Some(Build::of("v1"))));
+    assert_eq!(gateway.answer_origin(later, &question), Answer::Unknown);
+}
+
 /// Guards against refusals, and messages, while a service has one build.
 #[test]
 fn stream_goes_on_anywhere_while_its_service_has_had_one_build() {
--- a/gateway/src/origin.rs
+++ b/gateway/src/origin.rs
@@ -16,6 +16,7 @@
 use laburnumwheel_core::gateway::origin::Stored;
 use laburnumwheel_core::gateway::refusal::Refusal;
 use laburnumwheel_core::gateway::submission::Submission;
+use laburnumwheel_core::time::Span;
 use laburnumwheel_core::time::Time;
 use rand::Rng;
 use tokio::sync::oneshot;
@@ -37,6 +38,11 @@
 const MAX_OUTAGE: Duration = Duration::from_secs(30);
 /// Time between two reads of the stored builds of a gateway that has just started.
 const BUILDS_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest wait for a list that shows which builds serve when a stream is resumed: two reads of the store
+/// and their proofs.
+const MAX_LIST_WAIT: Span = Span::millis(1_500);
+/// Time between two looks at whether it was read.
+const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Records in one datagram.
 const MAX_RECORDS: usize = 128;
 
@@ -173,8 +179,14 @@
     if submission.last_event.is_none() {
         return Ok(());
     }
-    let asked = shared.gateway.borrow().resolve_origin(clock::now(), submission, grant);
-    let (result, answers) = settle(shared, grant, asked).await;
+    let began = clock::now();
+    let (result, answers) = loop {
+        let asked = shared.gateway.borrow().resolve_origin(clock::now(), submission, grant);
+        let (result, answers) = settle(shared, grant, asked, began).await;
+        if result.is_ok() || !awaits_list(shared, grant, began).await {
+            break (result, answers);
+        }
+    };
     log(shared, submission, grant, answers, result.is_ok());
     result
 }
@@ -189,15 +201,34 @@
     submission: &Submission,
     grant: &mut Grant,
 ) -> Result<(), Refusal> {
-    let asked = shared.gateway.borrow().resolve_delegated(clock::now(), submission, grant);
-    settle(shared, grant, asked).await.0
+    let began = clock::now();
+    grant.resumed_at = began;
+    loop {
+        let asked = shared.gateway.borrow().resolve_delegated(clock::now(), submission, grant);
+        let (result, _) = settle(shared, grant, asked, began).await;
+        if result.is_ok() || !awaits_list(shared, grant, began).await {
+            return result;
+        }
+    }
+}
+
+/// Waits for the next list if that may show the one build that a stream of unknown origin can have.
+async fn awaits_list(shared: &Shared, grant: &Grant, began: Time) -> bool {
+    let now = clock::now();
+    let end = (began + MAX_LIST_WAIT).min(grant.deadline);
+    if now >= end || !shared.gateway.borrow().may_learn_build(now, grant) {
+        return false;
+    }
+    tokio::time::sleep(LIST_CHECK_INTERVAL).await;
+    true
 }
 
-/// Queries the gateways that are to be asked. Returns also the number of answers.
+/// Queries the gateways that are to be asked, as since `began`. Returns also the number of answers.
 async fn settle(
     shared: &Shared,
     grant: &mut Grant,
     asked: Result<Option<(Question, Vec<String>)>, Refusal>,
+    began: Time,
 ) -> (Result<(), Refusal>, usize) {
     let (question, addresses) = match asked {
         Err(refusal) => return (Err(refusal), 0),
@@ -205,17 +236,29 @@
         Ok(Some(question)) => question,
     };
     let asked = addresses.len();
-    let answers = ask(shared, question, addresses).await;
+    let answers = ask(shared, question, addresses, began).await;
     let gateway = shared.gateway.borrow();
     (gateway.record_answers(clock::now(), grant, asked, &answers), answers.len())
 }
 
+/// Answers the query of another gateway, which the time for which it has asked may follow.
+pub fn answer(shared: &Shared, question: &Question, rest: &[u8]) -> Answer {
+    let now = clock::now();
+    let asked = now - postcard::from_bytes(rest).unwrap_or(Span(0));
+    shared.gateway.borrow().answer_repeated_origin(now, asked, question)
+}
+
 /// Queries gateways until one of them is certain of the origin, all have answered, or the time is over.
-async fn ask(shared: &Shared, question: Question, mut addresses: Vec<String>) -> Vec<Answer> {
+async fn ask(
+    shared: &Shared,
+    question: Question,
+    mut addresses: Vec<String>,
+    began: Time,
+) -> Vec<Answer> {
     let mut answers = Vec::new();
     for _ in 0..ROUNDS {
         let mut pending: FuturesUnordered<_> =
-            addresses.drain(..).map(|address| ask_one(shared, question, address)).collect();
+            addresses.drain(..).map(|address| ask_one(shared, question, address, began)).collect();
         let mut silent = Vec::new();
         while let Some((address, answer)) = pending.next().await {
             match answer {
@@ -231,7 +274,12 @@
     answers
 }
 
-async fn ask_one(shared: &Shared, question: Question, address: String) -> (String, Option<Answer>) {
+async fn ask_one(
+    shared: &Shared,
+    question: Question,
+    address: String,
+    began: Time,
+) -> (String, Option<Answer>) {
     let Ok(to) = address.parse::<SocketAddr>() else {
         return (address, None);
     };
@@ -239,7 +287,8 @@
     let (sender, response) = oneshot::channel();
     shared.pending.borrow_mut().origins.insert(request, sender);
     let message = Message::OriginRequest(request, question);
-    let answer = match peers::send(&shared.socket, to, &message).await {
+    let waited = clock::now().since(began);
+    let answer = match peers::send_with(&shared.socket, to, &message, waited).await {
         true => tokio::time::timeout(ANSWER_TIMEOUT, response).await.ok().and_then(Result::ok),
         false => None,
     };
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -95,7 +95,8 @@
     Brittle(Vec<brittle::Record>),
     /// Origins of streams that the sender began.
     Origins(Vec<origin::Record>),
-    /// Asks for the origin of a stream; holds an id of the request.
+    /// Asks for the origin of a stream; holds an id of the request. The time for which the sender has asked
+    /// may follow.
     OriginRequest(u64, origin::Question),
     /// Response to the origin request with this id.
     Origin(u64, origin::Answer),
@@ -262,6 +263,19 @@
     }
 }
 
+/// Sends a message and data after it, which earlier releases ignore; see [`send`].
+pub async fn send_with(
+    socket: &UdpSocket,
+    address: SocketAddr,
+    message: &Message,
+    data: impl Serialize,
+) -> bool {
+    match encode_with(message, Some(data)) {
+        Some(bytes) => socket.send_to(&bytes, address).await.is_ok(),
+        None => false,
+    }
+}
+
 /// Answers a question for a proof. A gateway of a large fleet, which stated its demand with the
 /// question, also gets a summary of what the other gateways stated.
 async fn send_proof(shared: &Shared, from: SocketAddr, request: u64, poll: Option<Poll>) {
@@ -499,7 +513,7 @@
                 shared.gateway.borrow_mut().receive_origins(clock::now(), &records);
             }
             Message::OriginRequest(request, question) => {
-                let answer = shared.gateway.borrow().answer_origin(clock::now(), &question);
+                let answer = origins::answer(&shared, &question, rest);
                 send(&shared.socket, from, &Message::Origin(request, answer)).await;
             }
             Message::Origin(request, answer) => {
