Print what each try of an ordinary call gets in crowd tests

A failure said only that no try was answered. Calls that are refused, answered too late or closed unread have different causes, so the test prints the outcome and the time of each try.

--- a/router/tests/crowds.rs
+++ b/router/tests/crowds.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio::sync::Mutex;
 use tokio::sync::MutexGuard;
@@ -77,10 +78,17 @@
 
 /// Whether one of some tries of an ordinary call is answered.
 async fn is_served(router: &Process) -> bool {
-    for _ in 0..TRIES {
+    for n in 1..=TRIES {
+        let start = Instant::now();
         let answer = chat(router.callers, 1, false);
-        let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await.ok().flatten();
-        if answer.is_some_and(|answer| answer.status == 200) {
+        let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
+        let outcome = match &answer {
+            Err(_) => "not answered in time".to_owned(),
+            Ok(None) => "closed unanswered".to_owned(),
+            Ok(Some(answer)) => format!("{} {}", answer.status, answer.text()),
+        };
+        println!("try {n} after {:?}: {outcome}", start.elapsed());
+        if answer.ok().flatten().is_some_and(|answer| answer.status == 200) {
             return true;
         }
         tokio::time::sleep(RETRY_PAUSE).await;
