Let a new connection evict bodies that arrive at a router

Callers saw: beside clients whose bodies never end, a router closed each new connection unread for up to 15 s, without an answer.

Cause: the router read bodies without naming their connection, so that the table counted connections with an arriving body as busy, which are never evicted. With 400 descriptors 62 such bodies held all places for callers.

The router now gives the connection to the reader of the body, as the gateway does. A full table closes the connection whose body has been arriving for longest; calls whose body is complete stay. As for the gateway, a connection with a long body has the larger receive buffer that its reservation counts, and is closed after its call. The second test fails without that.

--- a/router/src/api.rs
+++ b/router/src/api.rs
@@ -38,6 +38,7 @@
 use crate::reply;
 use crate::reply::Error;
 use crate::reply::Shape;
+use crate::serve::Transport;
 
 /// Largest request body, in bytes.
 pub const MAX_BODY_BYTES: usize = 1 << 20;
@@ -137,7 +138,9 @@
 async fn read_body(state: &mut State) -> Result<Bytes, ErrorResponse> {
     let limits = Limits { body: MAX_BODY_BYTES, head_time: BODY_TIME, ..Limits::default() };
     let memory = shared(state).memory;
-    let mut intake = Intake::new(Body::take_from(state), limits, None);
+    // Without its connection, a body that never ends would hold a place that no other caller gets.
+    let connection = Arc::clone(&Transport::borrow_from(state).0);
+    let mut intake = Intake::new(Body::take_from(state), limits, Some(connection));
     let fault = match intake.receive(&memory, RANK).await {
         Ok(body) => return Ok(body),
         Err(fault) => fault,
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -14,11 +14,14 @@
 use gotham::state::StateData;
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
+use laburnumwheel_gateway::connection::Connection;
 use laburnumwheel_gateway::connection::Place;
 use laburnumwheel_gateway::connection::Table;
 use laburnumwheel_gateway::connection::Tracked;
@@ -32,6 +35,11 @@
 /// Timeout for the responses in progress at the shutdown signal.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// The connection on which a request arrived, in the request's state.
+pub struct Transport(pub Arc<Connection>);
+
+impl StateData for Transport {}
+
 /// Serves `routes` on `listener` until `stop` turns true, then finishes the responses in progress.
 ///
 /// Each request's state holds a clone of `shared`. When there are more connections than `table` has
@@ -69,8 +77,18 @@
             let call = connection.begin_call();
             let mut state = State::from_request(request, from);
             state.put(shared.clone());
+            state.put(Transport(Arc::clone(&connection)));
             let response = call_handler(routes.clone(), AssertUnwindSafe(state));
-            async { response.await.map(|response| response.map(|body| Tracked::new(body, call))) }
+            let connection = Arc::clone(&connection);
+            async move {
+                response.await.map(|mut response| {
+                    if connection.is_wide() {
+                        let close = HeaderValue::from_static("close");
+                        response.headers_mut().insert(header::CONNECTION, close);
+                    }
+                    response.map(|body| Tracked::new(body, call))
+                })
+            }
         });
         let mut builder = auto::Builder::new(hyper_util::rt::TokioExecutor::new()).http1_only();
         builder
--- a/router/tests/crowds.rs
+++ b/router/tests/crowds.rs
@@ -9,6 +9,7 @@
 #[path = "../../platform/tests/crowds/usage.rs"]
 mod usage;
 
+use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -44,6 +45,8 @@
 const HEAD_CLIENTS: usize = 450;
 /// Largest body that a router takes, in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
+/// Bytes of a body for which there is memory however many clients send one.
+const SHORT_BODY_BYTES: usize = 1_000;
 /// Bytes of a body that is far over the limit.
 const EXCESSIVE_BYTES: usize = 16 << 20;
 /// Tries of an ordinary caller, and the pause between two of them, as refusals ask for.
@@ -170,6 +173,25 @@
     check(host, clients).await;
 }
 
+/// Guards against bodies that never end and are too short for the bounds on memory, and so hold all
+/// places for connections of callers until they time out.
+#[tokio::test(flavor = "multi_thread")]
+async fn router_serves_callers_beside_short_bodies_that_stop_short() {
+    let _turn = take_turn().await;
+    let host = start().await;
+    let head = head(ORG_KEY) + "expect: 100-continue\r\n";
+
+    let clients = crowd(BODY_CLIENTS, host.router.callers, |_, stream| {
+        write!(stream, "{head}content-length: {SHORT_BODY_BYTES}\r\n\r\n")?;
+        // The router asks for the body, or has closed the connection: no head is left unread.
+        stream.set_read_timeout(Some(ANSWER_TIMEOUT))?;
+        let _ = stream.read(&mut [0; 64])?;
+        send_repeated(stream, "x", SHORT_BODY_BYTES - 1)
+    });
+
+    check(host, clients).await;
+}
+
 /// Guards against bodies far over the limit, announced or just sent.
 #[tokio::test(flavor = "multi_thread")]
 async fn router_stays_within_memory_with_excessive_bodies() {
@@ -250,6 +272,28 @@
     check(host, clients).await;
 }
 
+/// Guards against connections that stay open with the larger receive buffer of a long body, which no
+/// reservation counts any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn router_closes_connections_after_long_bodies() {
+    let _turn = take_turn().await;
+    let host = start().await;
+    let mut client = TcpStream::connect(host.router.callers).unwrap();
+    let mut answer = Vec::new();
+
+    send_sized(&mut client, &head(ORG_KEY), MAX_BODY_BYTES, 0).unwrap();
+    while !answer.ends_with(b"\r\n\r\n") {
+        let mut byte = [0; 1];
+        client.read_exact(&mut byte).unwrap();
+        answer.extend(byte);
+    }
+
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    assert!(answer.contains("connection: close\r\n"), "{answer}");
+    check(host, vec![client]).await;
+}
+
 /// Whether the process has closed a connection, after anything that it answered.
 fn is_closed(stream: &TcpStream) -> bool {
     stream.set_nonblocking(true).unwrap();
