Close connections of a router once their bodies are too late

Cause: the router drained the rest of each body that it did not receive, with a new timeout, also of one that had just used up its time. The gateway drains only bodies that are too long or find no memory.

A caller that still sends after the 408 now meets a closed connection, as at a gateway.

--- a/router/src/api.rs
+++ b/router/src/api.rs
@@ -159,7 +159,10 @@
     // The connection can't be reused unless the rest of the body arrives.
     let close = hyper::header::HeaderValue::from_static("close");
     response.headers_mut().insert(hyper::header::CONNECTION, close);
-    tokio::spawn(intake.drain());
+    // A body that has used up its time, or broken off, gets no more of it.
+    if matches!(fault, Fault::TooLong | Fault::NoMemory) {
+        tokio::spawn(intake.drain());
+    }
     Err(Box::new(response))
 }
 
--- a/router/tests/crowds.rs
+++ b/router/tests/crowds.rs
@@ -47,6 +47,8 @@
 const MAX_BODY_BYTES: usize = 1 << 20;
 /// Bytes of a body for which there is memory however many clients send one.
 const SHORT_BODY_BYTES: usize = 1_000;
+/// Time for a body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(15);
 /// Bytes of a body that is far over the limit.
 const EXCESSIVE_BYTES: usize = 16 << 20;
 /// Tries of an ordinary caller, and the pause between two of them, as refusals ask for.
@@ -279,21 +281,49 @@
     let _turn = take_turn().await;
     let host = start().await;
     let mut client = TcpStream::connect(host.router.callers).unwrap();
-    let mut answer = Vec::new();
 
     send_sized(&mut client, &head(ORG_KEY), MAX_BODY_BYTES, 0).unwrap();
-    while !answer.ends_with(b"\r\n\r\n") {
-        let mut byte = [0; 1];
-        client.read_exact(&mut byte).unwrap();
-        answer.extend(byte);
-    }
+    let answer = read_answer_head(&mut client);
 
-    let answer = String::from_utf8_lossy(&answer);
     assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
     assert!(answer.contains("connection: close\r\n"), "{answer}");
     check(host, vec![client]).await;
 }
 
+/// Guards against a body that was answered as too slow and still keeps its connection open, for as
+/// long again.
+#[tokio::test(flavor = "multi_thread")]
+async fn router_closes_connections_whose_bodies_came_too_late() {
+    let _turn = take_turn().await;
+    let host = start().await;
+    let start_body = || {
+        let mut client = TcpStream::connect(host.router.callers).unwrap();
+        send_sized(&mut client, &head(ORG_KEY), SHORT_BODY_BYTES, 1).unwrap();
+        client
+    };
+
+    let mut first = start_body();
+    tokio::time::sleep(BODY_TIMEOUT / 2).await;
+    let mut second = start_body();
+    let answer = read_answer_head(&mut first);
+    read_answer_head(&mut second);
+
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+    assert!(is_closed(&first), "the connection outlives a body that began later");
+    check(host, vec![first, second]).await;
+}
+
+/// Reads the head of the answer on a connection.
+fn read_answer_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0; 1];
+        stream.read_exact(&mut byte).unwrap();
+        head.extend(byte);
+    }
+    String::from_utf8(head).unwrap()
+}
+
 /// Whether the process has closed a connection, after anything that it answered.
 fn is_closed(stream: &TcpStream) -> bool {
     stream.set_nonblocking(true).unwrap();
