--- a/router/tests/crowds.rs
+++ b/router/tests/crowds.rs
@@ -9,10 +9,12 @@
 #[path = "../../platform/tests/crowds/usage.rs"]
 mod usage;
 
+use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio::sync::Mutex;
 use tokio::sync::MutexGuard;
@@ -43,6 +45,13 @@
 const HEAD_CLIENTS: usize = 450;
 /// Largest body that a router takes, in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
+/// Bytes of a body for which there is memory however many clients send one.
+const SHORT_BODY_BYTES: usize = 1_000;
+/// Time that the service takes for calls in progress, and their number.
+const SLOW_TIME: Duration = Duration::from_secs(1);
+const SLOW_CALLS: usize = 5;
+/// Time for a body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(15);
 /// Bytes of a body that is far over the limit.
 const EXCESSIVE_BYTES: usize = 16 << 20;
 /// Tries of an ordinary caller, and the pause between two of them, as refusals ask for.
@@ -67,7 +76,12 @@
 }
 
 async fn start() -> Host {
-    let site = Site::start(1, 1, Duration::ZERO).await;
+    start_with(Duration::ZERO).await
+}
+
+/// Starts a router with a service that takes `work` for each call.
+async fn start_with(work: Duration) -> Host {
+    let site = Site::start(1, 1, work).await;
     let router = Process::start_limited(site.key_value.address, MEMORY_MB, MAX_DESCRIPTORS);
     wait_for(|| async { serving_seen_by(&router).await == 1 }).await;
     let listeners = [router.callers, router.peers, router.operators];
@@ -77,10 +91,17 @@
 
 /// Whether one of some tries of an ordinary call is answered.
 async fn is_served(router: &Process) -> bool {
-    for _ in 0..TRIES {
+    for n in 1..=TRIES {
+        let start = Instant::now();
         let answer = chat(router.callers, 1, false);
-        let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await.ok().flatten();
-        if answer.is_some_and(|answer| answer.status == 200) {
+        let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
+        let outcome = match &answer {
+            Err(_) => "not answered in time".to_owned(),
+            Ok(None) => "closed unanswered".to_owned(),
+            Ok(Some(answer)) => format!("{} {}", answer.status, answer.text()),
+        };
+        println!("try {n} after {:?}: {outcome}", start.elapsed());
+        if answer.ok().flatten().is_some_and(|answer| answer.status == 200) {
             return true;
         }
         tokio::time::sleep(RETRY_PAUSE).await;
@@ -162,6 +183,25 @@
     check(host, clients).await;
 }
 
+/// Guards against bodies that never end and are too short for the bounds on memory, and so hold all
+/// places for connections of callers until they time out.
+#[tokio::test(flavor = "multi_thread")]
+async fn router_serves_callers_beside_short_bodies_that_stop_short() {
+    let _turn = take_turn().await;
+    let host = start().await;
+    let head = head(ORG_KEY) + "expect: 100-continue\r\n";
+
+    let clients = crowd(BODY_CLIENTS, host.router.callers, |_, stream| {
+        write!(stream, "{head}content-length: {SHORT_BODY_BYTES}\r\n\r\n")?;
+        // The router asks for the body, or has closed the connection: no head is left unread.
+        stream.set_read_timeout(Some(ANSWER_TIMEOUT))?;
+        let _ = stream.read(&mut [0; 64])?;
+        send_repeated(stream, "x", SHORT_BODY_BYTES - 1)
+    });
+
+    check(host, clients).await;
+}
+
 /// Guards against bodies far over the limit, announced or just sent.
 #[tokio::test(flavor = "multi_thread")]
 async fn router_stays_within_memory_with_excessive_bodies() {
@@ -242,6 +282,75 @@
     check(host, clients).await;
 }
 
+/// Guards against a full table that closes connections with calls in progress for new ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn router_keeps_connections_of_calls_in_progress() {
+    let _turn = take_turn().await;
+    let host = start_with(SLOW_TIME).await;
+    let head = head(ORG_KEY);
+
+    let calls = crowd(SLOW_CALLS, host.router.callers, |_, stream| {
+        send_sized(stream, &format!("{head}x-class: draft\r\n"), SHORT_BODY_BYTES, 0)
+    });
+    let clients = crowd(BODY_CLIENTS, host.router.callers, |_, stream| {
+        send_sized(stream, &head, SHORT_BODY_BYTES, 1)
+    });
+    let answers = calls.into_iter().map(|mut stream| read_answer_head(&mut stream));
+    let served = answers.filter(|answer| answer.starts_with("HTTP/1.1 200 ")).count();
+
+    assert_eq!(served, SLOW_CALLS);
+    check(host, clients).await;
+}
+
+/// Guards against connections that stay open with the larger receive buffer of a long body, which no
+/// reservation counts any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn router_closes_connections_after_long_bodies() {
+    let _turn = take_turn().await;
+    let host = start().await;
+    let mut client = TcpStream::connect(host.router.callers).unwrap();
+
+    send_sized(&mut client, &head(ORG_KEY), MAX_BODY_BYTES, 0).unwrap();
+    let answer = read_answer_head(&mut client);
+
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    assert!(answer.contains("connection: close\r\n"), "{answer}");
+    check(host, vec![client]).await;
+}
+
+/// Guards against a body that was answered as too slow and still keeps its connection open, for as
+/// long again.
+#[tokio::test(flavor = "multi_thread")]
+async fn router_closes_connections_whose_bodies_came_too_late() {
+    let _turn = take_turn().await;
+    let host = start().await;
+    let start_body = || {
+        let mut client = TcpStream::connect(host.router.callers).unwrap();
+        send_sized(&mut client, &head(ORG_KEY), SHORT_BODY_BYTES, 1).unwrap();
+        client
+    };
+
+    let mut first = start_body();
+    tokio::time::sleep(BODY_TIMEOUT / 2).await;
+    let mut second = start_body();
+    let answer = read_answer_head(&mut first);
+    read_answer_head(&mut second);
+
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+    assert!(is_closed(&first), "the connection outlives a body that began later");
+    check(host, vec![first, second]).await;
+}
+
+/// Reads the head of the answer on a connection, or what there is of it before the connection closes.
+fn read_answer_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    let mut byte = [0; 1];
+    while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).unwrap_or(0) > 0 {
+        head.extend(byte);
+    }
+    String::from_utf8(head).unwrap()
+}
+
 /// Whether the process has closed a connection, after anything that it answered.
 fn is_closed(stream: &TcpStream) -> bool {
     stream.set_nonblocking(true).unwrap();
