Reset broken streams of HTTP/1.0 callers

Callers of version 1.0 got a 200 with a part of a stream, framed as whole: they get no chunks, so that the end of the connection is the end of the body, and a gateway that gave up on a stream closed the connection as it does after a whole one. So did the system when the gateway was killed.

While a body without a length is being sent, the connection now has a linger time of zero, so that whoever closes it, the caller sees a reset.

--- a/gateway/src/connection.rs
+++ b/gateway/src/connection.rs
@@ -21,6 +21,7 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use derive_more::Display;
 use futures_util::task::AtomicWaker;
@@ -112,6 +113,9 @@
     is_unsent: AtomicBool,
     is_wide: AtomicBool,
     is_window_set: AtomicBool,
+    /// A response is being sent that ends with the connection.
+    is_unframed: AtomicBool,
+    is_reset_set: AtomicBool,
     is_evicted: AtomicBool,
     reader: AtomicWaker,
 }
@@ -128,6 +132,8 @@
             is_unsent: AtomicBool::new(false),
             is_wide: AtomicBool::new(false),
             is_window_set: AtomicBool::new(false),
+            is_unframed: AtomicBool::new(false),
+            is_reset_set: AtomicBool::new(false),
             is_evicted: AtomicBool::new(false),
             reader: AtomicWaker::new(),
         }
@@ -215,13 +221,21 @@
 #[derive(Debug)]
 pub struct Tracked<B> {
     body: B,
-    _call: Call,
+    call: Call,
+    is_unframed: bool,
 }
 
 impl<B> Tracked<B> {
     /// The body of the response to `call`.
     pub fn new(body: B, call: Call) -> Tracked<B> {
-        Tracked { body, _call: call }
+        Tracked { body, call, is_unframed: false }
+    }
+
+    /// The same for a body that ends with the connection. Until it is complete, the connection is
+    /// reset when it is closed, also by the end of the process: its client would take the end of the
+    /// connection for the end of the body.
+    pub fn unframed(body: B, call: Call) -> Tracked<B> {
+        Tracked { body, call, is_unframed: true }
     }
 }
 
@@ -233,7 +247,12 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if self.is_unframed {
+            let is_complete = matches!(polled, Poll::Ready(None));
+            self.call.0.is_unframed.store(!is_complete, Ordering::Relaxed);
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
@@ -419,6 +438,15 @@
         self.table.end_head(&self.connection);
     }
 
+    /// Sets whether the connection is reset when it is closed.
+    fn set_reset(&self) {
+        let resets = self.connection.is_unframed.load(Ordering::Relaxed);
+        if self.connection.is_reset_set.swap(resets, Ordering::Relaxed) != resets {
+            // Fails only if the connection has broken already.
+            let _ = SockRef::from(&self.stream).set_linger(resets.then_some(Duration::ZERO));
+        }
+    }
+
     fn set_window(&self) {
         if self.connection.is_wide() && !self.connection.is_window_set.swap(true, Ordering::Relaxed)
         {
@@ -467,6 +495,7 @@
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
         self.connection.is_unsent.store(true, Ordering::Relaxed);
+        self.set_reset();
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -476,6 +505,7 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
         self.connection.is_unsent.store(true, Ordering::Relaxed);
+        self.set_reset();
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
@@ -486,10 +516,12 @@
     /// Flushing comes after everything has been written.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
         self.connection.is_unsent.store(false, Ordering::Relaxed);
+        self.set_reset();
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        self.set_reset();
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -18,6 +18,8 @@
 
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
@@ -169,12 +171,17 @@
         let (shared, activity, state) = (s.clone(), Rc::clone(&a), Arc::clone(&c));
         async move {
             let _busy = Busy::new(activity);
+            let has_chunks = request.version() != Version::HTTP_10;
             let mut response = respond(shared, request).await?;
             if state.is_wide() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, Infallible>(response.map(|body| Tracked::new(body, call)))
+            let is_framed = has_chunks || response.body().size_hint().exact().is_some();
+            Ok::<_, Infallible>(response.map(|body| match is_framed {
+                true => Tracked::new(body, call),
+                false => Tracked::unframed(body, call),
+            }))
         }
     });
     let mut builder = http1::Builder::new();
