Reject heads that hold a second status line

A replica stopped in the middle of its answer's head and began another answer on the same connection, as servers do that find an error late. The library read the status line of the second as the rest of a field, or of the reason phrase, of the first: callers got the body of a 500 with the status 200, framed as whole, and a 503 with its statement that the call had not run could stand for a second answer that said otherwise. The same happens when the beginning of a head arrives late on a kept connection.

The check of heads, which all responses pass (of replicas, delegates, engines, the store and the router's upstreams), now rejects those with a version and a status in the reason phrase or in a field. The connection is closed, and the call counts as one that may have run. A version without a status, as in Via, stays valid.

--- a/gateway/src/response.rs
+++ b/gateway/src/response.rs
@@ -2,7 +2,8 @@
 //!
 //! The HTTP library rejects heads that it can't parse. It still accepts heads that leave the length of
 //! the body uncertain (RFC 9112, section 6.3): a body in an unknown transfer coding would be taken for
-//! the bytes on the wire. Every response that a process reads passes [`validate`], and a connection
+//! the bytes on the wire. It also reads the head of a second response that follows the beginning of
+//! a first one as the rest of that head. Every response that a process reads passes [`validate`], and a connection
 //! with an invalid one is closed.
 
 use bytes::Bytes;
@@ -15,10 +16,14 @@
 use hyper::StatusCode;
 use hyper::Version;
 use hyper::body::Body;
+use hyper::ext::ReasonPhrase;
 use hyper::header;
 use hyper::header::HeaderValue;
 use hyper::http::Extensions;
 
+/// Start of a status line, in which each zero stands for any digit.
+const STATUS_LINE: &[u8] = b"HTTP/0.0 000";
+
 /// How the end of a valid response's body is known. [`validate`] adds it to the response's extensions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Length {
@@ -58,6 +63,9 @@
     LengthAndCoding,
     /// The head states a body that its status excludes.
     Body,
+    /// The head contains the status line of another response, which began before this head was
+    /// complete.
+    SecondHead,
 }
 
 /// Why there is no response.
@@ -143,6 +151,9 @@
     if !is_final(status) || (method == Method::CONNECT && status.is_success()) {
         return Err(Flaw::Status);
     }
+    if has_second_head(response) {
+        return Err(Flaw::SecondHead);
+    }
     let headers = response.headers_mut();
     let is_chunked = parse_coding(version, headers)?;
     let stated = parse_length(headers)?;
@@ -175,6 +186,24 @@
     (200..600).contains(&status.as_u16())
 }
 
+/// Whether the reason phrase or a field contains the status line of another response. The status of
+/// the first would be taken for that of the second, which may say otherwise.
+fn has_second_head<B>(response: &Response<B>) -> bool {
+    let reason = response.extensions().get::<ReasonPhrase>().map(ReasonPhrase::as_bytes);
+    let fields = response.headers().values().map(HeaderValue::as_bytes);
+    reason.into_iter().chain(fields).any(has_status_line)
+}
+
+/// Whether the text contains a version of the protocol and a status, as in `HTTP/1.1 200`.
+fn has_status_line(text: &[u8]) -> bool {
+    text.windows(STATUS_LINE.len()).any(|window| {
+        window.iter().zip(STATUS_LINE).all(|(byte, expected)| match expected {
+            b'0' => byte.is_ascii_digit(),
+            _ => byte == expected,
+        })
+    })
+}
+
 /// Whether the body is sent in chunks.
 fn parse_coding(version: Version, headers: &HeaderMap) -> Result<bool, Flaw> {
     let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
--- a/gateway/tests/broken.rs
+++ b/gateway/tests/broken.rs
@@ -83,6 +83,12 @@
         ("control byte in the name of the length", ok("content-\u{1}length: 4\r\n", "body")),
         ("NUL in a value", field("a: b\0c")),
         ("CR in a value", field("a: b\rc")),
+        ("second head in a value", field("a: bHTTP/1.1 500 Oops\r\nx-laburnum-proof: p")),
+        ("second head of version 1.0 in a value", field("a: HTTP/1.0 404")),
+        (
+            "second head in the reason",
+            answer("HTTP/1.1 200 OKHTTP/1.1 500 Oops", "content-length: 4\r\n", "body"),
+        ),
     ]
 }
 
@@ -368,6 +374,7 @@
             ),
             ("end of the connection", ok("", "body")),
             ("version 1.0", answer("HTTP/1.0 200 OK", "content-length: 4\r\n", "body")),
+            ("version in a field", ok("via: HTTP/1.1 a\r\ncontent-length: 4\r\n", "body")),
             ("no reason", answer("HTTP/1.1 200 ", "content-length: 4\r\n", "body")),
             (
                 "interim answer",
