Stop a run on a connection of its own

A gateway that moves a run calls its source several times on one kept connection, and the answers state no id. An answer to an earlier copy that came once more was taken for the answer to the stop: with a source that did not stop the run, the gateway sent its request to the destination, so that two engines worked on it.

The call that stops a run now opens its own connection. An answer that comes once more to a copy of a running run remains harmless: the stop copies the rest.

--- a/gateway/src/moves.rs
+++ b/gateway/src/moves.rs
@@ -88,6 +88,11 @@
             to: &self.plan.destination.address,
             stop,
         });
+        // Answers state no id: on a kept connection, an earlier one that comes once more could be
+        // taken for the answer to the stop.
+        if stop {
+            self.channel = None;
+        }
         let answer = tokio::time::timeout(timeout, self.call(request)).await.ok().flatten();
         let reply =
             answer.map_or(Reply::Unclear, |(status, body)| (dialect.parse_copy)(status, &body));
--- a/gateway/tests/moves/failures.rs
+++ b/gateway/tests/moves/failures.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 
 use crate::EVENTS;
+use crate::call_from_leaving;
 use crate::copied_tokens;
 use crate::data;
 use crate::gateway_before;
@@ -279,3 +280,27 @@
         }
     });
 }
+
+/// Guards against a run that goes on at two engines: an engine answers an earlier copy once more, and
+/// the gateway takes that for the answer to the stop, which the engine has not carried out.
+#[test]
+fn late_answer_to_a_copy_is_not_the_answer_to_a_stop() {
+    run(async {
+        let (a, b) = two(script).await;
+        let running = gateway_before(moving(), &[&a, &b]).await;
+        for engine in [&a, &b] {
+            engine.late_copy.set(Some((200, "h1")));
+            engine.copy_script.replace(Rc::new(|stop| match stop {
+                false => Copied::now(200, "h1", false),
+                true => Copied::now(404, "", false),
+            }));
+        }
+
+        let result = call_from_leaving(&running, (&a, &b)).await;
+
+        let (source, other) = order(&a, &b);
+        assert_eq!(result, (data(1, EVENTS), true));
+        assert_eq!(source.stops(), [false, true]);
+        assert_eq!(other.received.borrow().len(), 0, "calls of the other engine");
+    });
+}
--- a/gateway/tests/support/engine.rs
+++ b/gateway/tests/support/engine.rs
@@ -101,6 +101,9 @@
     pub faulty_reports: Rc<RefCell<Option<(String, String)>>>,
     /// The same in place of answers to calls that copy a run.
     pub faulty_copies: Rc<RefCell<Option<(String, String)>>>,
+    /// Sent before the answer to a call that stops a run, on a connection that has carried a call
+    /// which copied one.
+    pub late_copy: Rc<Cell<Option<(u16, &'static str)>>>,
     /// Connections with a repeated text that the gateway closed.
     pub endless: Rc<Cell<u32>>,
     stopped: Rc<Cell<bool>>,
@@ -124,6 +127,7 @@
             free_status: Rc::new(Cell::new(200)),
             faulty_reports: Rc::default(),
             faulty_copies: Rc::default(),
+            late_copy: Rc::default(),
             endless: Rc::default(),
             stopped: Rc::default(),
             accepting: Rc::default(),
@@ -144,6 +148,7 @@
     }
 
     async fn serve(&self, mut stream: TcpStream, script: &Script) {
+        let mut has_copied = false;
         while let Some(received) = read(&mut stream).await {
             if received.head.starts_with(&format!("GET {}", own::REPORT_PATH)) {
                 self.reports.set(self.reports.get() + 1);
@@ -164,7 +169,8 @@
             }
             if received.head.starts_with(&format!("POST {}", own::COPY_PATH)) {
                 let script = Rc::clone(&self.copy_script.borrow());
-                let copied = script(received.header(own::STOP).is_some());
+                let is_stop = received.header(own::STOP).is_some();
+                let copied = script(is_stop);
                 self.copies.borrow_mut().push(received);
                 let faulty = self.faulty_copies.borrow().clone();
                 if let Some(faulty) = faulty {
@@ -172,6 +178,11 @@
                 }
                 self.stopped.set(self.stopped.get() || copied.stopped);
                 tokio::time::sleep(copied.delay).await;
+                let late = self.late_copy.get().filter(|_| is_stop && has_copied);
+                if let Some((status, body)) = late {
+                    respond(&mut stream, status, body).await;
+                }
+                has_copied = true;
                 match copied.answer {
                     Some((status, body)) => respond(&mut stream, status, body).await,
                     None => return,
