Abort resumed streams that repeat events

Callers got events twice, or numbers that went back, where a stream broke off and the replica that resumed it ignored Last-Event-Id or went on too early: the relay passed its answer on unchecked and ended it as whole.

Cause: the order of events was checked only for runs that go on from a copy or a move (`Sequence`); resuming a stream set the check to none.

Resumed events now have to bear greater numbers than the last one that the caller has. They need not be the next ones, as the protocol promises only that numbers increase. A stream whose last id is no number is not resumed, since its order can't be known; a signed number counts as none.

--- a/core/src/gateway/copy.rs
+++ b/core/src/gateway/copy.rs
@@ -343,22 +343,38 @@
     }
 }
 
-/// A continuation sent an event that is not the next one.
+/// A continuation sent an event that does not follow the one before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("an event of a continued run is not the next one")]
+#[error("an event of a continued stream does not follow the one before")]
 pub struct Gap;
 
+/// Which ids may follow one another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Order {
+    /// The next number. The run is the same, and an engine numbers all its events.
+    Consecutive,
+    /// Any greater number. Services may skip some, and send further events without one.
+    Increasing,
+}
+
 /// Checks that the events of a continuation follow the last one that the caller has.
 #[derive(Clone, Copy, Debug)]
 pub struct Sequence {
     last: u64,
+    order: Order,
 }
 
 impl Sequence {
-    /// The events after the one with id `last`; `None` if it is not a number, so that the next one
-    /// is unknown.
+    /// The events of a run after the one with id `last`; `None` if it is not a number, so that the
+    /// next one is unknown.
     pub fn after(last: &[u8]) -> Option<Sequence> {
-        std::str::from_utf8(last).ok()?.parse().ok().map(|last| Sequence { last })
+        parse_id(last).map(|last| Sequence { last, order: Order::Consecutive })
+    }
+
+    /// The events of a new run that goes on after the event with id `last`; `None` if it is not a
+    /// number, so that nothing is known of the order.
+    pub fn resumed_after(last: &[u8]) -> Option<Sequence> {
+        parse_id(last).map(|last| Sequence { last, order: Order::Increasing })
     }
 
     /// Id of the last event.
@@ -370,7 +386,7 @@
     ///
     /// # Errors
     ///
-    /// [`Gap`] if an event has no id or not the next one.
+    /// [`Gap`] if an event has no id that may follow.
     pub fn check(&mut self, events: &[u8]) -> Result<(), Gap> {
         let mut id = None;
         let mut is_open = false;
@@ -388,8 +404,7 @@
             }
             is_open = true;
             if let Some(value) = line.strip_prefix(b"id:") {
-                let text = std::str::from_utf8(value.trim_ascii()).map_err(|_| Gap)?;
-                let number: u64 = text.parse().map_err(|_| Gap)?;
+                let number = parse_id(value.trim_ascii()).ok_or(Gap)?;
                 if id.replace(number).is_some() {
                     return Err(Gap);
                 }
@@ -399,10 +414,21 @@
     }
 
     fn advance(&mut self, id: Option<u64>) -> Result<(), Gap> {
-        if id.is_none() || id != self.last.checked_add(1) {
-            return Err(Gap);
+        match (self.order, id) {
+            (Order::Consecutive, Some(id)) if Some(id) == self.last.checked_add(1) => {
+                self.last = id
+            }
+            (Order::Increasing, Some(id)) if id > self.last => self.last = id,
+            (Order::Increasing, None) => {}
+            _ => return Err(Gap),
         }
-        self.last += 1;
         Ok(())
     }
 }
+
+/// Parses the id of an event; `None` if it is no number.
+fn parse_id(id: &[u8]) -> Option<u64> {
+    // `parse` accepts a sign.
+    let is_number = id.iter().all(u8::is_ascii_digit);
+    is_number.then(|| std::str::from_utf8(id).ok()?.parse().ok()).flatten()
+}
--- a/core/tests/gateway/copies.rs
+++ b/core/tests/gateway/copies.rs
@@ -422,6 +422,30 @@
     );
 }
 
+/// Guards against events that a caller gets twice from a replica that resumes a stream too early.
+#[test]
+fn resumed_stream_has_increasing_numbers() {
+    let check = |events: &str| Sequence::resumed_after(b"7").unwrap().check(events.as_bytes());
+
+    assert_eq!(check("id: 8\ndata: a\n\nid:9\r\ndata: b\r\n\r\n"), Ok(()));
+    assert_eq!(check("id: 9\ndata: a\n\n: ping\n\nid: 20\ndata: b\n\ndata: end\n\n"), Ok(()));
+    for events in [
+        "id: 7\ndata: a\n\n",
+        "id: 1\ndata: a\n\n",
+        "id: 9\ndata: a\n\nid: 8\ndata: a\n\n",
+        "id: 8\ndata: a\n\nid: 8\ndata: a\n\n",
+        "id: 8\nid: 9\ndata: a\n\n",
+        "id: x\ndata: a\n\n",
+        "id:\ndata: a\n\n",
+        "id: 8\ndata: a\n",
+    ] {
+        assert_eq!(check(events), Err(Gap), "{events:?}");
+    }
+    for last in [&b""[..], b"a7", b"+7", b"-7", b"7 ", b"18446744073709551616"] {
+        assert!(Sequence::resumed_after(last).is_none(), "{last:?}");
+    }
+}
+
 /// The request crashed engines at other gateways meanwhile. It must not crash its standby as well.
 #[test]
 fn run_with_a_quarantined_request_does_not_continue() {
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -48,7 +48,7 @@
     call: Call,
     exchange: Option<Exchange>,
     splitter: Splitter,
-    /// Checks the events of a run that continues from its copy.
+    /// Checks the events of a stream that was continued.
     sequence: Option<Sequence>,
     /// Moves the run to another engine if its engine leaves.
     mover: Mover,
@@ -312,7 +312,7 @@
         self.resume(failure).await
     }
 
-    /// Aborts a continued run whose events do not follow those that the caller has.
+    /// Aborts a continued stream whose events do not follow those that the caller has.
     fn check_sequence(&mut self, events: &[u8]) -> Result<(), Aborted> {
         let Some(sequence) = &mut self.sequence else {
             return Ok(());
@@ -377,7 +377,8 @@
             match self.call.attempt(last.as_ref()).await {
                 Ok(exchange) => {
                     self.log_resumed(before.as_ref());
-                    self.sequence = None;
+                    // A replica that ignores the last event sends all events again.
+                    self.sequence = self.resumed_sequence();
                     self.mover.restart(self.splitter.count());
                     self.exchange = Some(exchange);
                     return Ok(());
@@ -402,12 +403,18 @@
         self.call.shared.log(line);
     }
 
+    /// Checks the events of a new run that goes on after the last event; `None` if their order can't
+    /// be known.
+    fn resumed_sequence(&self) -> Option<Sequence> {
+        self.splitter.last_id().and_then(|last| Sequence::resumed_after(last))
+    }
+
     fn may_resume(&self, failure: &Failure) -> bool {
         let Failure::Fault(fault, _) = failure else {
             return false;
         };
         let grant = &self.call.grant;
-        if *fault == Fault::TimedOut || self.splitter.last_id().is_none() {
+        if *fault == Fault::TimedOut || self.resumed_sequence().is_none() {
             return false;
         }
         if matches!(fault, Fault::Unreachable | Fault::Withdrawn) {
--- /dev/null
+++ b/gateway/tests/order.rs
@@ -0,0 +1,177 @@
+//! The order of events in streams: none is missing, comes twice or goes back, and a stream that can't
+//! go on in order is aborted.
+
+mod support;
+
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use laburnumwheel_gateway::channel::Channel;
+use laburnumwheel_gateway::dialect::own;
+use laburnumwheel_gateway::gateway::Running;
+
+use crate::support::Action;
+use crate::support::END;
+use crate::support::Replica;
+use crate::support::call;
+use crate::support::chunk;
+use crate::support::connect;
+use crate::support::events;
+use crate::support::gateway_with;
+use crate::support::request;
+use crate::support::run;
+
+fn data(from: u32, to: u32) -> String {
+    (from..=to).map(|i| format!("id: {i}\ndata: t{i}\n\n")).collect()
+}
+
+/// The head of a stream, followed by these texts in chunks.
+fn stream(texts: &[&str]) -> String {
+    events(1, 0) + &texts.iter().map(|text| chunk(text)).collect::<String>()
+}
+
+/// What a caller gets of a stream that breaks off after `first` and is resumed with the answer
+/// `resumed`, and how many calls the replicas got.
+async fn resume(first: Action, resumed: Action) -> (Result<String, ()>, usize) {
+    let script = vec![Action::After(1, Box::new(first), Box::new(resumed))];
+    let (a, b) = (Replica::start(script.clone()).await, Replica::start(script).await);
+    let running = gateway_with(&[&a, &b]).await;
+
+    let (status, body) = call(&running, "/stream/x", "call-1").await;
+
+    assert_eq!(status, 200);
+    let calls = a.received.borrow().len() + b.received.borrow().len();
+    (body, calls)
+}
+
+/// Guards against events that a caller gets twice, or whose numbers go back, because the replica at
+/// which a stream is resumed does not go on after the last event.
+#[test]
+fn resumed_stream_that_repeats_events_is_aborted() {
+    run(async {
+        let answers = [
+            ("the last event", events(2, 5) + END),
+            ("from the start", events(1, 5) + END),
+            ("an event twice", stream(&[&data(3, 4), &data(4, 5)]) + END),
+            ("a number that goes back", stream(&[&data(3, 3), &data(5, 5), &data(4, 4)]) + END),
+            ("in one chunk", stream(&[&(data(3, 4) + &data(3, 4))]) + END),
+            ("no number", stream(&["id: x\ndata: t3\n\n"]) + END),
+        ];
+        let mut relayed = Vec::new();
+        for (name, answer) in answers {
+            let (body, _) =
+                resume(Action::WriteAndClose(events(1, 2)), Action::Write(answer)).await;
+            relayed.extend(body.ok().map(|body| (name, body)));
+        }
+        assert_eq!(relayed, []);
+    });
+}
+
+/// Guards against streams that are not resumed although their events follow: the numbers of events
+/// increase, but not always by one, and events are formatted and divided in many ways.
+#[test]
+fn stream_is_resumed_with_increasing_numbers() {
+    run(async {
+        let firsts = [
+            ("chunks", stream(&["id: 1\nda", "ta: t1\n", "\nid: 2\ndata: t2\n", "\n"])),
+            ("id after data", stream(&["data: t1\nid: 1\n\ndata: t2\nid: 2\n\n"])),
+            ("comment", stream(&["id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n", ": ping\n\n"])),
+            ("crlf", stream(&["id: 1\r\ndata: t1\r\n\r\nid: 2\r\ndata: t2\r", "\n\r", "\n"])),
+            ("gap", stream(&["id: 2\ndata: t2\n\n"])),
+        ];
+        let rests = [
+            ("one by one", stream(&[&data(3, 4)]) + END),
+            ("gaps", stream(&[&data(5, 5), &data(9, 9)]) + END),
+            ("end without a number", stream(&[&data(3, 3), "data: [DONE]\n\n"]) + END),
+            ("crlf", stream(&["id: 3\r\ndata: t3\r\n\r", "\nid: 4\r\ndata: t4\r\n\r\n"]) + END),
+            ("comments", stream(&[": ping\n\n", "version: 3\nid: 3\ndata: t3\n\n"]) + END),
+            ("nothing is left", stream(&[]) + END),
+        ];
+        for (first_name, first) in &firsts {
+            for (name, rest) in &rests {
+                let (body, calls) = resume(
+                    Action::WriteAndClose(first.clone() + &chunk("id: 3\nda")),
+                    Action::Write(rest.clone()),
+                )
+                .await;
+
+                assert_eq!(calls, 2, "{first_name}, {name}");
+                let expected = [texts(first), texts(rest)].concat();
+                assert_eq!(body, Ok(expected), "{first_name}, {name}");
+            }
+        }
+    });
+}
+
+/// The body of a chunked response.
+fn texts(response: &str) -> String {
+    let mut rest = response.split_once("\r\n\r\n").unwrap().1;
+    let mut body = String::new();
+    while let Some((length, text)) = rest.split_once("\r\n") {
+        let length = usize::from_str_radix(length, 16).unwrap();
+        body.push_str(&text[..length]);
+        rest = &text[length + 2..];
+    }
+    body
+}
+
+/// Guards against events of a replica that was given up for its silence and sends on: they belong to
+/// another run than the one that the caller gets.
+#[test]
+fn late_events_of_a_silent_replica_are_not_joined() {
+    run(async {
+        let late = Action::WriteParts(vec![
+            (Duration::ZERO, events(1, 2)),
+            (Duration::from_millis(1_500), stream_rest("late") + END),
+        ]);
+        let rest = Action::WriteParts(vec![
+            (Duration::ZERO, events(1, 0)),
+            (Duration::from_millis(800), chunk("id: 3\ndata: new3\n\n")),
+            (Duration::from_millis(800), chunk("id: 4\ndata: new4\n\n") + END),
+        ]);
+
+        let (body, calls) = resume(late, rest).await;
+
+        let resumed = data(1, 2) + "id: 3\ndata: new3\n\nid: 4\ndata: new4\n\n";
+        assert_eq!((body, calls), (Ok(resumed), 2));
+    });
+}
+
+fn stream_rest(text: &str) -> String {
+    chunk(&format!("id: 3\ndata: {text}3\n\n")) + &chunk(&format!("id: 4\ndata: {text}4\n\n"))
+}
+
+/// Sends a call that takes up a stream after an event.
+async fn take_up(running: &Running, last: &[&str]) -> (u16, Result<String, ()>) {
+    let mut channel: Channel = connect(running).await;
+    let mut request = request("/stream/x", "call-1");
+    for last in last {
+        request.headers_mut().append(own::LAST_EVENT, last.parse().unwrap());
+    }
+    let response = channel.send(request).await.unwrap();
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await;
+    (status, body.map(|b| String::from_utf8(b.to_bytes().to_vec()).unwrap()).map_err(drop))
+}
+
+/// Guards against a stream that a caller takes up, and that breaks off and goes on before the event
+/// that the caller had named.
+#[test]
+fn stream_that_its_caller_has_taken_up_is_resumed_after_its_last_event() {
+    run(async {
+        let first = Box::new(Action::WriteAndClose(events(8, 9)));
+        let rest = Box::new(Action::Write(events(10, 12) + END));
+        let script = vec![Action::After(8, first, rest)];
+        let (a, b) = (Replica::start(script.clone()).await, Replica::start(script).await);
+        let running = gateway_with(&[&a, &b]).await;
+
+        let answer = take_up(&running, &["7"]).await;
+
+        let received = [a.received.borrow().clone(), b.received.borrow().clone()].concat();
+        let mut lasts: Vec<&str> =
+            received.iter().map(|received| received.header(own::LAST_EVENT).unwrap()).collect();
+        lasts.sort_unstable();
+        assert_eq!(answer, (200, Ok(data(8, 12))));
+        assert_eq!(lasts, ["7", "9"]);
+    });
+}
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -51,6 +51,8 @@
 pub const KEY: &str = "secret-key";
 /// Drain delay of the tested gateways, short so that the tests are.
 const DRAIN_DELAY: Duration = Duration::from_millis(200);
+/// Time between the last bytes of a replica and the reset of its connection.
+const RESET_DELAY: Duration = Duration::from_millis(50);
 /// Bytes that a replica writes at a time of an endless response.
 const ENDLESS_BYTES: usize = 16 << 10;
 
@@ -90,6 +92,12 @@
     Silent,
     /// Writes the first text, and the second one again and again until the connection is closed.
     Endless(String, String),
+    /// Writes texts with a pause before each, and keeps the connection open.
+    WriteParts(Vec<(Duration, String)>),
+    /// Writes the text, waits until it has been read, and resets the connection.
+    WriteAndReset(String),
+    /// The first action for a call, the second one if it resumes a stream after this event or later.
+    After(u32, Box<Action>, Box<Action>),
 }
 
 /// A replica that follows a script of one action for each call; the last action is repeated.
@@ -134,7 +142,28 @@
             self.received.borrow_mut().push(received);
             let action = script[(*next.borrow()).min(script.len() - 1)].clone();
             *next.borrow_mut() += 1;
+            let action = match action {
+                Action::After(event, _, resumed) if last >= Some(event) => *resumed,
+                Action::After(_, first, _) => *first,
+                action => action,
+            };
             match action {
+                Action::After(..) => unreachable!("actions are not nested"),
+                Action::WriteParts(parts) => {
+                    for (pause, text) in parts {
+                        tokio::time::sleep(pause).await;
+                        if stream.write_all(text.replace("ID", &id).as_bytes()).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+                Action::WriteAndReset(text) => {
+                    let _ = stream.write_all(text.replace("ID", &id).as_bytes()).await;
+                    // A reset discards what has not been read yet.
+                    tokio::time::sleep(RESET_DELAY).await;
+                    let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    return;
+                }
                 Action::Write(text) => {
                     let _ = stream.write_all(text.replace("ID", &id).as_bytes()).await;
                 }
