Abort streams that go on with an answer that is none

Callers got the first events of a stream, and its end as complete, where the replica at which it was resumed answered 204, 206, 302, 304 or 404 with an empty body; the text of a 400 came as the last event.

Cause: the relay took every answer but a server error for the rest of the stream, so that the end of an empty body ended the stream. Runs that go on from a copy or after a move did the same with each success.

A stream now goes on only with a 200. Any other status counts as a failure of the replica, after which the stream is resumed elsewhere or aborted.

--- a/gateway/src/copy.rs
+++ b/gateway/src/copy.rs
@@ -252,7 +252,7 @@
     let id = String::from_utf8_lossy(&call.submission.id).into_owned();
     let continue_from = format!("{}/{id}", copy.plan.address);
     match call.send_to(pick, None, last, Some(&continue_from)).await {
-        Ok(exchange) if exchange.head.status.is_success() => {
+        Ok(exchange) if exchange.head.status == StatusCode::OK => {
             Ok(Continuation { exchange, sequence })
         }
         Ok(exchange) => {
--- a/gateway/src/moves.rs
+++ b/gateway/src/moves.rs
@@ -487,7 +487,7 @@
     };
     call.grant.last_pick = Some(pick.clone());
     match call.send_to(pick, None, last, Some(continue_from)).await {
-        Ok(exchange) if exchange.head.status.is_success() => (Sent::Continued, Some(exchange)),
+        Ok(exchange) if exchange.head.status == StatusCode::OK => (Sent::Continued, Some(exchange)),
         Ok(exchange) => {
             exchange.in_flight.end(Outcome::Failed);
             (Sent::Unknown, None)
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -9,6 +9,7 @@
 use futures_util::Stream;
 use futures_util::stream;
 use http_body_util::BodyExt;
+use hyper::StatusCode;
 use hyper::http::response;
 use laburnumwheel_core::gateway::Pick;
 use laburnumwheel_core::gateway::copy::Sequence;
@@ -375,6 +376,10 @@
             self.call.shared.log(line);
             let before = self.call.grant.last_pick.clone();
             match self.call.attempt(last.as_ref()).await {
+                // An answer with another status has no events, and its end is not that of the stream.
+                Ok(exchange) if exchange.head.status != StatusCode::OK => {
+                    failure = fail(&mut self.call, Some(&exchange), Fault::Status);
+                }
                 Ok(exchange) => {
                     self.log_resumed(before.as_ref());
                     // A replica that ignores the last event sends all events again.
--- a/gateway/tests/copies.rs
+++ b/gateway/tests/copies.rs
@@ -367,6 +367,29 @@
     });
 }
 
+/// Guards against a run that ends as whole because its standby answers without events.
+#[test]
+fn continuation_with_an_answer_that_is_no_stream_is_aborted() {
+    run(async {
+        for status in ["204 No Content", "206 Partial Content\r\ncontent-length: 0"] {
+            let script = move |received: &Received| match received.header(own::CONTINUE_FROM) {
+                Some(_) => {
+                    let head = "x-request-id: ID\r\nx-laburnum-proof: p\r\n\r\n";
+                    vec![Step::Write(format!("HTTP/1.1 {status}\r\n{head}"))]
+                }
+                None => vec![Step::Write(events(1, 2)), Step::Wait(LULL), Step::Crash],
+            };
+            let (a, b) = (Engine::start(1, script).await, Engine::start(2, script).await);
+            let running = gateway_of(&[&a, &b]).await;
+
+            let body = call(&running, "run-1").await;
+
+            assert_eq!(body, Err(()), "{status}");
+            assert_eq!(order(&a, &b).1.received.borrow().len(), 1, "{status}");
+        }
+    });
+}
+
 /// A request crashes its engine and then the standby. A third engine would crash as well.
 #[test]
 fn run_that_crashed_two_engines_does_not_continue_at_a_third() {
--- a/gateway/tests/moves/stops.rs
+++ b/gateway/tests/moves/stops.rs
@@ -83,6 +83,25 @@
     });
 }
 
+/// Guards against a stopped run that ends as whole because its destination answers without events.
+#[test]
+fn stopped_run_whose_destination_sends_no_stream_is_aborted() {
+    run(async {
+        let answer = "HTTP/1.1 204 No Content\r\nx-request-id: ID\r\nx-laburnum-proof: p\r\n\r\n";
+        let script = |received: &Received| match last_event(received) {
+            Some(_) => vec![Step::Write(answer.to_owned())],
+            None => script(received),
+        };
+        let (a, b) = two(script).await;
+        let running = gateway_before(moving(), &[&a, &b]).await;
+
+        let (text, is_complete) = call_from_leaving(&running, (&a, &b)).await;
+
+        assert!(!is_complete && data(1, EVENTS).starts_with(&text), "{text}");
+        assert_eq!(order(&a, &b).1.received.borrow().len(), 1);
+    });
+}
+
 /// A stream without a length ends with its connection, and so does one whose run was stopped. If the
 /// answer to the stop is lost, the stream must not look complete.
 #[test]
--- a/gateway/tests/order.rs
+++ b/gateway/tests/order.rs
@@ -19,6 +19,7 @@
 use crate::support::events;
 use crate::support::gateway_with;
 use crate::support::request;
+use crate::support::response;
 use crate::support::run;
 
 fn data(from: u32, to: u32) -> String {
@@ -67,6 +68,47 @@
     });
 }
 
+/// Guards against streams that end as complete because an answer that is no stream, or the end of one,
+/// is taken for the rest of the events.
+#[test]
+fn stream_is_not_completed_by_an_answer_without_its_rest() {
+    run(async {
+        let head = "x-request-id: ID\r\nx-laburnum-proof: p\r\n";
+        let answers = [
+            ("404", Action::Write(response("404 Not Found", ""))),
+            ("400 with text", Action::Write(response("400 Bad Request", "no\n\n"))),
+            ("204", Action::Write(format!("HTTP/1.1 204 No Content\r\n{head}\r\n"))),
+            ("304", Action::Write(format!("HTTP/1.1 304 Not Modified\r\n{head}\r\n"))),
+            ("206", Action::Write(response("206 Partial Content", ""))),
+            ("302", Action::Write(response("302 Found", ""))),
+            ("text", Action::Write(response("200 OK", "no such stream"))),
+            (
+                "ends with its connection",
+                Action::WriteAndClose(format!("HTTP/1.1 200 OK\r\n{head}\r\n")),
+            ),
+            ("no end", Action::WriteAndClose(events(3, 4))),
+            ("reset", Action::WriteAndReset(events(3, 4))),
+            (
+                "reset without length",
+                Action::WriteAndReset(format!("HTTP/1.1 200 OK\r\n{head}\r\n{}", data(3, 4))),
+            ),
+            (
+                "shorter than its length",
+                Action::WriteAndClose(format!(
+                    "HTTP/1.1 200 OK\r\n{head}content-length: 100\r\n\r\n{}",
+                    data(3, 4)
+                )),
+            ),
+        ];
+        let mut completed = Vec::new();
+        for (name, answer) in answers {
+            let (body, _) = resume(Action::WriteAndClose(events(1, 2)), answer).await;
+            completed.extend(body.ok().map(|body| (name, body)));
+        }
+        assert_eq!(completed, []);
+    });
+}
+
 /// Guards against streams that are not resumed although their events follow: the numbers of events
 /// increase, but not always by one, and events are formatted and divided in many ways.
 #[test]
