Resume no stream whose last event has no id

Callers got an event twice where the last one before a break had no id: the stream was resumed after the last event with an id, and the replica sent the later one again.

Cause: the splitter kept the id of the last event that has one, though Last-Event-Id can name a position only right behind such an event.

Evidence: `stream_whose_last_event_has_no_number_is_not_resumed` got the event `more` and then 3 4 5, from a replica that was asked to go on after event 2, on the code before.

`Splitter::last_id` is now the id of the last event. A stream that breaks off after an event without one is aborted; it is resumed again once an event with an id has come. Comments are no events and change nothing.

--- a/core/src/gateway/events.rs
+++ b/core/src/gateway/events.rs
@@ -39,16 +39,26 @@
     }
 
     fn record_ids(&mut self, events: &Bytes) {
+        let mut id = None;
+        let mut is_open = false;
         for line in events.split(|b| *b == b'\n') {
             let line = line.strip_suffix(b"\r").unwrap_or(line);
-            if let Some(id) = line.strip_prefix(b"id:") {
-                self.last_id = Some(events.slice_ref(id.trim_ascii()));
-                self.count += 1;
+            if line.is_empty() {
+                if std::mem::take(&mut is_open) {
+                    self.last_id = id.take();
+                    self.count += u64::from(self.last_id.is_some());
+                }
+            } else if !line.starts_with(b":") {
+                is_open = true;
+                if let Some(value) = line.strip_prefix(b"id:") {
+                    id = Some(events.slice_ref(value.trim_ascii()));
+                }
             }
         }
     }
 
-    /// Id of the last complete event that has one.
+    /// Id of the last complete event; `None` if it has none. A stream that were resumed after an
+    /// earlier event would repeat the last one.
     pub fn last_id(&self) -> Option<&Bytes> {
         self.last_id.as_ref()
     }
--- a/core/tests/gateway/events.rs
+++ b/core/tests/gateway/events.rs
@@ -44,3 +44,27 @@
     assert_eq!(&second[..], b"id: 2\ndata: b\n\n");
     assert_eq!(splitter.last_id().map(|id| &id[..]), Some(&b"2"[..]));
 }
+
+/// Guards against an event without an id that comes twice, as the stream is resumed before it.
+#[test]
+fn last_id_is_that_of_the_last_event() {
+    let cases: [(&str, Option<&str>, u64); 9] = [
+        ("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", Some("2"), 2),
+        ("id: 1\ndata: a\n\ndata: b\n\n", None, 1),
+        ("id: 1\ndata: a\n\ndata: b\n\nid: 2\ndata: c\n\n", Some("2"), 2),
+        ("id: 1\ndata: a\n\n: ping\n\n\n\n", Some("1"), 1),
+        ("data: a\nid:1\n\n", Some("1"), 1),
+        ("version: 3\r\nid: 1\r\ndata: a\r\n\r\n", Some("1"), 1),
+        ("id: 1\nid: 2\ndata: a\n\n", Some("2"), 1),
+        ("id:\ndata: a\n\n", Some(""), 1),
+        ("data: a\ndata: id: 4\n\n", None, 0),
+    ];
+    for (text, id, count) in cases {
+        let mut splitter = Splitter::default();
+
+        splitter.push(text.as_bytes()).unwrap();
+
+        assert_eq!(splitter.last_id().map(|id| &id[..]), id.map(str::as_bytes), "{text:?}");
+        assert_eq!(splitter.count(), count, "{text:?}");
+    }
+}
--- a/gateway/tests/order.rs
+++ b/gateway/tests/order.rs
@@ -157,6 +157,31 @@
     body
 }
 
+/// Guards against an event that comes twice: it has no number, so that a stream can't be resumed after
+/// it, and would be resumed before it.
+#[test]
+fn stream_whose_last_event_has_no_number_is_not_resumed() {
+    run(async {
+        let firsts = [
+            ("without an id", stream(&[&data(1, 2), "data: more\n\n"])),
+            ("empty id", stream(&[&data(1, 2), "id:\ndata: more\n\n"])),
+            ("opaque id", stream(&[&data(1, 2), "id: b7\ndata: more\n\n"])),
+            ("huge id", stream(&[&data(1, 2), "id: 99999999999999999999\ndata: more\n\n"])),
+            ("signed id", stream(&[&data(1, 2), "id: +3\ndata: more\n\n"])),
+            ("carriage return", stream(&[&data(1, 2), "id: 3\rdata: more\n\n"])),
+        ];
+        let mut resumed = Vec::new();
+        for (name, first) in firsts {
+            let (body, calls) =
+                resume(Action::WriteAndClose(first), Action::Write(events(3, 5) + END)).await;
+            if (body.is_ok(), calls) != (false, 1) {
+                resumed.push((name, body));
+            }
+        }
+        assert_eq!(resumed, []);
+    });
+}
+
 /// Guards against events of a replica that was given up for its silence and sends on: they belong to
 /// another run than the one that the caller gets.
 #[test]
