Pass on failures of streams with status and body

Callers of streams got a 502 of the gateway's own where a replica had answered 400 or 404 with a body.

Cause: every answer on a route for streams but a server error went through the relay, whose splitter takes a body without a blank line for an incomplete event, and so for a replica that broke off. Such an attempt is also recorded as a crash under the request, see `Call::fail`.

Evidence: `failure_of_a_stream_keeps_its_status_and_body` got 502 in place of 400, and `failure_of_a_stream_is_no_crash` eight times 502 in place of 404, on the code before.

Only successes are relayed now; other answers are read whole, as those of plain calls are, and free the room that was reserved for a copy.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -287,16 +287,19 @@
 async fn run(mut call: Call, mut recorder: Recorder) -> Response<Payload> {
     loop {
         let failure = match call.attempt(None).await {
-            Ok(exchange) if call.grant.route.streams => match Relay::open(call, exchange, recorder)
-                .await
-            {
-                Ok((head, relay)) => return forward(head, Payload::stream(relay.into_stream())),
-                Err((returned_call, returned_recorder, failure)) => {
-                    call = returned_call;
-                    recorder = returned_recorder;
-                    failure
+            // Failures of streams are plain answers: their bodies are no events.
+            Ok(exchange) if call.grant.route.streams && exchange.head.status.is_success() => {
+                match Relay::open(call, exchange, recorder).await {
+                    Ok((head, relay)) => {
+                        return forward(head, Payload::stream(relay.into_stream()));
+                    }
+                    Err((returned_call, returned_recorder, failure)) => {
+                        call = returned_call;
+                        recorder = returned_recorder;
+                        failure
+                    }
                 }
-            },
+            }
             Ok(exchange) => {
                 let sent = exchange.in_flight.sent();
                 match memory::collect(&mut call, exchange).await {
@@ -309,6 +312,7 @@
                     }
                     Ok(Answer::Whole(collected)) => {
                         call.meter(sent);
+                        call.free_copy();
                         recorder.record_first_event(&call);
                         recorder.record_end(&call, "answered", collected.head.status.as_u16());
                         return forward(collected.head, Payload::full(collected.body));
--- a/gateway/tests/copies.rs
+++ b/gateway/tests/copies.rs
@@ -41,6 +41,7 @@
 use crate::support::listing;
 use crate::support::refusal;
 use crate::support::request;
+use crate::support::response;
 use crate::support::run;
 use crate::support::settings;
 use crate::support::view;
@@ -305,6 +306,26 @@
     });
 }
 
+/// Guards against room that stays reserved for streams which an engine answers with a client's error.
+#[test]
+fn room_for_the_copy_of_a_failed_call_is_freed() {
+    run(async {
+        let fail = |_: &Received| vec![Step::Write(response("400 Bad Request", "no"))];
+        let (a, b) = (Engine::start(1, fail).await, Engine::start(2, fail).await);
+        let running = gateway_of(&[&a, &b]).await;
+        let mut channel = connect(&running).await;
+        let mut request = request("/once-stream/x", "run-1");
+        request.headers_mut().insert(own::PROMPT, "a1:700".parse().unwrap());
+        request.headers_mut().insert(own::LENGTH_HINT, "60".parse().unwrap());
+
+        let response = channel.send(request).await.unwrap();
+
+        assert_eq!(response.status(), 400);
+        assert_eq!(counter(&running, "run_copies_total{outcome=\"reserved\"}"), 1);
+        assert_eq!(copied_tokens(&running), 0);
+    });
+}
+
 /// The engine lives and has dropped the run. It continues if the call may be sent to two engines.
 #[test]
 fn run_that_its_engine_dropped_continues_within_the_attempts_of_its_route() {
--- a/gateway/tests/order.rs
+++ b/gateway/tests/order.rs
@@ -242,3 +242,37 @@
         assert_eq!(lasts, ["7", "9"]);
     });
 }
+
+/// Guards against a replica's refusal that its caller gets as another status, because its body is taken
+/// for an incomplete event.
+#[test]
+fn failure_of_a_stream_keeps_its_status_and_body() {
+    run(async {
+        let script = Action::Write(response("400 Bad Request", "{\"error\": \"no\"}"));
+        let replica = Replica::start(vec![script]).await;
+        let running = gateway_with(&[&replica]).await;
+
+        let answer = call(&running, "/once-stream/x", "call-1").await;
+
+        assert_eq!(answer, (400, Ok("{\"error\": \"no\"}".to_owned())));
+    });
+}
+
+/// Guards against a request that is refused everywhere, because streams that replicas answered with a
+/// client's error counted as crashes.
+#[test]
+fn failure_of_a_stream_is_no_crash() {
+    run(async {
+        let script = Action::Write(response("404 Not Found", "nothing here"));
+        let replica = Replica::start(vec![script]).await;
+        let running = gateway_with(&[&replica]).await;
+
+        let mut statuses = Vec::new();
+        for i in 0..8 {
+            statuses.push(call(&running, "/stream/x", &format!("call-{i}")).await.0);
+        }
+
+        assert_eq!(statuses, [404; 8]);
+        assert_eq!(replica.received.borrow().len(), 8);
+    });
+}
