Reset HTTP/1.0 clients whose response is aborted

A client of HTTP/1.0 got the first events of a stream that its replica had broken off, and then a regular end, as if the stream were whole.

Cause: such a client gets no chunks and knows the end of a response by that of its connection. An aborted response closed the connection in the regular way, which only a client of HTTP/1.1 can tell from an end.

Evidence: `aborted_stream_is_reset_for_a_client_without_chunks` read two events and a regular end on the code before.

The connection is now reset if the last request on it was HTTP/1.0 and serving it ended in an error.

--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -18,6 +18,7 @@
 
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
@@ -159,11 +160,14 @@
     let state = Arc::clone(link.connection());
     let activity = Rc::new(Activity { last: Cell::new(clock::now()), calls: Cell::new(0) });
     let (s, a, c) = (shared.clone(), Rc::clone(&activity), Arc::clone(&state));
+    let has_chunks = Rc::new(Cell::new(true));
+    let h = Rc::clone(&has_chunks);
     let service = service_fn(move |mut request| {
         if delegation::is_delegated(&request) {
             counted.begin();
         }
         table.end_head(&c);
+        h.set(request.version() != Version::HTTP_10);
         let call = c.begin_call();
         request.extensions_mut().insert(Arc::clone(&c));
         let (shared, activity, state) = (s.clone(), Rc::clone(&a), Arc::clone(&c));
@@ -206,8 +210,12 @@
             activity.last.set(clock::now());
         }
     };
-    // A caller that has left causes an error; its calls have been dropped and logged.
-    if served.is_ok() && shared.gateway.borrow().is_stopping() {
+    // A caller that has left causes an error, as a response that is aborted does.
+    if served.is_err() && !has_chunks.get() {
+        // A regular close is the end of a response without a length (RFC 9112, section 6.3).
+        let link = connection.into_parts().io.into_inner();
+        let _ = SockRef::from(link.stream()).set_linger(Some(Duration::ZERO));
+    } else if served.is_ok() && shared.gateway.borrow().is_stopping() {
         wait_until_read(connection.into_parts().io.into_inner().stream()).await;
     }
 }
--- a/gateway/tests/order.rs
+++ b/gateway/tests/order.rs
@@ -9,9 +9,13 @@
 use laburnumwheel_gateway::channel::Channel;
 use laburnumwheel_gateway::dialect::own;
 use laburnumwheel_gateway::gateway::Running;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use crate::support::Action;
 use crate::support::END;
+use crate::support::KEY;
 use crate::support::Replica;
 use crate::support::call;
 use crate::support::chunk;
@@ -243,6 +247,42 @@
     });
 }
 
+/// All bytes that a client of HTTP/1.0 gets of a stream, and whether the connection ends regularly.
+async fn read_as_http_1_0(script: Action) -> (String, bool) {
+    let replica = Replica::start(vec![script]).await;
+    let running = gateway_with(&[&replica]).await;
+    let mut stream = TcpStream::connect(running.callers).await.unwrap();
+    let head = format!(
+        "POST /once-stream/x HTTP/1.0\r\nhost: 127.0.0.1\r\nx-request-id: call-1\r\n\
+         authorization: Bearer {KEY}\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut bytes = Vec::new();
+    let is_regular = stream.read_to_end(&mut bytes).await.is_ok();
+    (String::from_utf8(bytes).unwrap(), is_regular)
+}
+
+/// Guards against a caller that gets an incomplete stream as whole: a client of HTTP/1.0 knows the end
+/// of a response by that of its connection.
+#[test]
+fn aborted_stream_is_reset_for_a_client_without_chunks() {
+    run(async {
+        let (text, is_regular) = read_as_http_1_0(Action::WriteAndReset(events(1, 2))).await;
+
+        assert!(text.starts_with("HTTP/1.0 200 ") && !is_regular, "{text}");
+    });
+}
+
+/// Guards against whole streams that look broken to a client of HTTP/1.0.
+#[test]
+fn whole_stream_ends_regularly_for_a_client_without_chunks() {
+    run(async {
+        let (text, is_regular) = read_as_http_1_0(Action::Write(events(1, 2) + END)).await;
+
+        assert!(text.ends_with(&data(1, 2)) && is_regular, "{text}");
+    });
+}
+
 /// Guards against a replica's refusal that its caller gets as another status, because its body is taken
 /// for an incomplete event.
 #[test]
