Reject streams that begin before the caller's last event

Callers that took up a stream with Last-Event-Id got events again that they had, where the replica ignored the header, and numbers that went back within such an answer.

Cause: the relay checked only streams that the gateway itself continued.

The first events are checked before the head is passed on, so that the call is sent to another replica or gets 502; later ones abort the stream. Routes whose streams can't be resumed, and values that are no number, go through unchecked as before: the replica decides what they mean.

--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -49,7 +49,7 @@
     call: Call,
     exchange: Option<Exchange>,
     splitter: Splitter,
-    /// Checks the events of a stream that was continued.
+    /// Checks the events of a stream that was continued, or that its caller takes up.
     sequence: Option<Sequence>,
     /// Moves the run to another engine if its engine leaves.
     mover: Mover,
@@ -93,8 +93,13 @@
         let mut exchange = Some(exchange);
         let mover = Mover::default();
         let mut held = call.shared.memory.hold();
+        let mut sequence = taken_up_sequence(&call);
         match read_events(&mut call, &mut exchange, &mut splitter, &mut held, false).await {
             Ok(Step::Events(events)) => {
+                if sequence.as_mut().is_some_and(|sequence| sequence.check(&events).is_err()) {
+                    let failure = fail(&mut call, exchange.as_ref(), Fault::Misattributed);
+                    return Err((call, recorder, failure));
+                }
                 recorder.record_event();
                 let claim = exchange.as_ref().and_then(|open| open.in_flight.claim());
                 if let Some(claim) = claim {
@@ -102,8 +107,7 @@
                     origin::record(&shared, &call.submission, &mut call.grant, &claim).await;
                 }
                 call.responding = true;
-                let (first, sequence) = (Some(events), None);
-                let passed = None;
+                let (first, passed) = (Some(events), None);
                 Ok((
                     head,
                     Relay {
@@ -120,8 +124,7 @@
                 ))
             }
             Ok(Step::End | Step::Closed) => {
-                let (first, sequence) = (None, None);
-                let passed = None;
+                let (first, passed) = (None, None);
                 Ok((
                     head,
                     Relay {
@@ -438,6 +441,13 @@
     }
 }
 
+/// Checks the events of a stream that its caller takes up; `None` if it is a new one, or its order
+/// can't be known.
+fn taken_up_sequence(call: &Call) -> Option<Sequence> {
+    let last = call.submission.last_event.as_ref().filter(|_| call.grant.route.idempotent);
+    last.and_then(|last| Sequence::resumed_after(last))
+}
+
 /// Ends the attempt in progress, if there is one, as failed.
 fn fail(call: &mut Call, exchange: Option<&Exchange>, fault: Fault) -> Failure {
     match exchange {
--- a/gateway/tests/order.rs
+++ b/gateway/tests/order.rs
@@ -247,6 +247,61 @@
     });
 }
 
+/// Guards against events that a caller gets twice because the replica ignores the event after which the
+/// caller takes up its stream.
+#[test]
+fn stream_is_not_taken_up_before_its_last_event() {
+    run(async {
+        let script = vec![Action::Write(events(1, 9) + END)];
+        let (a, b) = (Replica::start(script.clone()).await, Replica::start(script).await);
+        let running = gateway_with(&[&a, &b]).await;
+
+        let (status, body) = take_up(&running, &["7"]).await;
+
+        assert_eq!((status, body), (502, Ok("replica_failed\n".to_owned())));
+        assert_eq!((a.received.borrow().len(), b.received.borrow().len()), (1, 1));
+    });
+}
+
+/// Guards against events that go back within a stream that its caller has taken up.
+#[test]
+fn stream_that_its_caller_has_taken_up_is_aborted_where_it_goes_back() {
+    run(async {
+        let parts = vec![
+            (Duration::ZERO, events(8, 9)),
+            (Duration::from_millis(50), chunk(&data(9, 10)) + END),
+        ];
+        let replica = Replica::start(vec![Action::WriteParts(parts)]).await;
+        let running = gateway_with(&[&replica]).await;
+
+        let (status, body) = take_up(&running, &["7"]).await;
+
+        assert_eq!((status, body), (200, Err(())));
+    });
+}
+
+/// Guards against streams that are refused, or a gateway that ends, for values of `Last-Event-Id` that
+/// name no event; the replica decides what they mean.
+#[test]
+fn odd_last_events_are_passed_on() {
+    run(async {
+        let huge = "9".repeat(6_000);
+        let cases: [&[&str]; 6] = [&["x"], &[""], &[&huge], &["-1"], &["+5"], &["0", "0"]];
+        for lasts in cases {
+            let replica = Replica::start(vec![Action::Write(events(1, 3) + END)]).await;
+            let running = gateway_with(&[&replica]).await;
+
+            let answer = take_up(&running, lasts).await;
+
+            assert_eq!(answer, (200, Ok(data(1, 3))), "{lasts:.20?}");
+            let head = replica.received.borrow()[0].head.clone();
+            let passed = head.lines().filter_map(|line| line.strip_prefix("last-event-id:"));
+            let passed: Vec<&str> = passed.map(str::trim).collect();
+            assert_eq!(passed, lasts, "{lasts:.20?}");
+        }
+    });
+}
+
 /// All bytes that a client of HTTP/1.0 gets of a stream, and whether the connection ends regularly.
 async fn read_as_http_1_0(script: Action) -> (String, bool) {
     let replica = Replica::start(vec![script]).await;
