Test wrong resumptions by way of a delegate

Streams whose replica starts again, or knows no such stream, are aborted at the caller of the delegating gateway too, and a failure of a stream keeps its status and body on the way.

--- a/gateway/tests/cuts.rs
+++ b/gateway/tests/cuts.rs
@@ -203,6 +203,37 @@
     });
 }
 
+/// Guards against events that come twice, or an early end, in a stream by way of a delegate: the replica
+/// that resumes it starts again, or knows no such stream.
+#[test]
+fn delegated_stream_that_is_resumed_wrongly_is_aborted() {
+    run(async {
+        for rest in [events(1, 5) + END, events(2, 5) + END, response("404 Not Found", "")] {
+            let first = Box::new(Action::WriteAndClose(events(1, 2)));
+            let script = vec![Action::After(1, first, Box::new(Action::Write(rest.clone())))];
+            let (_replicas, linked) = cut_off(script).await;
+
+            let (status, body) = call(&linked.gateways[0], "/stream/x", "call-1").await;
+
+            assert_eq!((status, body), (200, Err(())), "{rest}");
+        }
+    });
+}
+
+/// Guards against a replica's answer to a stream that loses its status and body on the way from a
+/// delegate.
+#[test]
+fn delegated_failure_of_a_stream_keeps_its_status_and_body() {
+    run(async {
+        let script = vec![Action::Write(response("404 Not Found", "nothing here"))];
+        let (_replicas, linked) = cut_off(script).await;
+
+        let answer = call(&linked.gateways[0], "/stream/x", "call-1").await;
+
+        assert_eq!(answer, (404, Ok("nothing here".to_owned())));
+    });
+}
+
 /// The caller of a delegated call leaves; its replica must not work on for nobody.
 #[test]
 fn delegated_call_is_cancelled_when_its_caller_leaves() {
