--- a/gateway/tests/order.rs
+++ b/gateway/tests/order.rs
@@ -287,9 +287,9 @@
 }
 
 /// Sends a call that takes up a stream after an event.
-async fn take_up(running: &Running, last: &[&str]) -> (u16, Result<String, ()>) {
+async fn take_up(running: &Running, path: &str, last: &[&str]) -> (u16, Result<String, ()>) {
     let mut channel: Channel = connect(running).await;
-    let mut request = request("/stream/x", "call-1");
+    let mut request = request(path, "call-1");
     for last in last {
         request.headers_mut().append(own::LAST_EVENT, last.parse().unwrap());
     }
@@ -310,7 +310,7 @@
         let (a, b) = (Replica::start(script.clone()).await, Replica::start(script).await);
         let running = gateway_with(&[&a, &b]).await;
 
-        let answer = take_up(&running, &["7"]).await;
+        let answer = take_up(&running, "/stream/x", &["7"]).await;
 
         let received = [a.received.borrow().clone(), b.received.borrow().clone()].concat();
         let mut lasts: Vec<&str> =
@@ -330,7 +330,7 @@
         let (a, b) = (Replica::start(script.clone()).await, Replica::start(script).await);
         let running = gateway_with(&[&a, &b]).await;
 
-        let (status, body) = take_up(&running, &["7"]).await;
+        let (status, body) = take_up(&running, "/stream/x", &["7"]).await;
 
         assert_eq!((status, body), (502, Ok(FAILED.to_owned())));
         assert_eq!((a.received.borrow().len(), b.received.borrow().len()), (1, 1));
@@ -348,12 +348,26 @@
         let replica = Replica::start(vec![Action::WriteParts(parts)]).await;
         let running = gateway_with(&[&replica]).await;
 
-        let (status, body) = take_up(&running, &["7"]).await;
+        let (status, body) = take_up(&running, "/stream/x", &["7"]).await;
 
         assert_eq!((status, body), (200, Err(())));
     });
 }
 
+/// Guards against answers that are withheld on routes whose streams can't be resumed: `Last-Event-Id` has
+/// no meaning to the gateway there.
+#[test]
+fn stream_that_can_not_be_taken_up_is_passed_on_unchecked() {
+    run(async {
+        let replica = Replica::start(vec![Action::Write(events(1, 9) + END)]).await;
+        let running = gateway_with(&[&replica]).await;
+
+        let answer = take_up(&running, "/once-stream/x", &["7"]).await;
+
+        assert_eq!(answer, (200, Ok(data(1, 9))));
+    });
+}
+
 /// Guards against streams that are refused, or a gateway that ends, for values of `Last-Event-Id` that
 /// name no event; the replica decides what they mean.
 #[test]
@@ -365,7 +379,7 @@
             let replica = Replica::start(vec![Action::Write(events(1, 3) + END)]).await;
             let running = gateway_with(&[&replica]).await;
 
-            let answer = take_up(&running, lasts).await;
+            let answer = take_up(&running, "/stream/x", lasts).await;
 
             assert_eq!(answer, (200, Ok(data(1, 3))), "{lasts:.20?}");
             let head = replica.received.borrow()[0].head.clone();
