--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -9,6 +9,7 @@
 use futures_util::Stream;
 use futures_util::stream;
 use http_body_util::BodyExt;
+use hyper::StatusCode;
 use hyper::http::response;
 use laburnumwheel_core::gateway::Pick;
 use laburnumwheel_core::gateway::copy::Sequence;
@@ -52,7 +53,7 @@
     call: Call,
     exchange: Option<Exchange>,
     splitter: Splitter,
-    /// Checks the events of a run that continues from its copy.
+    /// Checks the events of a stream that was continued, or that its caller takes up.
     sequence: Option<Sequence>,
     /// Moves the run to another engine if its engine leaves.
     mover: Mover,
@@ -96,8 +97,13 @@
         let mut exchange = Some(exchange);
         let mover = Mover::default();
         let mut held = call.shared.memory.hold();
+        let mut sequence = taken_up_sequence(&call);
         match read_events(&mut call, &mut exchange, &mut splitter, &mut held, false).await {
             Ok(Step::Events(events)) => {
+                if sequence.as_mut().is_some_and(|sequence| sequence.check(&events).is_err()) {
+                    let failure = fail(&mut call, exchange.as_ref(), Fault::Misattributed);
+                    return Err((call, recorder, failure));
+                }
                 recorder.record_event();
                 let claim = exchange.as_ref().and_then(|open| open.in_flight.claim());
                 if let Some(claim) = claim {
@@ -105,8 +111,7 @@
                     origin::record(&shared, &call.submission, &mut call.grant, &claim).await;
                 }
                 call.responding = true;
-                let (first, sequence) = (Some(events), None);
-                let passed = None;
+                let (first, passed) = (Some(events), None);
                 Ok((
                     head,
                     Relay {
@@ -123,8 +128,7 @@
                 ))
             }
             Ok(Step::End | Step::Closed) => {
-                let (first, sequence) = (None, None);
-                let passed = None;
+                let (first, passed) = (None, None);
                 Ok((
                     head,
                     Relay {
@@ -316,7 +320,7 @@
         self.resume(failure).await
     }
 
-    /// Aborts a continued run whose events do not follow those that the caller has.
+    /// Aborts a continued stream whose events do not follow those that the caller has.
     fn check_sequence(&mut self, events: &[u8]) -> Result<(), Aborted> {
         let Some(sequence) = &mut self.sequence else {
             return Ok(());
@@ -378,9 +382,14 @@
             self.call.shared.log(line);
             let before = self.call.grant.last_pick.clone();
             match self.call.attempt(last.as_ref()).await {
+                // An answer with another status has no events, and its end is not that of the stream.
+                Ok(exchange) if exchange.head.status != StatusCode::OK => {
+                    failure = fail(&mut self.call, Some(&exchange), Fault::Status);
+                }
                 Ok(exchange) => {
                     self.log_resumed(before.as_ref());
-                    self.sequence = None;
+                    // A replica that ignores the last event sends all events again.
+                    self.sequence = self.resumed_sequence();
                     self.mover.restart(self.splitter.count());
                     self.exchange = Some(exchange);
                     return Ok(());
@@ -405,12 +414,18 @@
         self.call.shared.log(line);
     }
 
+    /// Checks the events of a new run that goes on after the last event; `None` if their order can't
+    /// be known.
+    fn resumed_sequence(&self) -> Option<Sequence> {
+        self.splitter.last_id().and_then(|last| Sequence::resumed_after(last))
+    }
+
     fn may_resume(&self, failure: &Failure) -> bool {
         let Failure::Fault(fault, _) = failure else {
             return false;
         };
         let grant = &self.call.grant;
-        if *fault == Fault::TimedOut || self.splitter.last_id().is_none() {
+        if *fault == Fault::TimedOut || self.resumed_sequence().is_none() {
             return false;
         }
         if matches!(fault, Fault::Unreachable | Fault::Withdrawn) {
@@ -429,6 +444,13 @@
     }
 }
 
+/// Checks the events of a stream that its caller takes up; `None` if it is a new one, or its order
+/// can't be known.
+fn taken_up_sequence(call: &Call) -> Option<Sequence> {
+    let last = call.submission.last_event.as_ref().filter(|_| call.grant.route.idempotent);
+    last.and_then(|last| Sequence::resumed_after(last))
+}
+
 /// Ends the attempt in progress, if there is one, as failed.
 fn fail(call: &mut Call, exchange: Option<&Exchange>, fault: Fault) -> Failure {
     match exchange {
