Sum weights of delegates without overflow

A gateway that is cut off from replicas delegates its calls to others, chosen by weight. Weights were summed as 32-bit numbers: with two entries of the greatest weight, or one beside any other, the sum overflowed, no gateway was selected, and the calls were refused although others could serve them. A weight comes from another gateway's entry.

delegates_with_the_greatest_weights_are_selected failed on the code before (no first delegate) and passes now, with the 34 other tests that match "reach". Weights are summed as 64-bit numbers, which the sum of no directory reaches.

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -500,7 +500,8 @@
         let wanted = |e: &&&Entry| (e.domain == domain) == tried.is_empty();
         let preferred: Vec<&Entry> = all.iter().filter(wanted).copied().collect();
         let candidates = if preferred.is_empty() { all } else { preferred };
-        candidates.choose_weighted(rng, |e| e.weight.max(1)).ok().copied()
+        // As `u32`, the sum of the weights could overflow, and none would be selected.
+        candidates.choose_weighted(rng, |e| u64::from(e.weight.max(1))).ok().copied()
     }
 }
 
--- a/core/tests/gateway/reach.rs
+++ b/core/tests/gateway/reach.rs
@@ -510,6 +510,30 @@
     }
 }
 
+/// Guards against a weight that is far too large leaving a gateway without any delegate, because the sum
+/// of the weights overflows.
+#[test]
+fn delegates_with_the_greatest_weights_are_selected() {
+    let mut gateway = Gateway::new(settings("one"), START);
+    let named = |name: &str| Entry { weight: u32::MAX, ..entry(name) };
+    let entries = vec![named("g0"), named("g1"), entry("g2")];
+    gateway.update_lists(START, START, Vec::new(), entries.clone());
+    for other in entries {
+        let peer = Gateway::new(Settings { entry: other, ..settings("one") }, START);
+        let mut heartbeat = peer.heartbeat(START);
+        heartbeat.demands[0].open = true;
+        gateway.receive(START, &heartbeat);
+    }
+    let mut rng = SmallRng::seed_from_u64(1);
+
+    let tried = ["g0".to_owned()];
+    let first = gateway.directory().select_delegate(START, "a", &[], &mut rng);
+    let second = gateway.directory().select_delegate(START, "a", &tried, &mut rng);
+
+    assert!(first.is_some());
+    assert!(second.is_some_and(|entry| entry.name != "g0"));
+}
+
 /// A gateway that is cut off itself serves no calls for others.
 #[test]
 fn gateways_that_accept_no_callers_are_no_delegates() {
