Refuse to publish after a root of the largest version

The program that publishes a configuration adds one to the version of the stored root.

change_of_a_malformed_root_is_refused failed on the code before ("attempt to add with overflow") and passes now: the change is refused and the root stays. The ten other malformed roots in the test were refused before too.

--- a/router/src/publish.rs
+++ b/router/src/publish.rs
@@ -10,6 +10,7 @@
 use laburnumwheel_core::config::shard::Root;
 use laburnumwheel_core::sync::ROOT_KEY;
 use laburnumwheel_core::sync::SHARD_PREFIX;
+use serde::de::Error as _;
 use thiserror::Error;
 use tonic::Status;
 
@@ -144,8 +145,9 @@
         let key = format!("{SHARD_PREFIX}{hash}");
         kv.put(&key, content.clone()).await.map_err(Error::Unavailable)?;
     }
+    let too_large = || Error::MalformedRoot(serde_json::Error::custom("version is too large"));
     let new = Root {
-        version: old.version + 1,
+        version: old.version.checked_add(1).ok_or_else(too_large)?,
         operation: change.operation.clone(),
         shards: shards.parts,
     };
--- a/router/tests/publish.rs
+++ b/router/tests/publish.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use laburnumwheel_core::config::Config;
+use laburnumwheel_core::sync::ROOT_KEY;
 use laburnumwheel_router::kv;
 use laburnumwheel_router::publish;
 use laburnumwheel_router::publish::Change;
@@ -82,3 +83,40 @@
     // Assert
     assert!(matches!(result, Err(Error::Unavailable(_))), "{result:?}");
 }
+
+/// Guards against a malformed root of another writer ending the program that publishes a change, or being
+/// replaced by it: a version that is too large would wrap to an earlier one, which no router takes.
+#[tokio::test]
+async fn change_of_a_malformed_root_is_refused() {
+    // Arrange
+    let site = Site::start(0, 1, Duration::ZERO).await;
+    let kv = kv::Client::new(site.key_value.address).expect("an address");
+    let (root, _) = publish::read_root(&kv).await.expect("a root");
+    let readable = serde_json::to_string(&root).expect("a text");
+    let with_version = |version: &str| {
+        let text = format!("\"version\":{}", root.version);
+        readable.replacen(&text, &format!("\"version\":{version}"), 1)
+    };
+    let nested = "[".repeat(100_000);
+    let mut malformed =
+        vec![String::new(), "null".to_owned(), nested.clone(), with_version(&nested)];
+    malformed.push(readable[..readable.len() / 2].to_owned());
+    for version in ["18446744073709551615", "18446744073709551616", "-1", "1e400", "1.5", "null"] {
+        malformed.push(with_version(version));
+    }
+
+    for value in malformed {
+        // Act
+        kv.put(ROOT_KEY, value.clone().into()).await.expect("an answer");
+        let result = publish::apply(&kv, &change(&site.config, "mine", None, 2)).await;
+
+        // Assert
+        assert!(matches!(result, Err(Error::MalformedRoot(_))), "{value:.90}: {result:?}");
+        let (stored, _) = kv.get(ROOT_KEY).await.expect("an answer").expect("a root");
+        assert_eq!(stored, value.as_bytes());
+    }
+
+    kv.put(ROOT_KEY, readable.into()).await.expect("an answer");
+    let accepted = publish::apply(&kv, &change(&site.config, "mine", None, 2)).await;
+    assert!(matches!(accepted, Ok(Outcome::Accepted(2))), "{accepted:?}");
+}
