Follow the stored root past one without shards

A router keeps the newest root that it has read as pending until it has all shards of it. A root with a large version whose shards don't exist, as another writer may leave, stayed pending for good, and each later root was ignored as older: the router kept the configuration that it had and never followed a change again.

A root that was just read from the key-value service replaces a pending one, also one of a later version. It must still be newer than the one in force, and roots of peers must still be newer than the pending one. A root with a large version whose shards exist is still followed like any other.

--- a/core/src/node/service.rs
+++ b/core/src/node/service.rs
@@ -100,7 +100,7 @@
                 self.control.kv_failed = false;
                 let root = value.and_then(|(v, _)| serde_json::from_slice(&v).ok());
                 if let Some(root) = root
-                    && self.sync.offer(root)
+                    && self.sync.offer_stored(root)
                 {
                     let missing = self.sync.missing_shards();
                     for hash in missing {
--- a/core/src/sync.rs
+++ b/core/src/sync.rs
@@ -63,6 +63,19 @@
         true
     }
 
+    /// Makes `root`, which was just read from the key-value service, the pending one; `false` if it is
+    /// not newer than the one in force, or is pending already.
+    ///
+    /// Unlike the root of a peer, the stored one replaces a pending root of a later version: another
+    /// writer may have left that one, and its shards may not exist.
+    pub fn offer_stored(&mut self, root: Root) -> bool {
+        if root.version <= self.root.version || self.pending.as_ref() == Some(&root) {
+            return false;
+        }
+        self.pending = Some(root);
+        true
+    }
+
     /// Hashes of the shards that the pending root still lacks.
     pub fn missing_shards(&self) -> Vec<Hash> {
         let required = self.pending.iter().flat_map(|p| p.shards.values());
--- a/core/tests/versions.rs
+++ b/core/tests/versions.rs
@@ -123,6 +123,27 @@
     assert_eq!(harness.node.index().class(class).tier, 5);
 }
 
+/// Guards against a root of another writer with a large version, whose shards don't exist, stopping all
+/// later configurations: roots that are published after it have lower versions.
+#[test]
+fn root_without_shards_does_not_stop_later_ones() {
+    for version in [7_000, u64::MAX] {
+        // Arrange
+        let mut harness = Harness::new();
+        let shards = [(0, "none".to_owned())].into();
+        let odd = Root { version, operation: "odd".to_owned(), shards };
+        harness.reply_to_read(ROOT_KEY, serde_json::to_vec(&odd).expect("a root").into());
+
+        // Act
+        harness.publish(&support::CLASSES.replace("tier = 4", "tier = 5"));
+
+        // Assert
+        let class = harness.node.index().class_named("draft").expect("the class draft");
+        assert_eq!(harness.node.config_version(), 2, "after {version}");
+        assert_eq!(harness.node.index().class(class).tier, 5);
+    }
+}
+
 /// The class of a running request is removed, and a new class replaces it in the file. The request
 /// must still finish under the rules of its removed class.
 #[test]
