--- a/core/src/gateway/fleet/evidence.rs
+++ b/core/src/gateway/fleet/evidence.rs
@@ -3,9 +3,9 @@
 //! A replica may start again under its id and address, with another build. Its new entry is listed
 //! only some time later, and until then connections lead to a process that the list does not show. A
 //! connection surely leads to the listed incarnation if that incarnation is shown to have run after
-//! the connection was opened. Two kinds of evidence show this: a list that still has the entry when
-//! that of a successor would have been written, and a response on a connection that is itself known
-//! to lead there.
+//! the connection was opened. Evidence of this is a list that still has the entry when that of a
+//! successor would have been written, a response or data on a connection that is itself known to lead
+//! there, and the start of its process that the replica states.
 
 use std::collections::BTreeMap;
 
@@ -27,9 +27,11 @@
 const MAX_PROOF_GAP: Span = Span::secs(2);
 /// Time after an outage of the store in which replicas write the entries that they could not write.
 const OUTAGE_RECOVERY: Span = Span::secs(2);
-
-/// Longest time that data of a replica is on its way.
+/// Longest time that data of a replica is on its way. With a shorter one, data of a replica that has
+/// crashed confirms connections to its successor.
 const MAX_DATA_DELAY: Span = Span::millis(250);
+/// Time for which it is remembered that incarnations were succeeded; longer than any stream lasts.
+const SUCCESSION_LIFETIME: Span = Span::secs(600);
 
 /// Proofs that the list of replicas was current.
 #[derive(Clone, Copy, Debug, Default)]
@@ -60,9 +62,6 @@
     }
 }
 
-/// Time for which it is remembered that incarnations were succeeded; longer than any stream lasts.
-const SUCCESSION_LIFETIME: Span = Span::secs(600);
-
 /// Incarnations that were listed under the ids of replicas, and those that have taken their places.
 #[derive(Debug, Default)]
 pub(super) struct Lineage {
--- a/gateway/src/confirmation.rs
+++ b/gateway/src/confirmation.rs
@@ -1,8 +1,8 @@
 //! Confirms, before a stream is resumed, which build began it and which one the chosen replica runs.
 //!
 //! A replica may have started again with another build under its id and address, and its new entry
-//! is listed only later. What the gateway has not yet seen to rule that out, it asks the replica, or
-//! waits for: until the next lists show as much.
+//! is listed only later. Unless the gateway has evidence against that, it asks the replica for its
+//! start, or waits until later lists show which build it runs.
 
 use std::time::Duration;
 
