Hold growing answers in blocks of one size

Beside many long failures of replicas the process took more memory than it may. A gateway that exceeds its memory is killed, and the calls of all its callers end with it.

Cause: the body of an answer was held in one contiguous buffer that doubled as it grew. With 120 bodies growing side by side each move left a place of another size, which the next body could rarely use; with nothing held any more the process kept 48 to 91 MB. Counted was the length of the bodies only, not their capacity.

Change: what is read of an answer goes into blocks of 64 KiB, which are counted as they are taken. An answer that does not fit is passed on block by block; a complete one is joined, each block being freed as it is copied. The length that a head states no longer sets memory aside.

Why it works: blocks of one size fit into the places that others leave, so that the peak no longer depends on the order in which bodies grow.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod body;
 pub mod bootstrap;
 pub mod brittle;
+pub mod buffer;
 pub mod cache;
 pub mod call;
 pub mod channel;
--- a/gateway/src/memory.rs
+++ b/gateway/src/memory.rs
@@ -6,6 +6,7 @@
 //! answer that does not fit is not dropped: from there on it is read from its replica only as fast as
 //! its caller reads it, so that calls of the highest rank are served long after the others are not.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
@@ -13,7 +14,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use futures_util::Stream;
 use futures_util::stream;
 use http_body_util::BodyExt;
@@ -32,6 +32,7 @@
 use crate::attempt::Fault;
 use crate::attempt::MAX_RESPONSE_BYTES;
 use crate::body::Aborted;
+use crate::buffer::Buffer;
 use crate::call::Recorder;
 use crate::clock;
 use crate::log::Line;
@@ -307,7 +308,7 @@
         return call.collect(exchange, Outcome::Answered).await.map(Answer::Whole);
     }
     let mut held = call.shared.memory.hold();
-    let mut body = BytesMut::with_capacity(stated_length(&exchange).min(MAX_ANSWER_BYTES));
+    let mut body = Buffer::default();
     loop {
         let frame = call.wait_for(&exchange.in_flight, exchange.body.frame()).await;
         let data = match frame {
@@ -322,11 +323,15 @@
         if body.len() + data.len() > MAX_ANSWER_BYTES {
             return Err(broken(call, &exchange));
         }
-        let fits = held.grow(data.len());
-        body.extend_from_slice(&data);
+        let growth = body.growth(data.len());
+        let fits = held.grow(growth);
+        body.extend(&data);
         if !fits {
-            held.add(data.len());
-            let first = Some(held.attach(body.freeze()));
+            held.add(growth);
+            let mut first = VecDeque::from(body.into_blocks());
+            if let Some(last) = first.pop_back() {
+                first.push_back(held.attach(last));
+            }
             return Ok(Answer::Part(Box::new(Passage { exchange, first })));
         }
     }
@@ -336,18 +341,11 @@
     call.fail(&exchange.in_flight, &exchange.replica, Fault::Broken)
 }
 
-/// Length of a body as its head states it, in bytes; 0 if it does not.
-fn stated_length(exchange: &Exchange) -> usize {
-    match exchange.length() {
-        Length::Exact(bytes) => usize::try_from(bytes).unwrap_or(usize::MAX),
-        Length::None | Length::Chunked | Length::UntilClose => 0,
-    }
-}
-
 /// An answer that is read from its replica as fast as its caller reads it.
 pub struct Passage {
     exchange: Exchange,
-    first: Option<Bytes>,
+    /// What was read before; all of it is counted until the last block is dropped.
+    first: VecDeque<Bytes>,
 }
 
 impl Passage {
@@ -392,7 +390,7 @@
     call: Call,
     recorder: Recorder,
     exchange: Option<Exchange>,
-    first: Option<Bytes>,
+    first: VecDeque<Bytes>,
     /// Bytes that were passed on.
     bytes: usize,
     /// Time that was spent in waiting for the replica while the caller was ready to read.
@@ -417,16 +415,18 @@
         self.recorder.record_end(&self.call, "answered", status);
     }
 
-    fn new(call: Call, recorder: Recorder, exchange: Exchange, first: Option<Bytes>) -> Reading {
+    fn new(call: Call, recorder: Recorder, exchange: Exchange, first: VecDeque<Bytes>) -> Reading {
         let (exchange, waited) = (Some(exchange), Duration::ZERO);
         Reading { call, recorder, exchange, first, bytes: 0, waited }
     }
 
     async fn next(&mut self) -> Result<Option<Bytes>, Aborted> {
-        if let Some(first) = self.first.take() {
-            self.bytes += first.len();
-            self.finish_if_complete();
-            return Ok(Some(first));
+        if let Some(block) = self.first.pop_front() {
+            self.bytes += block.len();
+            if self.first.is_empty() {
+                self.finish_if_complete();
+            }
+            return Ok(Some(block));
         }
         let Some(exchange) = self.exchange.as_mut() else {
             return Ok(None);
--- a/gateway/src/response.rs
+++ b/gateway/src/response.rs
@@ -7,7 +7,6 @@
 //! with an invalid one is closed.
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use derive_more::Display;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
@@ -21,6 +20,8 @@
 use hyper::header::HeaderValue;
 use hyper::http::Extensions;
 
+use crate::buffer::Buffer;
+
 /// Start of a status line, in which each zero stands for any digit.
 const STATUS_LINE: &[u8] = b"HTTP/0.0 000";
 
@@ -95,8 +96,8 @@
 
 /// Reads a body of at most `max_bytes`.
 ///
-/// Its parts are copied into one buffer: kept by itself, a part of one byte takes some forty bytes of
-/// memory, and a sender could exhaust the memory with an allowed length of such parts.
+/// Its parts are copied: kept by itself, a part of one byte takes some forty bytes of memory, and a
+/// sender could exhaust the memory with an allowed length of such parts.
 ///
 /// # Errors
 ///
@@ -108,7 +109,7 @@
     collect_reserved(body, max_bytes, |_| true).await
 }
 
-/// The same for a body for each part of which `reserve` finds memory.
+/// The same for a body for which `reserve` finds memory each time that more is needed.
 ///
 /// # Errors
 ///
@@ -121,19 +122,21 @@
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    let mut collected = BytesMut::new();
+    let mut collected = Buffer::default();
     while let Some(frame) = body.frame().await {
         let data = frame.map_err(|_| BodyError::Broken)?.into_data().unwrap_or_default();
         if data.len() > max_bytes - collected.len() {
             return Err(BodyError::TooLong);
         }
-        if !reserve(data.len()) {
+        let is_whole = collected.is_empty() && body.is_end_stream();
+        let growth = if is_whole { data.len() } else { collected.growth(data.len()) };
+        if !reserve(growth) {
             return Err(BodyError::NoMemory);
         }
-        if collected.is_empty() && body.is_end_stream() {
+        if is_whole {
             return Ok(data);
         }
-        collected.extend_from_slice(&data);
+        collected.extend(&data);
     }
     Ok(collected.freeze())
 }
