--- a/core/src/gateway/events.rs
+++ b/core/src/gateway/events.rs
@@ -57,8 +57,8 @@
         }
     }
 
-    /// Id of the last complete event; `None` if it has none. A stream that were resumed after an
-    /// earlier event would repeat the last one.
+    /// Id of the last complete event; `None` if it has none. A stream that is resumed after an earlier
+    /// event repeats the last one.
     pub fn last_id(&self) -> Option<&Bytes> {
         self.last_id.as_ref()
     }
