Back up origins of streams while a service has one build

Cause: while a service has one build, origins are told to nobody, as any gateway can name the build. They are told with the next heartbeat after another build is listed, and a gateway that is killed before has told none.

In fleets of up to nine gateways each gateway now sends, with each heartbeat (250 ms), the origins of its new streams to one other gateway, which differs from batch to batch. A resumption queries all gateways there, so that any holder will do. A pending origin is sent with its incarnation, and once more when it is certain; a doubtful one is not sent. Queries and answers are unchanged, so that a backup counts as any other origin does: it never names a build that lists don't confirm. A kill loses the streams since the last batch. Larger fleets send nothing: one datagram a stream would be needed for a resumption to find the holder.

Worked out, not measured: at nine gateways with 60 resumable streams a second each, 4 datagrams a second sent and 4 received, 1.0 to 2.4 KB/s of payload and 0.025% of a core for each gateway.

--- a/core/src/gateway/origin.rs
+++ b/core/src/gateway/origin.rs
@@ -4,8 +4,10 @@
 //! While a service may have several builds, the gateway that forwards the first event of a stream
 //! replicates the origin to some others before the event, so that the origin outlives it. The id of
 //! the call determines these holders: a gateway at which a caller resumes the stream queries them.
-//! While a service has had one build for as long as streams last, nothing is sent; the streams of that
-//! time are replicated once another build is listed, or once this gateway's lists are stale.
+//! While a service has had one build for as long as streams last, no event waits for that. The streams of
+//! that time are replicated once another build is listed, or once this gateway's lists are stale. As the
+//! gateway may end just then, it backs their origins up at one other gateway in batches before. It does
+//! so in small fleets alone, in which a resumption queries all gateways.
 //!
 //! An origin is certain once it is shown that the stream's connection led to the listed incarnation of its
 //! replica. Until then it is passed on with that incarnation, for whose confirmation each gateway waits
@@ -190,6 +192,9 @@
     order: VecDeque<(Time, Call)>,
     /// Own streams whose origins were not replicated, by service.
     unreplicated: BTreeSet<(u32, Call)>,
+    /// Own streams whose origins were neither replicated nor backed up with certainty. The value says
+    /// whether the origin was backed up while it was pending.
+    unbacked: BTreeMap<Call, bool>,
     /// Own streams whose origins were replicated and not stored, in the order of their records.
     unstored: VecDeque<Call>,
 }
@@ -198,11 +203,16 @@
     /// Records the origin of a stream, which this gateway began or another one.
     pub fn record(&mut self, now: Time, record: &Record, own: Option<Own>) {
         let Record { call, origin } = *record;
-        self.entries.insert(call, Entry { at: now, origin, own });
+        let before = self.entries.insert(call, Entry { at: now, origin, own });
+        if let Some(Own { service, .. }) = before.and_then(|entry| entry.own) {
+            self.unreplicated.remove(&(service, call));
+            self.unbacked.remove(&call);
+        }
         self.order.push_back((now, call));
         match own {
             Some(Own { service, is_replicated: false, .. }) => {
                 self.unreplicated.insert((service, call));
+                self.unbacked.insert(call, false);
             }
             Some(_) => self.unstored.push_back(call),
             None => {}
@@ -219,6 +229,7 @@
             if let Some(entry) = self.entries.get(&call).filter(|entry| entry.at <= at) {
                 if let Some(own) = entry.own {
                     self.unreplicated.remove(&(own.service, call));
+                    self.unbacked.remove(&call);
                 }
                 self.entries.remove(&call);
             }
@@ -249,6 +260,7 @@
         let mut records = Vec::new();
         for key in calls {
             self.unreplicated.remove(&key);
+            self.unbacked.remove(&key.1);
             if let Some(entry) = self.entries.get_mut(&key.1)
                 && let Some(own) = &mut entry.own
             {
@@ -260,6 +272,27 @@
         records
     }
 
+    /// Origins of own streams that were neither replicated nor backed up with certainty. The flag says
+    /// whether the origin was backed up while it was pending.
+    pub fn unbacked(&self) -> impl Iterator<Item = (Call, Known, bool)> {
+        let known = |(call, is_sent): (&Call, &bool)| {
+            Some((*call, self.entries.get(call)?.known(), *is_sent))
+        };
+        self.unbacked.iter().filter_map(known)
+    }
+
+    /// Records that the origin of an own stream was backed up.
+    pub fn record_backup(&mut self, call: Call) {
+        if let Some(is_sent) = self.unbacked.get_mut(&call) {
+            *is_sent = true;
+        }
+    }
+
+    /// Records that the origin of an own stream needs no further backup.
+    pub fn end_backup(&mut self, call: Call) {
+        self.unbacked.remove(&call);
+    }
+
     /// Takes the oldest origins of own streams that were replicated and not stored, `max_count` at most.
     /// Beyond some batches the oldest ones are never stored.
     pub fn take_unstored(&mut self, max_count: usize) -> Vec<(Call, Known)> {
--- a/core/src/gateway/state/origins.rs
+++ b/core/src/gateway/state/origins.rs
@@ -33,8 +33,8 @@
 const COPIES: usize = 3;
 /// The same in a small fleet, of which a greater share may end at once.
 const SMALL_FLEET_COPIES: usize = 4;
-/// Number of live peers up to which a fleet is small.
-const SMALL_FLEET: usize = 8;
+/// Number of live peers up to which a fleet is small. A resumption queries all of them.
+const SMALL_FLEET: usize = QUERIED;
 /// Gateways that are queried for an origin, in the order of replication. Some that hold it may have
 /// ended since, and others may have taken their places.
 const QUERIED: usize = 8;
@@ -103,6 +103,41 @@
         copies
     }
 
+    /// Origins of own streams to back up at one other gateway, while their service has one build. A
+    /// pending origin is sent at once and again when it is certain. None in a large fleet: a resumption
+    /// queries the holders of its stream there, which would take a datagram for each stream.
+    pub fn take_backups(&mut self, now: Time) -> Copies {
+        let mut copies = Copies::new();
+        if !self.is_small_fleet(now) {
+            return copies;
+        }
+        let mut records = Vec::new();
+        let mut settled = Vec::new();
+        for (call, known, is_sent) in self.origins.unbacked() {
+            let is_pending = self.certainty(&known) == Certainty::Pending;
+            if !is_pending {
+                settled.push(call);
+            }
+            if !is_pending || !is_sent {
+                records.extend(self.record_of(call, known));
+            }
+        }
+        if let Some(first) = records.first() {
+            // Any gateway will do; batches go to different ones.
+            let Some(holder) = self.directory.holders(now, first.call.0, 1).pop() else {
+                return copies;
+            };
+            for record in &records {
+                self.origins.record_backup(record.call);
+            }
+            copies.insert(holder, records);
+        }
+        for call in settled {
+            self.origins.end_backup(call);
+        }
+        copies
+    }
+
     /// Adds the records that belong to gateways which have started since the last call.
     fn add_joined(&mut self, now: Time, copies: &mut Copies) {
         let since = std::mem::replace(&mut self.streams_replicated, now);
@@ -414,10 +449,13 @@
 
     /// Addresses of the gateways that hold the origin of a call's stream.
     fn holders(&self, now: Time, call: Call) -> Vec<String> {
-        let is_small = self.directory.live_peers(now) <= SMALL_FLEET;
-        let count = if is_small { SMALL_FLEET_COPIES } else { COPIES };
+        let count = if self.is_small_fleet(now) { SMALL_FLEET_COPIES } else { COPIES };
         self.directory.holders(now, call.0, count)
     }
+
+    fn is_small_fleet(&self, now: Time) -> bool {
+        self.directory.live_peers(now) <= SMALL_FLEET
+    }
 }
 
 /// The origin of a stream of which only the build is known; `None` if its service states none.
--- a/core/tests/gateway/builds.rs
+++ b/core/tests/gateway/builds.rs
@@ -12,6 +12,7 @@
 use laburnumwheel_core::gateway::origin::Answer;
 use laburnumwheel_core::gateway::origin::Call;
 use laburnumwheel_core::gateway::origin::Origin;
+use laburnumwheel_core::gateway::origin::Own;
 use laburnumwheel_core::gateway::origin::Question;
 use laburnumwheel_core::gateway::origin::Record;
 use laburnumwheel_core::gateway::origin::Table;
@@ -296,6 +297,27 @@
     assert_eq!(table.get(Call(MAX_ORIGINS)), Some((START, origin)));
 }
 
+/// Guards against the same of origins that wait for a backup, also if another gateway states one of the
+/// same call.
+#[test]
+fn gateway_keeps_a_bounded_number_of_origins_to_back_up() {
+    let mut table = Table::default();
+    let origin = Origin { replica: Digest(1), build: None };
+    let own = Own { service: 1, is_replicated: false, opened: START };
+    let record = |call: u64| Record { call: Call(call), origin };
+    for call in 0..=MAX_ORIGINS {
+        table.record(START, &record(call), Some(own));
+    }
+    table.record(START, &record(MAX_ORIGINS), None);
+
+    table.sweep(START);
+    let kept = table.unbacked().count() as u64;
+    table.sweep(START + Span::secs(1));
+
+    assert!(kept < MAX_ORIGINS);
+    assert_eq!((table.unbacked().count(), table.unreplicated_services().len()), (0, 0));
+}
+
 /// Reads the same list for `span`, often enough to miss nothing.
 fn watch(gateway: &mut Gateway, from: Time, span: Span, replicas: &[Listing]) -> Time {
     let mut now = from;
--- a/core/tests/gateway/origins.rs
+++ b/core/tests/gateway/origins.rs
@@ -419,15 +419,26 @@
     assert_kept(resume_at_random(&mut world, last));
 }
 
-/// Lets a service have one build for longer than streams last, and begins streams that are not stored.
-/// Returns the ids and builds of the streams, and the stored builds.
-fn begin_at_one_build(world: &mut World) -> (Begun, Builds) {
+/// Lets a service have one build for longer than streams last.
+fn watch_one_build(world: &mut World) {
     world.replicas.retain(|replica| replica.build.as_deref() == Some("v1"));
     world.serving = (0..world.serving.len()).map(start).collect();
-    while world.now < START + Span::secs(32) {
+    watch(world, Span::secs(32));
+}
+
+/// Lets the gateways read lists for some time.
+fn watch(world: &mut World, span: Span) {
+    let end = world.now + span;
+    while world.now < end {
         world.now = world.now + Span::millis(500);
         world.refresh();
     }
+}
+
+/// Lets a service have one build for longer than streams last, and begins streams that are not stored.
+/// Returns the ids and builds of the streams, and the stored builds.
+fn begin_at_one_build(world: &mut World) -> (Begun, Builds) {
+    watch_one_build(world);
     let builds = world.serving[0].builds_to_store(world.now, &Builds::new()).unwrap();
     let (begun, stored) = begin_stored(world);
     assert_eq!(stored.len(), 0);
@@ -584,12 +595,7 @@
 fn streams_from_before_a_release_go_on_after_their_gateways_were_killed() {
     for mut world in worlds() {
         let mixed = world.replicas.clone();
-        world.replicas.retain(|replica| replica.build.as_deref() == Some("v1"));
-        world.serving = (0..world.serving.len()).map(start).collect();
-        while world.now < START + Span::secs(32) {
-            world.now = world.now + Span::millis(500);
-            world.refresh();
-        }
+        watch_one_build(&mut world);
         let outcome = world.check(|world| {
             assert_eq!(world.sent, 0);
             world.replicas = mixed;
@@ -603,3 +609,128 @@
         assert_kept(outcome);
     }
 }
+
+/// Guards against streams of the only build that nobody knows, because their gateway was killed as
+/// another build was listed, before it replicated their origins.
+#[test]
+fn streams_of_an_only_build_go_on_after_their_gateway_was_killed_as_another_one_is_listed() {
+    let mut world = World::start(9, 9, 9);
+    let mixed = world.replicas.clone();
+    watch_one_build(&mut world);
+
+    let outcome = world.check(|world| {
+        for at in 0..world.serving.len() {
+            let backups = world.serving[at].take_backups(world.now);
+            world.deliver(at, backups);
+        }
+        world.replicas = mixed;
+        world.refresh();
+        world.kill(3);
+    });
+
+    assert!(outcome.resumed >= 12, "{outcome:?}");
+    assert_eq!((outcome.continued, outcome.joined), (outcome.resumed, 0));
+}
+
+/// Begins streams of the only build at the first gateway of a fleet.
+fn begin_at_first(gateways: usize, streams: usize) -> World {
+    let mut world = World::start(gateways, 2, 10);
+    watch_one_build(&mut world);
+    for n in 0..streams {
+        world.begin(0, &format!("call-{n}"));
+    }
+    world
+}
+
+/// Records that the first gateway backs up, by their holders.
+fn back_up(world: &mut World) -> BTreeMap<String, Vec<Record>> {
+    let now = world.now;
+    world.serving[0].take_backups(now)
+}
+
+/// Guards against a datagram for each stream, or for each time that its origin is still pending, while
+/// services have one build.
+#[test]
+fn origin_of_an_only_build_is_backed_up_once_while_pending_and_once_when_certain() {
+    let mut world = begin_at_first(9, 100);
+
+    let pending: Vec<Vec<Record>> = back_up(&mut world).into_values().collect();
+    let repeated = back_up(&mut world);
+    watch(&mut world, Span::secs(4));
+    let certain: Vec<Vec<Record>> = back_up(&mut world).into_values().collect();
+    let last = back_up(&mut world);
+
+    let counts = |batches: &[Vec<Record>]| batches.iter().map(Vec::len).collect::<Vec<_>>();
+    assert_eq!((counts(&pending), counts(&certain)), (vec![100], vec![100]));
+    assert!(pending[0].iter().all(|record| !record.origin.is_confirmed()));
+    assert!(certain[0].iter().all(|record| record.origin == Origin::of_build(Build::of("v1"))));
+    assert_eq!((repeated, last), (BTreeMap::new(), BTreeMap::new()));
+}
+
+/// Guards against one holder of all backups, whose end would lose them all.
+#[test]
+fn batches_of_backups_go_to_different_gateways() {
+    let mut world = begin_at_first(9, 0);
+    let mut holders = BTreeSet::new();
+    for n in 0..100 {
+        world.begin(0, &format!("call-{n}"));
+        holders.extend(back_up(&mut world).into_keys());
+    }
+
+    assert_eq!(holders.len(), 8);
+}
+
+/// Guards against backups that count as sent although there was nobody to send them to.
+#[test]
+fn origins_are_backed_up_as_soon_as_there_is_another_gateway() {
+    let mut world = begin_at_first(9, 1);
+    // Nothing is heard of the others meanwhile.
+    world.now = world.now + Span::secs(10);
+
+    let alone = back_up(&mut world);
+    world.refresh();
+    let together: usize = back_up(&mut world).into_values().map(|records| records.len()).sum();
+
+    assert_eq!((alone, together), (BTreeMap::new(), 1));
+}
+
+/// Guards against a datagram for each stream in a large fleet, where a resumption would not query the
+/// holder of a batch.
+#[test]
+fn large_fleet_backs_up_no_origins() {
+    for (gateways, is_backed_up) in [(9, true), (10, false), (985, false)] {
+        let mut world = begin_at_first(gateways, 10);
+        assert_eq!(!back_up(&mut world).is_empty(), is_backed_up, "{gateways}");
+    }
+}
+
+/// Guards against streams that began at a replica which had been upgraded in place, and that go on at the
+/// version of its old entry because a backup names it.
+#[test]
+fn backup_of_a_stream_at_an_upgraded_replica_names_no_build() {
+    let mut world = begin_at_first(9, 100);
+    let upgraded: Vec<Listing> = world
+        .replicas
+        .iter()
+        .map(|replica| Listing { build: Some("v2".to_owned()), ..replica.clone() })
+        .collect();
+    let question = |n: usize| Question {
+        call: Call::of(format!("call-{n}").as_bytes()),
+        service: directory::short_hash("engines"),
+    };
+
+    let early: Vec<Record> = back_up(&mut world).into_values().flatten().collect();
+    let now = world.now;
+    world.serving[1].receive_origins(now, &early);
+    world.begin(0, "call-late");
+    world.now = world.now + Span::millis(500);
+    world.replicas = upgraded;
+    world.refresh();
+    let late = back_up(&mut world);
+    let answers: Vec<Answer> =
+        (0..100).map(|n| world.serving[1].answer_origin(world.now, &question(n))).collect();
+
+    assert_eq!(early.len(), 100);
+    assert_eq!(late, BTreeMap::new());
+    assert_eq!(answers, vec![Answer::Unknown; 100]);
+}
--- a/gateway/src/origin.rs
+++ b/gateway/src/origin.rs
@@ -54,10 +54,13 @@
     send(shared, copies).await;
 }
 
-/// Replicates the origins of streams that began while there was no need to.
+/// Replicates the origins of streams that began while there was no need to, and backs up those of streams
+/// for which there is none yet.
 pub async fn replicate(shared: &Shared) {
     let copies = shared.gateway.borrow_mut().take_unreplicated_streams(clock::now());
     send(shared, copies).await;
+    let backups = shared.gateway.borrow_mut().take_backups(clock::now());
+    send(shared, backups).await;
 }
 
 async fn send(shared: &Shared, copies: BTreeMap<String, Vec<Record>>) {
