Store pending origins with their incarnation

What callers saw: after a kill of all gateways, a stream that began at a replica which had just been upgraded in place went on at the build of the replica before, with events of two versions.

Cause: what is stored of an origin was the build alone. While an origin is pending, that is the build of an entry that may be old. Gateways restored it as certain.

Change: a pending origin is stored with its incarnation, and a gateway that restores it waits for its own lists, as for any pending origin. Once the origin is certain, it is stored again with the build alone, in room that new origins leave, and replaces the pending one where it is read.

Why it works: the new gateways hold the origin to the same evidence as the old ones did. A successor with a stated start leaves it pending, one without makes it doubtful; both are refused.

Storing only certain origins would refuse all that are pending.

--- a/core/src/gateway/state/origins.rs
+++ b/core/src/gateway/state/origins.rs
@@ -127,16 +127,25 @@
         }
     }
 
-    /// Builds of own streams to store from now on: those that were replicated since the last call and
-    /// are certain.
+    /// Origins of own streams to store from now on: those that were replicated since the last call, and
+    /// those that were stored while they were pending and have become certain.
     pub fn take_unstored_streams(&mut self, now: Time) -> Vec<Stored> {
         let max_count = origin::max_batch(self.fleet_size(now));
-        let records = self.origins.take_unstored(max_count);
-        let build = |(call, known): (Call, Known)| {
-            let build = self.record_of(call, known)?.origin.build?;
-            Some(Stored { call, build })
+        let mut records = self.origins.take_unstored(max_count);
+        let fleet = &self.fleet;
+        let is_decided =
+            |known: &Known| fleet.certainty(known.origin, known.opened) != Certainty::Pending;
+        let left = max_count - records.len();
+        records.extend(self.origins.take_decided(left, is_decided));
+        let store = |(call, known): (Call, Known)| {
+            let Origin { replica, build } = self.record_of(call, known)?.origin;
+            Some(Stored { call, replica, build: build? })
         };
-        records.into_iter().filter_map(build).collect()
+        let stored: Vec<Stored> = records.into_iter().filter_map(store).collect();
+        for stored in stored.iter().filter(|stored| !stored.origin().is_confirmed()) {
+            self.origins.record_stored_pending(stored.call, max_count);
+        }
+        stored
     }
 
     /// Time from one batch of stored origins to the next.
@@ -158,12 +167,14 @@
         now.since(self.started_at) < self.stream_lifetime()
     }
 
-    /// Restores stored origins that this gateway does not know.
+    /// Restores stored origins that this gateway does not know, or of which it was not certain.
     pub fn restore_origins(&mut self, now: Time, stored: &[Stored]) {
-        for Stored { call, build } in stored {
-            if self.origins.get(*call).is_none() {
-                let origin = Origin::of_build(*build);
-                self.origins.record(now, &Record { call: *call, origin }, None);
+        for stored in stored {
+            let (call, origin) = (stored.call, stored.origin());
+            let known = self.origins.known(call).map(|known| known.origin);
+            let is_news = known.is_none_or(|known| origin.is_confirmed() && !known.is_confirmed());
+            if is_news {
+                self.origins.record(now, &Record { call, origin }, None);
             }
         }
     }
