Test streams that begin without a build, or are not named

No test failed when a stream of a replica without a version could go on at any replica without one, or at one of its id that states one now, or when an unnamed stream went on at the only version of the last seconds.

--- a/core/tests/gateway/builds.rs
+++ b/core/tests/gateway/builds.rs
@@ -1,5 +1,7 @@
 //! Replicas of several builds: where streams that have begun go on.
 
+use std::collections::BTreeSet;
+
 use laburnumwheel_core::gateway::Gateway;
 use laburnumwheel_core::gateway::Grant;
 use laburnumwheel_core::gateway::Pick;
@@ -280,6 +282,59 @@
     assert_eq!(by_caller.unwrap_err(), Reason::UnknownOrigin);
 }
 
+/// Guards against a stream that goes on at the only build left because its caller does not name it, although
+/// it may have begun at a build that has just gone.
+#[test]
+fn stream_that_is_not_named_is_refused_after_the_other_build_has_gone() {
+    let mut gateway = gateway_before(&mixed());
+    let rest: Vec<Listing> =
+        mixed().into_iter().filter(|l| l.build.as_deref() == Some("v1")).collect();
+    let now = watch(&mut gateway, START, Span::secs(10), &rest);
+    let unnamed = Submission { resumes: None, ..resumption("again-1", "") };
+
+    let by_caller = resume_by_caller(&mut gateway, now, &unnamed);
+
+    assert_eq!(by_caller.unwrap_err(), Reason::UnknownOrigin);
+}
+
+/// Guards against streams of a replica without a build that go on at another replica: nothing shows that
+/// both run the same build.
+#[test]
+fn stream_of_a_replica_without_a_build_goes_on_there_alone() {
+    let replicas = [listing("engine-0"), listing("engine-1"), built("engine-2", "v1")];
+    let mut gateway = gateway_before(&replicas);
+    let mut began = BTreeSet::new();
+    for n in 0..STREAMS {
+        let first = format!("call-{n}");
+        let (_, begun) = begin(&mut gateway, START, &call(&first));
+        if begun.build.is_some() {
+            continue;
+        }
+
+        let again = resumption(&format!("again-{n}"), &first);
+        let resumed = resume_by_caller(&mut gateway, START, &again).unwrap();
+
+        assert_eq!(resumed.id, begun.id);
+        began.insert(begun.id);
+    }
+    assert_eq!(began.len(), 2, "streams began at both replicas without a build");
+}
+
+/// Guards against streams of a replica without a build that go on at its successor under the same id, whose
+/// entry states one.
+#[test]
+fn stream_of_a_replica_without_a_build_does_not_go_on_once_its_entry_states_one() {
+    let mut gateway = gateway_before(&[listing("engine-0"), built("engine-1", "v1")]);
+    let replica = listing("engine-0").incarnation.digest();
+    let origin = Origin { replica, build: None };
+    let before = gateway.fleet().may_continue("engines", origin);
+
+    update(&mut gateway, START, &[built("engine-0", "v1"), built("engine-1", "v1")]);
+
+    assert!(before);
+    assert!(!gateway.fleet().may_continue("engines", origin));
+}
+
 /// Guards against memory that grows with the streams of a time in which origins are kept.
 #[test]
 fn gateway_keeps_a_bounded_number_of_origins() {
