Test the origin of runs that are moved and not resumed

On a route without resumption the origin of a stream is kept for moves alone. Nothing failed when record_stream left it out there, so that a run could be moved to the build of a successor of its engine. The new test fails without it (the origin counts as certain) and passes with it.

--- a/core/tests/gateway/moves.rs
+++ b/core/tests/gateway/moves.rs
@@ -14,6 +14,7 @@
 use laburnumwheel_core::gateway::config::Transfer;
 use laburnumwheel_core::gateway::departure;
 use laburnumwheel_core::gateway::fingerprint::Fingerprint;
+use laburnumwheel_core::gateway::fleet::Certainty;
 use laburnumwheel_core::gateway::fleet::Claim;
 use laburnumwheel_core::gateway::fleet::Listing;
 use laburnumwheel_core::gateway::fleet::Outcome;
@@ -356,6 +357,27 @@
     assert!(none.is_none());
 }
 
+/// Guards against a run on a route without resumption that is moved to another build than its own, since its
+/// engine has started again under its id and the list names the build of the successor.
+#[test]
+fn origin_of_a_run_that_can_not_be_resumed_is_known_to_its_moves() {
+    let mut listings = engines(2);
+    listings.iter_mut().for_each(|listing| listing.build = Some("v1".to_owned()));
+    let mut gateway = gateway(listings.clone());
+    let mut run = sending(&mut gateway, 1, 1);
+    gateway.record_stream(START, &run.call, &mut run.grant, &run.claim);
+    let before = gateway.origin_certainty(&run.grant);
+    let is_source = |listing: &&mut Listing| listing.incarnation.id == run.pick.id;
+    listings.iter_mut().find(is_source).unwrap().build = Some("v2".to_owned());
+    let next = START + Span::millis(500);
+
+    gateway.update_lists(next, next, listings, vec![entry("one")]);
+
+    assert!(!run.grant.route.idempotent);
+    assert_eq!(before, Certainty::Pending);
+    assert_eq!(gateway.origin_certainty(&run.grant), Certainty::Doubtful);
+}
+
 /// A stopped run returns to its source within a second from when that was known to leave; an engine
 /// that leaves must get no request later.
 #[test]
