Tell gateways that start of streams without ranking the fleet

What callers saw: nothing was reported. While the gateways of a large fleet are restarted in turn, each other one took processor time that its calls lack.

Cause: for each gateway that starts, add_joined ranked all live gateways for each of its own replicated streams, to see whether the new one is among the holders.

Change: only the gateways that started are looked at, and the search ends with the third one that precedes them.

--- a/core/src/gateway/directory.rs
+++ b/core/src/gateway/directory.rs
@@ -147,6 +147,14 @@
     rendezvous::hash(&[name.as_bytes()]) as u32
 }
 
+/// Whether a gateway is among the first `count` of `live` that hold copies under a key, as
+/// [`Directory::holders`] ranks them. Most gateways are not, and some that precede them are found early.
+pub fn is_holder(live: &[u32], gateway: u32, key: u64, count: usize) -> bool {
+    let score = |gateway: u32| rendezvous::score(key, u64::from(gateway));
+    let own = score(gateway);
+    live.iter().filter(|other| score(**other) > own).take(count).count() < count
+}
+
 impl Directory {
     /// Updates the directory by the list in the store.
     pub fn update(&mut self, now: Time, entries: Vec<Entry>) {
@@ -374,11 +382,17 @@
         Some((first.short_hash, first.entry.peer_address.as_str()))
     }
 
-    /// Addresses for datagrams of the gateways that were first seen at `since` or later; a restarted one
-    /// is another.
-    pub fn joined_since(&self, since: Time) -> impl Iterator<Item = &str> {
+    /// Short hashes of the names, and addresses for datagrams, of the gateways that were first seen at
+    /// `since` or later; a restarted one is another.
+    pub fn joined_since(&self, since: Time) -> impl Iterator<Item = (u32, &str)> {
         let joined = self.members.values().filter(move |m| m.first_seen >= since);
-        joined.map(|m| m.entry.peer_address.as_str())
+        joined.map(|m| (m.short_hash, m.entry.peer_address.as_str()))
+    }
+
+    /// Short hashes of the names of the live gateways, which may hold copies.
+    pub fn live_hashes(&self, now: Time) -> Vec<u32> {
+        let live = self.members.values().filter(|m| m.is_live(now) || m.is_starting(now));
+        live.map(|m| m.short_hash).collect()
     }
 
     /// Addresses for datagrams of the live gateways that hold copies under a key: at most `count`, in
--- a/core/src/gateway/state/origins.rs
+++ b/core/src/gateway/state/origins.rs
@@ -106,15 +106,19 @@
     /// Adds the records that belong to gateways which have started since the last call.
     fn add_joined(&mut self, now: Time, copies: &mut Copies) {
         let since = std::mem::replace(&mut self.streams_replicated, now);
-        let joined: Vec<String> = self.directory.joined_since(since).map(str::to_owned).collect();
+        let live = self.directory.live_hashes(now);
+        let joined = self.directory.joined_since(since);
+        let joined: Vec<(u32, &str)> = joined.filter(|(hash, _)| live.contains(hash)).collect();
         if joined.is_empty() {
             return;
         }
+        let count = self.copies_of_origins(now);
         let replicated = self.origins.replicated();
         for record in replicated.filter_map(|(call, known)| self.record_of(call, known)) {
-            let holders = self.holders(now, record.call);
-            for holder in holders.into_iter().filter(|holder| joined.contains(holder)) {
-                copies.entry(holder).or_default().push(record);
+            for (hash, address) in &joined {
+                if directory::is_holder(&live, *hash, record.call.0, count) {
+                    copies.entry((*address).to_owned()).or_default().push(record);
+                }
             }
         }
     }
@@ -414,9 +418,13 @@
 
     /// Addresses of the gateways that hold the origin of a call's stream.
     fn holders(&self, now: Time, call: Call) -> Vec<String> {
+        self.directory.holders(now, call.0, self.copies_of_origins(now))
+    }
+
+    /// Gateways that each origin is replicated to.
+    fn copies_of_origins(&self, now: Time) -> usize {
         let is_small = self.directory.live_peers(now) <= SMALL_FLEET;
-        let count = if is_small { SMALL_FLEET_COPIES } else { COPIES };
-        self.directory.holders(now, call.0, count)
+        if is_small { SMALL_FLEET_COPIES } else { COPIES }
     }
 }
 
--- /dev/null
+++ b/core/tests/gateway/joined.rs
@@ -0,0 +1,106 @@
+//! What a gateway pays to tell gateways that start what began its streams.
+
+use std::sync::Arc;
+
+use laburnumwheel_core::gateway::Gateway;
+use laburnumwheel_core::gateway::directory;
+use laburnumwheel_core::gateway::directory::Entry;
+use laburnumwheel_core::gateway::fleet::Listing;
+use laburnumwheel_core::gateway::fleet::Outcome;
+use laburnumwheel_core::gateway::gossip::Demand;
+use laburnumwheel_core::gateway::submission::Submission;
+use laburnumwheel_core::time::Span;
+use laburnumwheel_core::time::Time;
+
+use crate::support::START;
+use crate::support::config;
+use crate::support::entry;
+use crate::support::listing;
+use crate::support::settings;
+use crate::support::submission;
+
+const GATEWAYS: usize = 985;
+/// Streams of a gateway within 30 s, for which their origins are kept.
+const STREAMS: usize = 1_800;
+/// Copies of each origin in a large fleet.
+const COPIES: usize = 3;
+/// Gateways that are restarted, of all [`GATEWAYS`].
+const RESTARTS: usize = 40;
+/// Time from one restart to the next: each tick in which the gateway looks for others that have started.
+const INTERVAL: Span = Span::millis(250);
+/// Time from a read of the store to the next tick.
+const TICK_DELAY: Span = Span::millis(1);
+/// Processor time that control may cost a gateway, of a core.
+const MAX_SHARE: f64 = 0.01;
+
+fn begin(gateway: &mut Gateway, id: String) {
+    let call = Submission { id: id.into(), ..submission("chat", &[]) };
+    let mut grant = gateway.admit(START, &call).unwrap();
+    let mut pick = gateway.pick(START, &call, &mut grant, &[]).unwrap();
+    gateway.record_sent(START, &call, &mut grant, &mut pick);
+    gateway.record_event(START, &mut pick.claim);
+    gateway.record_stream(START, &call, &mut grant, &pick.claim);
+    gateway.record_end(START, pick.claim, Outcome::Answered);
+}
+
+/// Reads the store and hears of all gateways.
+fn refresh(gateway: &mut Gateway, now: Time, replicas: &[Listing], entries: &[Entry]) {
+    let demand = |entry: &Entry| Demand {
+        gateway: directory::short_hash(&entry.name),
+        open: true,
+        sensitive: 0,
+        age_ms: 0,
+    };
+    let mut heartbeat = Gateway::new(settings("gateway-1"), START).heartbeat(now);
+    heartbeat.entry = entries[1].clone();
+    heartbeat.demands = entries.iter().map(demand).collect();
+    gateway.record_read(now, None);
+    gateway.update_lists(now, now, replicas.to_vec(), entries.to_vec());
+    gateway.receive(now, &heartbeat);
+}
+
+/// Processor time of this thread.
+fn processor_time() -> Span {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap();
+    let nanos: u64 = text.split(' ').next().unwrap().parse().unwrap();
+    Span(nanos / 1_000)
+}
+
+/// Guards against a rollout of a large fleet that takes the processors of gateways: each one looks at all its
+/// streams again for each gateway that starts.
+#[test]
+fn telling_gateways_that_restart_in_turn_stays_within_the_share_of_control() {
+    let mut entries: Vec<Entry> = (0..GATEWAYS).map(|n| entry(&format!("gateway-{n}"))).collect();
+    let built = |n: usize| Listing {
+        build: Some(["v1", "v2"][n % 2].to_owned()),
+        ..listing(&format!("engine-{n}"))
+    };
+    let replicas: Vec<Listing> = (0..18).map(built).collect();
+    let mut gateway = Gateway::new(settings("gateway-0"), START);
+    gateway.record_read(START, Some(Arc::new(config(1))));
+    refresh(&mut gateway, START, &replicas, &entries);
+    (0..STREAMS).for_each(|n| begin(&mut gateway, format!("call-{n}")));
+    let mut now = START + INTERVAL;
+    gateway.take_unreplicated_streams(now);
+
+    let (mut told, mut took) = (0, Span(0));
+    for n in 0..RESTARTS {
+        now = now + INTERVAL;
+        let restarted = 2 + n * (GATEWAYS - 2) / RESTARTS;
+        entries[restarted].incarnation += 1;
+        refresh(&mut gateway, now, &replicas, &entries);
+        let before = processor_time();
+        let copies = gateway.take_unreplicated_streams(now + TICK_DELAY);
+        took = took + Span(processor_time().0 - before.0);
+        assert!(copies.keys().all(|address| *address == entries[restarted].peer_address));
+        told += copies.values().map(Vec::len).sum::<usize>();
+    }
+
+    // Each gateway holds its part of all copies.
+    let expected = RESTARTS * STREAMS * COPIES / GATEWAYS;
+    assert!(told * 2 > expected && told < expected * 2, "{told} of {expected} expected");
+    let each = took.0 / RESTARTS as u64;
+    let share = took.as_secs_f64() / (INTERVAL.as_secs_f64() * RESTARTS as f64);
+    println!("{each} us for each restart, {share:.4} of a core at one each {INTERVAL:?}");
+    assert!(share < MAX_SHARE, "{share} of a core");
+}
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod fleet;
 mod freshness;
 mod heartbeats;
+mod joined;
 mod leader;
 mod limits;
 mod liveness;
