Revert "Store pending origins with their incarnation"

This reverts, and lets add_joined rank the fleet once a stream when many gateways start together.

What callers would see: a reader of the store in its first 30 s that reads its own batch back forgets that the stream is its own, does not tell holders that restart, and the stream is refused once the gateway is killed. Beside gateways of the release before, their rows of pending origins, which look certain, would end a pending record at another gateway, and a stream could go on at another version. And at 60 streams a second and gateway the batches have room for some 2 certain rows a second, so that most pending origins stay pending.

Found by a review that had not seen the work, by reading; none of it was played.

add_joined: a search for each gateway that starts took 0.29 ms, some 0.3 s for 984 of them (worked out). From 65 on the fleet is ranked once for each stream, as before.

--- a/core/src/gateway/origin.rs
+++ b/core/src/gateway/origin.rs
@@ -49,9 +49,6 @@
 const MAX_BATCHES_PER_SEC: u64 = 80;
 /// Batches that may wait to be stored after a burst at one gateway.
 const MAX_WAITING_BATCHES: usize = 10;
-/// Batches' worth of stored pending origins that may wait to be stored again as certain ones, which they
-/// become within 24 batches or sooner.
-const MAX_PENDING_BATCHES: usize = 30;
 /// Shortest time from one batch of a gateway to the next. Streams that began since the last batch are
 /// lost if all gateways end.
 const MIN_BATCH_INTERVAL: Span = Span::millis(100);
@@ -104,24 +101,15 @@
     pub origin: Origin,
 }
 
-/// Origin of a stream as it is stored.
+/// Build of a stream as it is stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stored {
     /// The attempt that brought the first event.
     pub call: Call,
-    /// Incarnation of the replica that began it; [`NO_REPLICA`] if it is certain that the build did.
-    pub replica: Digest,
-    /// Build of that replica.
+    /// Build of the replica that began it.
     pub build: Build,
 }
 
-impl Stored {
-    /// The origin of the stream.
-    pub fn origin(&self) -> Origin {
-        Origin { replica: self.replica, build: Some(self.build) }
-    }
-}
-
 /// Builds that each service has had for as long as streams last, as they are stored. A service that is
 /// missing has never been seen. One without a build has had replicas that stated none.
 pub type Builds = BTreeMap<String, BTreeSet<Build>>;
@@ -209,8 +197,6 @@
     unbacked: BTreeMap<Call, bool>,
     /// Own streams whose origins were replicated and not stored, in the order of their records.
     unstored: VecDeque<Call>,
-    /// Own streams whose origins were stored while they were pending, in the order of their records.
-    stored_pending: VecDeque<Call>,
 }
 
 impl Table {
@@ -317,36 +303,6 @@
         known.collect()
     }
 
-    /// Records that the origin of an own stream was stored while it was pending. It is stored again once
-    /// it is certain; beyond some batches the oldest ones never are.
-    pub fn record_stored_pending(&mut self, call: Call, max_count: usize) {
-        self.stored_pending.push_back(call);
-        let excess = self.stored_pending.len().saturating_sub(MAX_PENDING_BATCHES * max_count);
-        self.stored_pending.drain(..excess);
-    }
-
-    /// Takes origins of own streams that were stored while they were pending, and on which `decide` has
-    /// decided since, `max_count` at most.
-    pub fn take_decided(
-        &mut self,
-        max_count: usize,
-        decide: impl Fn(&Known) -> bool,
-    ) -> Vec<(Call, Known)> {
-        let mut decided = Vec::new();
-        let entries = &self.entries;
-        self.stored_pending.retain(|call| {
-            let Some(known) = entries.get(call).map(Entry::known) else {
-                return false;
-            };
-            let is_taken = decided.len() < max_count && decide(&known);
-            if is_taken {
-                decided.push((*call, known));
-            }
-            !is_taken
-        });
-        decided
-    }
-
     /// Replicated origins of own streams.
     pub fn replicated(&self) -> impl Iterator<Item = (Call, Known)> {
         let replicated =
--- a/core/src/gateway/state/origins.rs
+++ b/core/src/gateway/state/origins.rs
@@ -35,6 +35,9 @@
 const SMALL_FLEET_COPIES: usize = 4;
 /// Number of live peers up to which a fleet is small. A resumption queries all of them.
 const SMALL_FLEET: usize = QUERIED;
+/// Most gateways that start between two ticks for each of which its place among the holders of a stream
+/// is searched. For more of them, ranking all gateways once for each stream takes less time.
+const MAX_SEARCHED: usize = 64;
 /// Gateways that are queried for an origin, in the order of replication. Some that hold it may have
 /// ended since, and others may have taken their places.
 const QUERIED: usize = 8;
@@ -149,7 +152,19 @@
         }
         let count = self.copies_of_origins(now);
         let replicated = self.origins.replicated();
-        for record in replicated.filter_map(|(call, known)| self.record_of(call, known)) {
+        let records = replicated.filter_map(|(call, known)| self.record_of(call, known));
+        if joined.len() > MAX_SEARCHED {
+            let addresses: BTreeSet<&str> = joined.iter().map(|(_, address)| *address).collect();
+            for record in records {
+                for holder in self.holders(now, record.call) {
+                    if addresses.contains(holder.as_str()) {
+                        copies.entry(holder).or_default().push(record);
+                    }
+                }
+            }
+            return;
+        }
+        for record in records {
             for (hash, address) in &joined {
                 if directory::is_holder(&live, *hash, record.call.0, count) {
                     copies.entry((*address).to_owned()).or_default().push(record);
@@ -166,25 +181,16 @@
         }
     }
 
-    /// Origins of own streams to store from now on: those that were replicated since the last call, and
-    /// those that were stored while they were pending and have become certain.
+    /// Builds of own streams to store from now on: those that were replicated since the last call and
+    /// are certain.
     pub fn take_unstored_streams(&mut self, now: Time) -> Vec<Stored> {
         let max_count = origin::max_batch(self.fleet_size(now));
-        let mut records = self.origins.take_unstored(max_count);
-        let fleet = &self.fleet;
-        let is_decided =
-            |known: &Known| fleet.certainty(known.origin, known.opened) != Certainty::Pending;
-        let left = max_count - records.len();
-        records.extend(self.origins.take_decided(left, is_decided));
-        let store = |(call, known): (Call, Known)| {
-            let Origin { replica, build } = self.record_of(call, known)?.origin;
-            Some(Stored { call, replica, build: build? })
+        let records = self.origins.take_unstored(max_count);
+        let build = |(call, known): (Call, Known)| {
+            let build = self.record_of(call, known)?.origin.build?;
+            Some(Stored { call, build })
         };
-        let stored: Vec<Stored> = records.into_iter().filter_map(store).collect();
-        for stored in stored.iter().filter(|stored| !stored.origin().is_confirmed()) {
-            self.origins.record_stored_pending(stored.call, max_count);
-        }
-        stored
+        records.into_iter().filter_map(build).collect()
     }
 
     /// Time from one batch of stored origins to the next.
@@ -206,14 +212,12 @@
         now.since(self.started_at) < self.stream_lifetime()
     }
 
-    /// Restores stored origins that this gateway does not know, or of which it was not certain.
+    /// Restores stored origins that this gateway does not know.
     pub fn restore_origins(&mut self, now: Time, stored: &[Stored]) {
-        for stored in stored {
-            let (call, origin) = (stored.call, stored.origin());
-            let known = self.origins.known(call).map(|known| known.origin);
-            let is_news = known.is_none_or(|known| origin.is_confirmed() && !known.is_confirmed());
-            if is_news {
-                self.origins.record(now, &Record { call, origin }, None);
+        for Stored { call, build } in stored {
+            if self.origins.get(*call).is_none() {
+                let origin = Origin::of_build(*build);
+                self.origins.record(now, &Record { call: *call, origin }, None);
             }
         }
     }
